--- /dev/null
+++ b/clayport/api.py
@@ -0,0 +1,190 @@
+"""What users ask: submissions, polls, cancellations and the health check."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING, Any
+
+import curio
+import msgspec
+
+from . import peerwire
+from .jobs import can_ever_run, end_key, live_key
+from .model import Job, fits
+from .peers import PeerError
+from .statestore import Conflict, Txn, Unavailable, Unknown
+
+if TYPE_CHECKING:
+    from .server import Controller
+
+log = logging.getLogger("clayport.api")
+
+Headers = list[tuple[str, str]]
+# The protocol's own figures: users wait this long for a submission and a poll.
+SUBMIT_S, POLL_S = 5.0, 2.0
+
+
+class Api:
+    """Requests on the address that users, workers and health checks share."""
+
+    def __init__(self, core: Controller) -> None:
+        self.core = core
+
+    async def handle(self, method: str, path: str, body: bytes) -> tuple[int, bytes, Headers]:
+        try:
+            status, value = await self._route(method, path.partition("?")[0], body)
+        except (Unavailable, Unknown) as exc:
+            log.debug("path=%s event=unavailable cause=%s", path, exc)
+            status, value = 503, {"error": "state service unavailable"}
+        await self.core.flush()
+        headers: Headers = []
+        if status == 503 and path.startswith("/api/"):
+            headers.append(("Retry-After", "1"))
+        return status, msgspec.json.encode(value), headers
+
+    async def _route(self, method: str, path: str, body: bytes) -> tuple[int, dict[str, Any]]:
+        if path == "/v1/report":
+            if method != "POST":
+                return 405, {}
+            return await self.core.fleet.report(body)
+        if path == "/up":
+            return (405, {}) if method != "GET" else (200 if self.core.healthy() else 503, {})
+        if path == "/api/jobs":
+            return await self._submit(body) if method == "POST" else (405, {})
+        if path.startswith("/api/jobs/"):
+            job, _, action = path[len("/api/jobs/"):].partition("/")
+            if not action:
+                return await self._poll(job) if method == "GET" else (405, {})
+            if action == "abort":
+                return await self._abort(job) if method == "POST" else (405, {})
+        return 404, {"error": "no such path"}
+
+    @staticmethod
+    def _valid(job: str) -> bool:
+        return 0 < len(job) <= 40 and job.isascii() and job.replace("-", "").isalnum()
+
+    async def _known(self, job: str, timeout_s: float) -> str | None:
+        """The job's state as the state service holds it now, or None.
+
+        The live record is read first: it only ever turns into the final one, so
+        that finding neither means that the job was never accepted.
+        """
+        core = self.core
+        if job in core.ended:
+            return core.ended[job]
+        if await core.store.get(live_key(job), timeout_s) is not None:
+            return "live"
+        entry = await core.store.get(end_key(job), timeout_s)
+        if entry is None:
+            return None
+        core.note_end(job, str(entry.value["s"]))
+        return str(entry.value["s"])
+
+    async def _answer(self, job: str, status: str) -> dict[str, Any]:
+        """The body of a poll or a repeated submission."""
+        core = self.core
+        if status != "live":
+            known = core.live.get(job)
+            done = known[0].tasks if status == "done" and known else 0
+            return {"id": job, "status": status, "done": done, "running": 0}
+        counts = core.dispatch.counts(job)
+        home = core.generation.place(job)
+        if counts is None and home in core.peers and core.member:
+            try:
+                ok, done, running = await core.peers[home].call(
+                    peerwire.COUNTS, (core.generation.number, job), POLL_S / 4)
+                counts = (done, running) if ok else None
+            except PeerError:
+                counts = None
+        # For display only: a home out of reach must not cost the user its answer.
+        done, running = counts or (0, 0)
+        return {"id": job, "status": "running" if running else "queued", "done": done,
+                "running": running}
+
+    async def _poll(self, job: str) -> tuple[int, dict[str, Any]]:
+        if not self._valid(job):
+            return 404, {"error": "no such job"}
+        status = await self._known(job, POLL_S / 3)
+        if status is None:
+            return 404, {"error": "no such job"}
+        return 200, await self._answer(job, status)
+
+    async def _submit(self, body: bytes) -> tuple[int, dict[str, Any]]:
+        core = self.core
+        try:
+            job = msgspec.json.decode(body, type=Job)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
+            return 400, {"error": str(exc)}
+        value = {"j": msgspec.to_builtins(job)}
+        if len(msgspec.json.encode(value)) > core.settings.cluster.state.value_kb * 1024 / 2:
+            return 400, {"error": "description too large"}
+        limit = core.limits.get(job.team)
+        if not core.types and job.id not in core.ended:
+            return 503, {"error": "machine types not known yet"}
+        if limit is None or not any(fits(job, t) for t in core.types) \
+                or not can_ever_run(job, limit):
+            # Never for a job that was accepted before, whatever has changed since.
+            known = await self._known(job.id, SUBMIT_S / 3)
+            if known is None:
+                return 422, {"error": "can never run"}
+            return 200, await self._answer(job.id, known)
+        if job.id in core.ended:
+            return 200, await self._answer(job.id, core.ended[job.id])
+        if job.id in core.live:
+            known = await self._known(job.id, SUBMIT_S / 3)
+            if known is not None:
+                return 200, await self._answer(job.id, known)
+        txn = Txn().require(live_key(job.id), 0).require(end_key(job.id), 0)
+        txn.put(live_key(job.id), value)
+        deadline = time.monotonic() + SUBMIT_S * 0.7
+        while True:
+            try:
+                rev = await core.store.commit(txn)
+                break
+            except Conflict:
+                known = await self._known(job.id, SUBMIT_S / 5)
+                if known is None:
+                    raise Unavailable("the record is just changing") from None
+                return 200, await self._answer(job.id, known)
+            except Unknown:
+                # It may have been applied: the same transaction again either
+                # succeeds or shows the job.
+                if time.monotonic() > deadline:
+                    raise
+                await curio.sleep(core.jitter(0.1))
+        log.info("job=%s event=accepted class=%s kind=%s tasks=%d", job.id, job.job_class,
+                 job.kind, job.tasks)
+        core.note_live(job, rev)
+        return 201, {"id": job.id, "status": "queued"}
+
+    async def _abort(self, job: str) -> tuple[int, dict[str, Any]]:
+        core = self.core
+        if not self._valid(job):
+            return 404, {"error": "no such job"}
+        deadline = time.monotonic() + SUBMIT_S * 0.7
+        while time.monotonic() < deadline:
+            if job in core.ended:
+                return 200, {"id": job, "status": core.ended[job]}
+            entry = await core.store.get(live_key(job), SUBMIT_S / 5)
+            if entry is None:
+                known = await self._known(job, SUBMIT_S / 5)
+                if known is None:
+                    return 404, {"error": "no such job"}
+                if known == "live":
+                    continue
+                return 200, {"id": job, "status": known}
+            txn = Txn().require(live_key(job), entry.rev).delete(live_key(job))
+            txn.put(end_key(job), {"s": "cancelled", "j": entry.value["j"]})
+            try:
+                await core.store.commit(txn)
+            except Conflict:
+                continue
+            except Unknown:
+                await curio.sleep(core.jitter(0.1))
+                continue
+            log.info("job=%s event=cancelled", job)
+            core.note_end(job, "cancelled")
+            core.tell_end(job, "cancelled")
+            return 200, {"id": job, "status": "cancelled"}
+        raise Unavailable("not settled in time")
--- /dev/null
+++ b/clayport/cli.py
@@ -0,0 +1,47 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import os
+import sys
+
+from . import __version__
+from .config import ConfigError, load
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def parser() -> argparse.ArgumentParser:
+    p = argparse.ArgumentParser(prog="clayport", description="Run one controller of clayport.")
+    p.add_argument("--config", metavar="FILE", required=True, help="the platform's settings (JSON)")
+    p.add_argument("--operator", metavar="FILE",
+                   help="the operator's own settings (protobuf text format)")
+    p.add_argument("--check", action="store_true", help="check the settings and exit")
+    p.add_argument("--version", action="version", version=f"clayport {__version__}")
+    return p
+
+
+def main(argv: list[str] | None = None) -> int:
+    args = parser().parse_args(argv)
+    name = os.environ.get("LOG_LEVEL") or "info"
+    if name not in LEVELS:
+        print(f"LOG_LEVEL: {name!r} is none of error, info, debug", file=sys.stderr)
+        return 2
+    try:
+        settings = load(args.config)
+    except ConfigError as exc:
+        print(f"{args.config}: {exc}", file=sys.stderr)
+        return 2
+    if args.check:
+        print("settings are valid")
+        return 0
+    logging.basicConfig(level=LEVELS[name], stream=sys.stderr,
+                        format="%(levelname)s %(name)s %(message)s")
+    # Imported late: checking settings needs none of it.
+    import curio
+
+    from .server import Controller
+    curio.run(Controller(settings).run)
+    return 1
--- /dev/null
+++ b/clayport/cloud.py
@@ -0,0 +1,93 @@
+"""The cloud's protocol. It decides nothing: outcomes are handed on."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import curio
+import msgspec
+
+from . import http
+from .model import Listed, MachineType
+from .statestore import Bucket
+
+
+class CloudError(Exception):
+    """Refused or unanswered; a rental or return may still be executed."""
+
+
+class NoCapacity(Exception):
+    """None of this type, zone and kind is to be had now."""
+
+
+class _Catalogue(msgspec.Struct):
+    types: list[MachineType] = msgspec.field(name="flavors")
+
+
+class _Page(msgspec.Struct):
+    machines: list[Listed] = msgspec.field(name="hosts")
+    more: bool = False
+
+
+class _Rented(msgspec.Struct):
+    machines: list[str] = msgspec.field(name="hosts")
+
+
+class Cloud:
+    """Requests to the cloud, paced to this controller's share of its budget."""
+
+    def __init__(self, host: str, port: int, rps: float, timeout_s: float) -> None:
+        self.client = http.Client(host, port, keep=2)
+        self.bucket = Bucket(rps * 0.8, time.monotonic())
+        self.timeout_s = timeout_s
+
+    async def _call(self, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
+        wait = self.bucket.delay(1, time.monotonic())
+        if wait > 0:
+            await curio.sleep(wait)
+        raw = None if body is None else msgspec.json.encode(body)
+        try:
+            return await self.client.request(method, path, raw, self.timeout_s)
+        except http.NoAnswer as exc:
+            raise CloudError(str(exc)) from None
+
+    @staticmethod
+    def _decode(status: int, payload: bytes, kind: Any) -> Any:
+        if status != 200:
+            raise CloudError(f"{status} {payload[:100]!r}")
+        try:
+            return msgspec.json.decode(payload, type=kind)
+        except msgspec.MsgspecError as exc:
+            raise CloudError(f"malformed answer: {exc}") from None
+
+    async def catalogue(self) -> list[MachineType]:
+        status, payload = await self._call("GET", "/catalog")
+        found: list[MachineType] = self._decode(status, payload, _Catalogue).types
+        return found
+
+    async def machines(self) -> list[Listed]:
+        found: list[Listed] = []
+        since = ""
+        while True:
+            status, payload = await self._call("GET", f"/hosts?since={since}&most=500"
+                                               if since else "/hosts?most=500")
+            page: _Page = self._decode(status, payload, _Page)
+            found += page.machines
+            if not page.more or not page.machines:
+                return found
+            since = page.machines[-1].id
+
+    async def rent(self, rental: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
+        body = {"rental": rental, "flavor": kind, "site": zone, "loaners": spot, "number": count}
+        status, payload = await self._call("POST", "/hosts", body)
+        if status == 503 and b"no capacity" in payload:
+            raise NoCapacity
+        names: list[str] = self._decode(status, payload, _Rented).machines
+        return names
+
+    async def give_back(self, names: list[str]) -> None:
+        """Once this returns, the machines and everything on them are gone."""
+        status, payload = await self._call("POST", "/hosts/return", {"hosts": names})
+        if status != 200:
+            raise CloudError(f"{status} {payload[:100]!r}")
--- /dev/null
+++ b/clayport/config.py
@@ -0,0 +1,147 @@
+"""The platform's settings file: read, checked and handed on as plain structures.
+
+Unknown fields are ignored (the platform may add some); anything missing or
+contradictory is reported with the name of the field.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NonNegative = Annotated[float, msgspec.Meta(ge=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+
+class ConfigError(Exception):
+    """The settings can't be used; the text names the field."""
+
+
+class Member(msgspec.Struct, frozen=True):
+    label: Name
+    location: str
+    address: str
+
+
+class Services(msgspec.Struct, frozen=True):
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, frozen=True):
+    """A team's guarantee and limit; a limit of 0 means that there is none."""
+
+    name: Name
+    cpus: NonNegative = 0.0
+    cpus_max: NonNegative = 0.0
+    gpus: NonNegative = 0.0
+    gpus_max: NonNegative = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True):
+    kind: str
+    job_class: str | None = msgspec.field(name="class", default=None)
+    within_s: float | None = None
+    share: float | None = None
+
+
+class WorkerSettings(msgspec.Struct, frozen=True):
+    report_s: Positive
+    lease_s: Positive
+    gang_wait_s: Positive
+    gang_peer_s: Positive
+    cancel_s: Positive
+
+
+class StateSettings(msgspec.Struct, frozen=True):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, msgspec.Meta(ge=4)]
+
+
+class CloudSettings(msgspec.Struct, frozen=True):
+    rps: Positive
+    list_lag_s: NonNegative
+
+
+class Limits(msgspec.Struct, frozen=True):
+    core_share: Positive = 1.0
+    mem_mb: Positive = 146.0
+    max_sockets: Annotated[int, msgspec.Meta(ge=16)] = 500
+
+
+class Cluster(msgspec.Struct, frozen=True):
+    size: Count
+    zones: list[Name]
+    teams: list[Team]
+    workers: WorkerSettings
+    state: StateSettings
+    cloud: CloudSettings
+    objectives: list[Objective] = []
+    machine_limits: Limits = Limits()
+    clock_error_ms: NonNegative = 0.0
+
+
+class Settings(msgspec.Struct, frozen=True):
+    label: Name
+    bind: str
+    peer_bind: str
+    members: list[Member]
+    services: Services
+    cluster: Cluster
+    location: str = ""
+
+    @property
+    def labels(self) -> list[str]:
+        """All controllers, this one included."""
+        return sorted([self.label, *(m.label for m in self.members)])
+
+
+def endpoint(text: str, field: str) -> tuple[str, int]:
+    """Split `host:port`; `field` is named when it is not one."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{field}: {text!r} is not host:port")
+    return host, int(port)
+
+
+def parse(raw: bytes) -> Settings:
+    """Decode and check the settings."""
+    try:
+        settings = msgspec.json.decode(raw, type=Settings)
+    except msgspec.ValidationError as exc:
+        raise ConfigError(str(exc)) from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise ConfigError(f"not JSON: {exc}") from None
+    endpoint(settings.bind, "bind")
+    endpoint(settings.peer_bind, "peer_bind")
+    endpoint(settings.services.cloud, "services.cloud")
+    endpoint(settings.services.state, "services.state")
+    for index, member in enumerate(settings.members):
+        endpoint(member.address, f"members[{index}].address")
+    if len(set(settings.labels)) != len(settings.members) + 1:
+        raise ConfigError("members: a label stands twice")
+    if settings.cluster.size != len(settings.members) + 1:
+        raise ConfigError("cluster.size: differs from the number of members and this one")
+    names = [team.name for team in settings.cluster.teams]
+    if len(set(names)) != len(names):
+        raise ConfigError("cluster.teams: a name stands twice")
+    for team in settings.cluster.teams:
+        if 0 < team.cpus_max < team.cpus or 0 < team.gpus_max < team.gpus:
+            raise ConfigError(f"cluster.teams: {team.name} is guaranteed more than its limit")
+    if settings.cluster.workers.cancel_s <= settings.cluster.workers.lease_s:
+        raise ConfigError("cluster.workers.cancel_s: must be longer than lease_s")
+    return settings
+
+
+def load(path: str) -> Settings:
+    """Read the settings from a file."""
+    try:
+        with open(path, "rb") as file:
+            return parse(file.read())
+    except OSError as exc:
+        raise ConfigError(f"{path}: {exc.strerror}") from None
--- /dev/null
+++ b/clayport/dispatch.py
@@ -0,0 +1,592 @@
+"""The home's routines: placing from the cached picture, committing, launching."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
+
+import curio
+
+from . import peerwire
+from .jobs import (
+    CLEAR,
+    GENERATION_KEY,
+    KILL,
+    LATER,
+    OK,
+    HomeJob,
+    amounts,
+    chunk_key,
+    end_key,
+    live_key,
+    quota_key,
+    quota_of,
+)
+from .model import GANG, SERVICE, Chunk, Job, split_task
+from .peers import PeerError
+from .placement import Room, Spread, place
+from .refresh import Asc
+from .statestore import Conflict, Txn, Unavailable, Unknown
+from .workers import GONE
+
+if TYPE_CHECKING:
+    from .server import Controller
+
+log = logging.getLogger("clayport.dispatch")
+
+# Demand told to peers: enough jobs to fill any fleet, and a bounded frame.
+DEMAND_MOST = 500
+
+
+class Evicted(Exception):
+    """The generation has moved on: this routine's work is no longer ours."""
+
+
+class Dispatch:
+    """Homes of jobs, and the picture they are placed from."""
+
+    def __init__(self, core: Controller) -> None:
+        self.core = core
+        self.homes: dict[str, HomeJob] = {}
+        self.asc = Asc()
+        self.inflight: dict[tuple[str, int], tuple[str, Job]] = {}
+        self.quotas: dict[str, tuple[tuple[float, float], int]] = {}
+        self.demands: dict[str, list[tuple[str, int, float]]] = {}
+        self.pulled: dict[str, int] = {}  # peer: its room revision at the last pull
+        self.own_rev = -1
+        self.starved = False
+        self.value_limit = int(core.settings.cluster.state.txn_ops)
+
+    # -- the picture -----------------------------------------------------
+
+    def picture(self) -> dict[str, Room]:
+        """The snapshot; our own machines in it are always as their reports say."""
+        core = self.core
+        if core.owner.room_rev != self.own_rev:
+            self.own_rev = core.owner.room_rev
+            now = time.monotonic()
+            self._replace(core.label, [core.owner.room(m, core.label, now)
+                                       for m in core.owner.machines.values() if m.known])
+        return core.rooms
+
+    def _replace(self, owner: str, rooms: Iterable[Room]) -> None:
+        core = self.core
+        for name in [n for n, r in core.rooms.items() if r.owner == owner]:
+            del core.rooms[name]
+        for room in rooms:
+            core.rooms[room.machine] = room
+        # What was placed and isn't reserved yet stays subtracted.
+        for machine, job in self.inflight.values():
+            room_ = core.rooms.get(machine)
+            if room_ is not None and room_.owner == owner:
+                room_.take(job)
+
+    async def refresh_peers(self, changed_only: bool) -> None:
+        """Pull the peers' free-room tables; nothing is written to the state service."""
+        core = self.core
+        gen = core.generation
+        for label in gen.members:
+            peer = core.peers.get(label)
+            if peer is None or (changed_only and self.pulled.get(label) == peer.room_rev):
+                continue
+            try:
+                ok, rev, rows = await peer.call(peerwire.ROOM, (gen.number,))
+            except PeerError:
+                continue
+            if not ok or core.generation is not gen:
+                continue
+            self.pulled[label] = rev
+            self._replace(label, [Room(m, a, t, z, s, o, c, g, mem, n,
+                                       images.split(" ") if images else (), idle, silent, label)
+                                  for m, a, t, z, s, o, c, g, mem, n, images, idle, silent in rows])
+
+    def table(self) -> tuple[Any, ...]:
+        """Our own free-room table, as peers pull it."""
+        core = self.core
+        now = time.monotonic()
+        rows = []
+        for m in core.owner.machines.values():
+            if m.known:
+                r = core.owner.room(m, core.label, now)
+                rows.append((r.machine, r.address, r.type, r.zone, r.spot, r.open, r.cpus, r.gpus,
+                             r.memory_gb, r.tasks, " ".join(r.images), r.idle_s, r.silent_s))
+        return (core.serving, core.owner.room_rev, rows)
+
+    async def refresh(self) -> None:
+        """The adaptive refresh; a lasting shortage also looks when a peer's table changed."""
+        core = self.core
+        due = time.monotonic() + self.asc.interval
+        while True:
+            await core.wait("starved", min(self.asc.least, max(0.01, due - time.monotonic())))
+            if not core.serving:
+                continue
+            now = time.monotonic()
+            if now >= due:
+                interval = self.asc.step()
+                log.debug("event=refresh ratio=%.3f interval=%.1f", self.asc.ratio, interval)
+                due = now + interval
+                await self.refresh_peers(changed_only=False)
+                core.signal("place")
+            elif self.starved and any(self.pulled.get(p.label) != p.room_rev
+                                      for p in core.peers.values()
+                                      if p.label in core.generation.members):
+                # True shortage: the interval is left alone, but room that a
+                # peer has since announced is looked at.
+                await self.refresh_peers(changed_only=True)
+                core.signal("place")
+            await core.flush()
+
+    # -- demand ----------------------------------------------------------
+
+    def demand(self) -> list[tuple[str, int, float]]:
+        """What waits here: (job, tasks, since), bounded."""
+        now = time.monotonic()
+        found = []
+        for hj in self.homes.values():
+            waiting = hj.pending + len(hj.placing)
+            if waiting > 0 and now >= hj.not_before:
+                found.append((hj.job.id, waiting, now - hj.since))
+        return found[:DEMAND_MOST]
+
+    def all_demand(self) -> list[tuple[Job, int]]:
+        """Demand of the whole generation, most urgent first."""
+        core = self.core
+        rows = self.demand()
+        for label in core.generation.members:
+            if label != core.label:
+                rows += self.demands.get(label, [])
+        found = [(core.live[job][0], count, age) for job, count, age in rows if job in core.live]
+        found.sort(key=lambda row: (-row[0].rank, -row[2]))
+        return [(job, count) for job, count, _ in found]
+
+    # -- placing ---------------------------------------------------------
+
+    async def place_all(self) -> None:
+        """The placer: one pass over the waiting jobs whenever something changed."""
+        core = self.core
+        while True:
+            await core.wait("place", core.ttl_s / 2)
+            if core.serving:
+                self._pass(time.monotonic())
+                await core.flush()
+            await curio.sleep(0.02)
+
+    def _pass(self, now: float) -> None:
+        core = self.core
+        waiting = [hj for hj in self.homes.values()
+                   if hj.pending > 0 and not hj.starts and not hj.placing and now >= hj.not_before]
+        if not waiting:
+            self.starved = False
+            return
+        rooms = self.picture()
+        waiting.sort(key=lambda hj: (-hj.job.rank, hj.live_rev))
+        starved = False
+        full: set[tuple[Any, ...]] = set()
+        for hj in waiting:
+            job = hj.job
+            shape = (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone, job.spot,
+                     job.kind, job.one_zone, job.spread, job.tasks if job.kind == GANG else 0)
+            if shape in full and not hj.errors:
+                starved = True
+                continue
+            wanted = min(hj.pending, hj.size * max(1, self.value_limit // 4))
+            wanted = self._within_limit(job, wanted)
+            if wanted <= 0 or (job.kind == GANG and wanted < hj.pending):
+                continue
+            pool = [r for r in rooms.values() if hj.errors.get(r.machine, 0) == 0] \
+                if hj.errors else list(rooms.values())
+            chosen = place(job, wanted, pool, self.spread(hj), core.label)
+            if len(chosen) < wanted:
+                starved = True
+                if not job.one_zone and not job.spread:
+                    full.add(shape)
+            if not chosen:
+                continue
+            numbers = hj.take(len(chosen))
+            hj.starts = [(n, r.machine) for n, r in zip(numbers, chosen)]
+            for number, machine in hj.starts:
+                self.inflight[(job.id, number)] = (machine, job)
+            core.signal(f"job {job.id}")
+        if starved and not self.starved:
+            core.signal("starved")
+            core.signal("demand")
+        self.starved = starved
+
+    def spread(self, hj: HomeJob) -> Spread:
+        zones = []
+        if hj.job.one_zone or hj.job.spread:
+            for _, _, machine in hj.assignments():
+                zones.append(self.core.zones.get(machine))
+        return Spread(hj.job, zones)
+
+    def _within_limit(self, job: Job, wanted: int) -> int:
+        """Tasks that the team's limit leaves room for, as far as known here."""
+        limit = self.core.limits.get(job.team, (0.0, 0.0))
+        used = self.quotas.get(job.team, ((0.0, 0.0), 0))[0]
+        for cap, have, need in zip(limit, used, amounts(job, 1)):
+            if cap > 0 and need > 0:
+                wanted = min(wanted, int((cap - have + 1e-6) / need))
+        return wanted
+
+    # -- one job ---------------------------------------------------------
+
+    async def drive(self, hj: HomeJob) -> None:
+        """The routine of one job, for as long as this generation lasts."""
+        core = self.core
+        name = f"job {hj.job.id}"
+        gen = core.generation
+        try:
+            await self._adopt(hj)
+            while core.generation is gen:
+                try:
+                    while await self._step(hj):
+                        await core.flush()
+                except (Unavailable, Unknown) as exc:
+                    log.debug("job=%s event=waiting cause=%s", hj.job.id, exc)
+                    await curio.sleep(core.jitter(core.ttl_s / 6))
+                    continue
+                if hj.closed:
+                    self.homes.pop(hj.job.id, None)
+                    core.descs.pop(hj.job.id, None)
+                    return
+                await core.flush()
+                await core.wait(name, core.ttl_s if hj.ended or hj.breaking else None)
+        except Evicted:
+            pass
+        finally:
+            core.events.pop(name, None)
+
+    async def _step(self, hj: HomeJob) -> bool:
+        """One thing that is due; False when nothing is."""
+        if hj.starts:
+            starts, hj.starts = hj.starts, []
+            try:
+                await self._start(hj, starts)
+            finally:
+                for number, _ in starts:
+                    self.inflight.pop((hj.job.id, number), None)
+                hj.give_back([n for n, _ in starts if n in hj.placing])
+                self.own_rev = -1
+            self.core.signal("place")
+            return True
+        if hj.outcomes:
+            await self._commit_outcomes(hj)
+            return True
+        now = time.monotonic()
+        if now >= hj.kill_at:
+            if hj.ended:
+                left, grace = hj.assignments(), 0.0
+            else:
+                left, grace = hj.broken(), hj.job.save_s if hj.job.checkpoint_s else 0.0
+            if left:
+                hj.kill_at = now + self.core.ttl_s
+                await self._stop([(m, f"{hj.job.id}/{n}", a, grace, False) for n, a, m in left])
+        if hj.ended and not hj.assigned:
+            await self._tidy(hj)
+            hj.closed = True
+        return False
+
+    def _fence(self) -> int:
+        if not self.core.serving:
+            raise Evicted
+        return self.core.generation.rev
+
+    async def _settle(self, txn: Txn, fence: int) -> int:
+        """Commit until the outcome is certain; Conflict, or Unavailable if never sent.
+
+        An unanswered transaction may still be applied: it is sent again until
+        an answer tells, since either copy makes the other fail.
+        """
+        unsure = False
+        while True:
+            if self.core.generation.rev != fence:
+                raise Evicted
+            try:
+                return await self.core.store.commit(txn)
+            except Unknown:
+                unsure = True
+            except Unavailable:
+                if not unsure:
+                    raise
+            await curio.sleep(self.core.jitter(self.core.ttl_s / 12))
+
+    async def _start(self, hj: HomeJob, starts: list[tuple[int, str]]) -> None:
+        core, job = self.core, hj.job
+        fence = self._fence()
+        gen = core.generation
+        hj.attempt += 1
+        attempt = hj.attempt
+        granted = await self._reserve(hj, starts, attempt)
+        if core.generation is not gen:
+            raise Evicted
+        declined = [s for s in starts if s not in granted]
+        self.asc.count(len(granted), len(declined))
+        for _, machine in declined:
+            # Not tried again before the picture of it is renewed.
+            room = core.rooms.get(machine)
+            if room is not None and room.owner != core.label:
+                room.open = False
+        if declined:
+            core.signal("starved")
+            self.starved = True
+        release = [(m, f"{job.id}/{n}", attempt, 0.0, False) for n, m in granted]
+        if not granted or hj.ended or (job.kind == GANG and declined):
+            await self._stop(release)
+            return
+        try:
+            quota = await self._charge(job, len(granted))
+        except Unavailable:
+            await self._stop(release)
+            raise
+        if quota is None:
+            await self._stop(release)
+            return
+        txn, chunks = hj.start_txn(fence, granted, attempt)
+        for key, (value, rev) in quota.items():
+            txn.require(key, rev).put(key, value)
+        try:
+            rev = await self._settle(txn, fence)
+        except Conflict as exc:
+            await self._stop(release)
+            await self._conflict(hj, exc, fence)
+            return
+        except Unavailable:
+            await self._stop(release)
+            raise
+        hj.committed(chunks, rev)
+        self._charged(quota, rev)
+        for number, _ in granted:
+            hj.placing.discard(number)
+        await self._launch(hj, [(m, f"{job.id}/{n}", attempt) for n, m in granted], fence)
+
+    async def _reserve(self, hj: HomeJob, starts: list[tuple[int, str]], attempt: int
+                       ) -> list[tuple[int, str]]:
+        """Ask the machines' owners; what they refuse is declined."""
+        core = self.core
+        granted: list[tuple[int, str]] = []
+        task = hj.job.id
+        for owner, items in self._by_owner((m, n) for n, m in starts).items():
+            if owner == core.label:
+                flags = core.owner.reserve(hj.job, items, attempt, time.monotonic())
+            else:
+                try:
+                    ok, rows = await core.peers[owner].call(
+                        peerwire.RESERVE, (core.generation.number, task, attempt, items))
+                    flags = [f for (f,) in rows] if ok else [False] * len(items)
+                except (PeerError, KeyError):
+                    flags = [False] * len(items)
+            granted += [(n, m) for (m, n), flag in zip(items, flags) if flag]
+        return granted
+
+    def _by_owner(self, items: Iterable[tuple[Any, ...]]) -> dict[str, list[tuple[Any, ...]]]:
+        found: dict[str, list[tuple[Any, ...]]] = {}
+        for item in items:
+            found.setdefault(self.core.generation.place(item[0]), []).append(item)
+        return found
+
+    async def _charge(self, job: Job, count: int
+                      ) -> dict[str, tuple[dict[str, float], int]] | None:
+        """The quota's change for `count` tasks (negative: released); None: not allowed.
+
+        The quota is changed by the very transaction that assigns or ends the
+        tasks, so it can't drift from what they take.
+        """
+        limit = self.core.limits.get(job.team, (0.0, 0.0))
+        cpus, gpus = amounts(job, count)
+        if not ((limit[0] > 0 and cpus) or (limit[1] > 0 and gpus)):
+            return {}
+        key = quota_key(job.team)
+        entry = await self.core.store.get(key)
+        used = quota_of(entry.value if entry else None)
+        rev = entry.rev if entry else 0
+        self.quotas[job.team] = (used, rev)
+        after = (round(used[0] + cpus, 6), round(used[1] + gpus, 6))
+        if count > 0 and ((0 < limit[0] < after[0] - 1e-6) or (0 < limit[1] < after[1] - 1e-6)):
+            return None
+        return {key: ({"c": max(0.0, after[0]), "g": max(0.0, after[1])}, rev)}
+
+    def _charged(self, quota: dict[str, tuple[dict[str, float], int]], rev: int) -> None:
+        for key, (value, _) in quota.items():
+            self.quotas[key.partition("/")[2]] = (quota_of(value), rev)
+
+    async def _launch(self, hj: HomeJob, items: list[tuple[str, str, int]], fence: int) -> None:
+        """Hand committed starts to the owners, until each has said yes or no."""
+        core = self.core
+        log.info("job=%s generation=%d event=launch tasks=%d attempt=%d", hj.job.id,
+                 core.generation.number, len(items), items[0][2])
+        for owner, part in self._by_owner(items).items():
+            waiting = part
+            while waiting:
+                if core.generation.rev != fence:
+                    raise Evicted
+                if hj.ended:
+                    # Cancelled between the commit and here: judged by reports,
+                    # and never launched.
+                    await self._adopt(hj)
+                    return
+                if owner == core.label:
+                    answers = core.owner.launch(waiting)
+                    for machine in {i[0] for i in waiting}:
+                        core.fleet.poke(machine)
+                else:
+                    try:
+                        ok, rows = await core.peers[owner].call(
+                            peerwire.LAUNCH, (core.generation.number, waiting))
+                        if not ok:
+                            raise PeerError("not the owner")
+                        answers = [v for (v,) in rows]
+                    except (PeerError, KeyError):
+                        await curio.sleep(core.jitter(core.ttl_s / 12))
+                        waiting = [i for i in waiting if self._unsettled(hj, i)]
+                        continue
+                for (machine, task, attempt), answer in zip(waiting, answers):
+                    number = split_task(task)[1]
+                    if not answer and hj.assignment(number) == (attempt, machine):
+                        # No reservation: it was not launched and never will be.
+                        hj.event(machine, number, attempt, GONE, "", time.monotonic())
+                break
+
+    @staticmethod
+    def _unsettled(hj: HomeJob, item: tuple[str, str, int]) -> bool:
+        number = split_task(item[1])[1]
+        return hj.assignment(number) == (item[2], item[0]) and number not in hj.outcomes \
+            and number not in hj.states
+
+    async def _stop(self, items: list[tuple[str, str, int, float, bool]]) -> None:
+        """Kill or clear through the owners. What gets lost is asked again, or expires."""
+        core = self.core
+        for owner, part in self._by_owner(items).items():
+            if owner == core.label:
+                core.owner.stop(part)
+                for machine in {i[0] for i in part}:
+                    core.fleet.poke(machine)
+                continue
+            try:
+                await core.peers[owner].call(peerwire.STOP, (core.generation.number, part))
+            except (PeerError, KeyError):
+                pass
+
+    async def _adopt(self, hj: HomeJob) -> None:
+        """Have every committed assignment judged by its owner's reports."""
+        core = self.core
+        gen = core.generation
+        for owner, part in self._by_owner((m, f"{hj.job.id}/{n}", a)
+                                          for n, a, m in hj.assignments()).items():
+            while True:
+                if core.generation is not gen:
+                    raise Evicted
+                if owner == core.label:
+                    core.owner.adopt(part, time.monotonic())
+                    break
+                try:
+                    if (await core.peers[owner].call(peerwire.ADOPT, (gen.number, part)))[0]:
+                        break
+                except (PeerError, KeyError):
+                    pass
+                await curio.sleep(core.jitter(core.ttl_s / 6))
+        await core.flush()
+
+    async def _commit_outcomes(self, hj: HomeJob) -> None:
+        core = self.core
+        fence = self._fence()
+        txn, chunks, covered, over = hj.outcome_txn(fence, max(1, self.value_limit - 4))
+        count = sum(1 for n in covered if hj.assignment(n) is not None)
+        quota = await self._charge(hj.job, -count) or {}
+        for key, (value, rev) in quota.items():
+            txn.require(key, rev).put(key, value)
+        if txn.writes:
+            try:
+                rev = await self._settle(txn, fence)
+            except Conflict as exc:
+                await self._conflict(hj, exc, fence)
+                return
+            hj.committed(chunks, rev)
+            self._charged(quota, rev)
+            dropped = {w["remove"] for w in txn.writes if "remove" in w}
+            for index in [i for i in chunks if chunk_key(hj.job.id, i) in dropped]:
+                del hj.chunks[index]
+        where = {n: hj.where.pop(n, "") for n in covered}
+        cleared = hj.covered(covered)
+        if over:
+            hj.ended = "done"
+            core.note_end(hj.job.id, "done")
+            log.info("job=%s generation=%d event=done", hj.job.id, core.generation.number)
+        await self._stop([(where[n], f"{hj.job.id}/{n}", a, 0.0, True)
+                          for n, a in cleared if where[n]])
+        core.signal("place")
+
+    async def _conflict(self, hj: HomeJob, exc: Conflict, fence: int) -> None:
+        """Somebody else changed something: read what holds now."""
+        core = self.core
+        log.info("job=%s event=conflict keys=%s", hj.job.id, exc.failed)
+        if GENERATION_KEY in exc.failed:
+            core.suspect_stale()
+            await curio.sleep(core.jitter(core.ttl_s / 12))
+            return
+        if live_key(hj.job.id) in exc.failed and not hj.ended:
+            await self.learn_end(hj.job.id)
+        ours = [k for k in exc.failed if k.startswith(f"run/{hj.job.id}/")]
+        if ours:
+            entries, _ = await core.store.scan(f"run/{hj.job.id}/")
+            if core.generation.rev != fence:
+                raise Evicted
+            hj.load({int(e.key.rpartition("/")[2]): Chunk.parse(e.value, e.rev) for e in entries})
+            hj.outcomes = {n: o for n, o in hj.outcomes.items()
+                           if (hj.assignment(n) or (0, ""))[0] == o[0]}
+            await self._adopt(hj)
+
+    async def learn_end(self, job: str) -> None:
+        """The live record is gone: find out how the job ended."""
+        entry = await self.core.store.get(end_key(job))
+        if entry is not None:
+            self.core.note_end(job, str(entry.value["s"]))
+
+    async def _tidy(self, hj: HomeJob) -> None:
+        """Remove what is left of an ended job's records."""
+        left = sorted(hj.chunks.items())
+        left = [(i, c) for i, c in left if c.rev]
+        most = max(1, self.value_limit - 2)
+        while left:
+            part, left = left[:most], left[most:]
+            txn = Txn().require(GENERATION_KEY, self._fence())
+            for index, _ in part:
+                txn.delete(chunk_key(hj.job.id, index))
+            try:
+                await self._settle(txn, self.core.generation.rev)
+            except Conflict:
+                return
+
+    # -- what owners tell ------------------------------------------------
+
+    def told(self, events: Iterable[tuple[str, str, int, str, str, bool]]) -> list[int]:
+        """Judge an owner's events."""
+        core = self.core
+        verdicts = []
+        now = time.monotonic()
+        for machine, task, attempt, state, cause, _ in events:
+            try:
+                job, number = split_task(task)
+            except ValueError:
+                verdicts.append(CLEAR if state == "exited" else KILL)
+                continue
+            hj = self.homes.get(job)
+            if hj is None:
+                if job in core.live:
+                    verdict = LATER  # its routine is just being started
+                else:
+                    verdict = OK if state == GONE else CLEAR if state == "exited" else KILL
+            else:
+                verdict = hj.event(machine, number, attempt, state, cause, now)
+                if number in hj.outcomes:
+                    hj.where[number] = machine if state == "exited" else ""
+                    core.signal(f"job {job}")
+            verdicts.append(verdict)
+        return verdicts
+
+    def counts(self, job: str) -> tuple[int, int] | None:
+        hj = self.homes.get(job)
+        if hj is None:
+            return None
+        return (0 if hj.job.kind == SERVICE else hj.done), hj.running
--- /dev/null
+++ b/clayport/fleet.py
@@ -0,0 +1,459 @@
+"""The owner's routines: answering reports, sending commands, telling homes,
+fencing silent machines; and, on one member, renting and returning machines."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Any
+
+import curio
+import msgspec
+
+from . import http, peerwire
+from .cloud import CloudError, NoCapacity
+from .config import ConfigError, endpoint
+from .jobs import CLEAR, KILL, LATER
+from .model import SERVICE, Job, Listed, MachineType, Report
+from .peers import PeerError
+from .placement import Room
+from .provisioning import GIVE_UP, LATE, Boot, Kind, empty_room, shopping, short
+from .workers import GONE, Key, Machine
+
+if TYPE_CHECKING:
+    from .server import Controller
+
+log = logging.getLogger("clayport.fleet")
+
+Told = tuple[str, str, int, str, str, bool]
+
+
+class Fleet:
+    """Everything between this controller and the machines."""
+
+    def __init__(self, core: Controller) -> None:
+        self.core = core
+        self.clients: OrderedDict[str, http.Client] = OrderedDict()
+        self.forwarded: dict[str, float] = {}
+        self.outboxes: dict[str, OrderedDict[tuple[str, str, int], Told]] = {}
+        w = core.settings.cluster.workers
+        # A worker whose report went unanswered needs 4 s and another second to
+        # come to the next node: silence up to 0.6 leases is ordinary.
+        self.silent_s = 0.6 * w.lease_s
+        self.command_s = 0.2 * w.lease_s
+
+    # -- reports ---------------------------------------------------------
+
+    async def report(self, body: bytes) -> tuple[int, dict[str, Any]]:
+        """Answer a worker's report."""
+        core = self.core
+        try:
+            report = msgspec.json.decode(body, type=Report)
+        except msgspec.MsgspecError as exc:
+            log.error("malformed report dropped: %s", exc)
+            return 400, {}
+        now = time.monotonic()
+        gen = core.generation
+        owner = gen.place(report.machine)
+        if owner == core.label and core.serving:
+            return self.own_report(report, now, True)
+        if owner and owner != core.label and core.state_known:
+            peer = core.peers.get(owner)
+            last = self.forwarded.get(report.machine, -1e9)
+            self.forwarded[report.machine] = now
+            if len(self.forwarded) > 5000:
+                self.forwarded.clear()
+            reachable = peer is not None and now - peer.heard < core.ttl_s
+            if reachable and now - last > self.silent_s:
+                return 421, {"upstream": owner}
+            # Back again although it was sent to its owner: the worker can't
+            # reach it, so its report is passed on.
+            if peer is not None and core.member:
+                try:
+                    status, raw = await peer.call(peerwire.REPORT, (gen.number, body))
+                    if status == 200:
+                        return 200, msgspec.json.decode(raw)
+                except (PeerError, msgspec.DecodeError):
+                    pass
+        if core.may_renew(now):
+            # The worker's own token and no orders: this gives no command and
+            # takes nothing from whoever is entitled.
+            return 200, {"epoch": report.token, "orders": []}
+        if owner and owner != core.label:
+            return 421, {"upstream": owner}
+        return 503, {}
+
+    def own_report(self, report: Report, now: float, direct: bool) -> tuple[int, dict[str, Any]]:
+        core = self.core
+        if not core.owner.entitled(report):
+            core.suspect_stale()
+            return 503, {}
+        new = report.machine not in core.owner.machines
+        m = core.owner.take_report(report, now, direct)
+        if m is None:
+            return 200, {"epoch": core.owner.machine(report.machine, now).token, "orders": []}
+        if new:
+            room = core.rooms.get(report.machine)
+            if room is not None:
+                m.images.update({image: 0.0 for image in room.images})
+            log.info("machine=%s generation=%d event=owned type=%s zone=%s spot=%s", m.name,
+                     core.generation.number, m.type, m.zone, m.spot)
+        answer: dict[str, Any] = {"epoch": m.token, "orders": []}
+        if m.orders and not m.busy:
+            if now < m.bad_until:
+                answer["orders"], m.by_response = core.owner.orders(m)
+            else:
+                core.spawn(self.pump(m))
+        core.room_changed()
+        return 200, answer
+
+    # -- commands --------------------------------------------------------
+
+    def client(self, address: str) -> http.Client | None:
+        """A pooled client; the least recently used is closed beyond the budget."""
+        found = self.clients.get(address)
+        if found is None:
+            try:
+                host, port = endpoint(address, "address")
+            except ConfigError as exc:
+                log.error("machine address dropped: %s", exc)
+                return None
+            found = self.clients[address] = http.Client(host, port, keep=1)
+            if len(self.clients) > self.core.worker_sockets:
+                _, old = self.clients.popitem(last=False)
+                self.core.spawn(old.close())
+        self.clients.move_to_end(address)
+        return found
+
+    def poke(self, machine: str) -> None:
+        """Send what is queued for the machine, unless that is under way."""
+        m = self.core.owner.machines.get(machine)
+        if m is not None and m.orders and not m.busy and m.known \
+                and time.monotonic() >= m.bad_until:
+            m.busy = True
+            self.core.spawn(self.pump(m, True))
+
+    async def pump(self, m: Machine, marked: bool = False) -> None:
+        """One request at a time to a machine, until nothing is queued for it."""
+        core = self.core
+        if m.busy and not marked:
+            return
+        m.busy = True
+        fence = core.generation.number
+        try:
+            while m.orders and core.generation.number == fence and core.serving:
+                client = self.client(m.address)
+                if client is None:
+                    return
+                orders, launches = core.owner.orders(m)
+                token = m.token
+                body = msgspec.json.encode({"epoch": token, "tenure": m.session, "orders": orders})
+                try:
+                    status, raw = await client.request("POST", "/do", body, self.command_s)
+                except http.NoAnswer as exc:
+                    log.info("machine=%s event=unanswered %s", m.name, exc)
+                    if core.generation.number == fence:
+                        core.owner.unanswered(m, launches, not isinstance(exc, http.NotSent),
+                                              time.monotonic())
+                    return
+                if core.generation.number != fence:
+                    return
+                if status == 200:
+                    core.owner.answered(m, orders, launches)
+                else:
+                    core.owner.unanswered(m, launches, False, time.monotonic())
+                if status in (200, 409):
+                    self._body(m, raw)
+                if status != 200:
+                    log.info("machine=%s event=refused status=%d", m.name, status)
+                    return
+        finally:
+            m.busy = False
+        core.room_changed()
+
+    def _body(self, m: Machine, raw: bytes) -> None:
+        """The report in a command's answer."""
+        try:
+            report = msgspec.json.decode(raw, type=Report)
+        except msgspec.MsgspecError as exc:
+            log.error("machine=%s malformed answer dropped: %s", m.name, exc)
+            return
+        if report.machine != m.name:
+            return
+        if self.core.owner.entitled(report):
+            heard = m.heard
+            self.core.owner.take_report(report, time.monotonic(), False)
+            m.heard = max(heard, m.heard)
+        else:
+            self.core.suspect_stale()
+
+    # -- telling homes ---------------------------------------------------
+
+    def emit(self, job: str, event: Told) -> None:
+        home = self.core.generation.place(job)
+        box = self.outboxes.setdefault(home, OrderedDict())
+        box[event[:3]] = event
+        self.core.signal(f"outbox {home}")
+
+    async def tell(self, home: str) -> None:
+        """Deliver events to one home until it has taken them."""
+        core = self.core
+        while True:
+            await core.wait(f"outbox {home}")
+            box = self.outboxes.setdefault(home, OrderedDict())
+            while box and core.serving:
+                gen = core.generation
+                batch = [box.popitem(last=False)[1] for _ in range(min(len(box), 500))]
+                try:
+                    if home == core.label:
+                        ok, verdicts = True, core.dispatch.told(batch)
+                    else:
+                        ok, packed = await core.peers[home].call(
+                            peerwire.STATES, (gen.number, batch))
+                        verdicts = [v for (v,) in packed]
+                except (PeerError, KeyError):
+                    ok, verdicts = False, []
+                if core.generation is not gen:
+                    break
+                if not ok or len(verdicts) != len(batch):
+                    for event in batch:
+                        box.setdefault(event[:3], event)
+                    await curio.sleep(core.jitter(core.ttl_s / 6))
+                    continue
+                touched = set()
+                for event, verdict in zip(batch, verdicts):
+                    self._verdict(event, verdict)
+                    touched.add(event[0])
+                for machine in touched:
+                    self.poke(machine)
+                core.room_changed()
+
+    def _verdict(self, event: Told, verdict: int) -> None:
+        machine, task, attempt, state = event[:4]
+        key: Key = (task, attempt)
+        owner = self.core.owner
+        if verdict == LATER:
+            owner.retell(machine, key)
+        elif state == GONE:
+            owner.settled(machine, key)
+        elif verdict == KILL:
+            owner.stop([(machine, task, attempt, 0.0, False)])
+        elif verdict == CLEAR:
+            owner.stop([(machine, task, attempt, 0.0, True)])
+
+    # -- silence ---------------------------------------------------------
+
+    async def watch_silence(self) -> None:
+        """Fence machines that fell silent: a task on one can't be judged otherwise."""
+        core = self.core
+        while True:
+            await curio.sleep(core.settings.cluster.workers.report_s)
+            if not core.serving:
+                continue
+            now = time.monotonic()
+            core.owner.expire(now)
+            mine = list(core.owner.machines.values())
+            silent = [m for m in mine if now - m.heard > self.silent_s and not m.fencing
+                      and (m.known or m.want)]
+            # When most are silent at once it is we who are cut off, or a whole
+            # zone is: returning them all would destroy what still works.
+            cut = len(silent) > 2 and len(silent) * 2 > len(mine)
+            for m in silent:
+                patience = core.settings.cluster.workers.cancel_s / 2
+                if not cut or now - m.heard > patience:
+                    m.fencing = True
+                    core.spawn(self._fence(m))
+
+    async def _fence(self, m: Machine) -> None:
+        core = self.core
+        gen = core.generation
+        try:
+            if m.address and await self.inspect(m.name, m.address):
+                return
+            for label, peer in core.peers.items():
+                if m.address and label in gen.members:
+                    try:
+                        if (await peer.call(peerwire.INSPECT, (m.name, m.address),
+                                            self.command_s * 1.5))[0]:
+                            return
+                        break
+                    except PeerError:
+                        continue
+            if core.generation is not gen or not core.serving \
+                    or time.monotonic() - m.heard < self.silent_s:
+                return
+            log.info("machine=%s generation=%d event=fence cause=silent tasks=%d", m.name,
+                     gen.number, len(m.want))
+            if gen.provisioner == core.label:
+                await self.fence(m.name)
+            else:
+                await core.peers[gen.provisioner].call(
+                    peerwire.FENCE, (gen.number, m.name, "silent"), 10 * self.command_s)
+        except (PeerError, CloudError, KeyError) as exc:
+            log.info("machine=%s event=not-fenced cause=%s", m.name, exc)
+        finally:
+            m.fencing = False
+
+    async def inspect(self, name: str, address: str) -> bool:
+        """Whether the worker itself answers; what it says is used where we own it."""
+        client = self.client(address)
+        if client is None:
+            return False
+        try:
+            status, raw = await client.request("GET", "/inspect", None, self.command_s)
+        except http.NoAnswer:
+            return False
+        m = self.core.owner.machines.get(name)
+        if status == 200 and m is not None:
+            self._body(m, raw)
+        return status == 200
+
+    async def fence(self, name: str) -> None:
+        """Return a machine: with the cloud's 200 everything on it is gone."""
+        await self.core.cloud.give_back([name])
+        await self.core.announce_gone([name])
+
+
+class Provisioner:
+    """Renting and returning, on the one member of the generation that does."""
+
+    def __init__(self, core: Controller) -> None:
+        self.core = core
+        self.boots: dict[str, Boot] = {}
+        self.returned: dict[str, float] = {}
+        self.refused: dict[Kind, float] = {}
+        self.listed: dict[str, Listed] = {}
+        self.sequence = 0
+        self.began: object = None
+        self.ready_at = 0.0
+
+    async def run(self) -> None:
+        core = self.core
+        while True:
+            await core.wait("demand", core.ttl_s / 3)
+            await curio.sleep(core.ttl_s / 12)
+            if not core.serving or core.generation.provisioner != core.label or not core.types:
+                continue
+            try:
+                await self.tick()
+            except CloudError as exc:
+                log.info("event=cloud-trouble cause=%s", exc)
+                await curio.sleep(core.jitter(core.ttl_s / 3))
+
+    async def tick(self) -> None:
+        core = self.core
+        now = time.monotonic()
+        gen = core.generation
+        fresh = self.began is not gen
+        await core.dispatch.refresh_peers(changed_only=not fresh)
+        await self._list(now)
+        if fresh:
+            # What a predecessor rented may not be listed yet: wait for the list
+            # to be sure before renting again.
+            self.began = gen
+            self.ready_at = now + (2 * core.settings.cluster.cloud.list_lag_s
+                                   if self.listed or gen.number > 3 else 0.0)
+        if core.generation is not gen:
+            return
+        now = time.monotonic()
+        rooms = list(core.dispatch.picture().values())
+        types = {t.name: t for t in core.types}
+        await self._give_up(now, types)
+        supply = [r for r in rooms if r.open]
+        for boot in self.boots.values():
+            kind = types.get(boot.kind[0])
+            if kind is not None and now - boot.since < LATE * kind.boot_s:
+                supply.append(empty_room(kind, boot.name, boot.kind[1], boot.kind[2]))
+        demand = core.dispatch.all_demand()
+        spare = self.spare()
+        needs = [(job, count) for job, count in demand]
+        missing = short(supply, needs + spare)
+        self.refused = {k: t for k, t in self.refused.items() if t > now}
+        if now >= self.ready_at and missing:
+            await self._rent(shopping(core.types, missing, set(self.refused)), types, now)
+        await self._return_idle(rooms, types, needs + spare, now)
+
+    def spare(self) -> list[tuple[Job, int]]:
+        """Room kept for the next replicas and for those of a lost machine."""
+        services = [job for job, _ in self.core.live.values() if job.kind == SERVICE]
+        if not services:
+            return []
+        biggest = max(services, key=lambda j: (j.cpus, j.memory_gb))
+        tasks = sum(j.tasks for j in services)
+        return [(biggest, max(4, round(tasks * 0.1)))]
+
+    async def _list(self, now: float) -> None:
+        core = self.core
+        lag = core.settings.cluster.cloud.list_lag_s
+        found = await core.cloud.machines()
+        self.listed = {m.id: m for m in found}
+        self.returned = {n: t for n, t in self.returned.items() if now - t < 4 * lag + core.ttl_s}
+        for m in found:
+            if m.id in self.returned:
+                continue
+            if m.state == "failed":
+                await core.fleet.fence(m.id)
+                self.returned[m.id] = now
+            elif m.id not in core.rooms:
+                self.boots.setdefault(m.id, Boot(m.id, (m.type, m.zone, m.spot), now - m.age_s))
+        for name, boot in list(self.boots.items()):
+            gone = name not in self.listed and now - boot.since > 4 * lag + core.ttl_s
+            if name in core.rooms or name in self.returned or gone:
+                del self.boots[name]
+
+    async def _give_up(self, now: float, types: dict[str, MachineType]) -> None:
+        """Return machines that never came up; they cost as long as they are kept."""
+        late = [b.name for b in self.boots.values()
+                if b.kind[0] in types and now - b.since > GIVE_UP * types[b.kind[0]].boot_s]
+        if late:
+            log.info("event=never-up machines=%s", late)
+            await self._return(late[:100], now)
+
+    async def _return(self, names: list[str], now: float) -> None:
+        await self.core.cloud.give_back(names)
+        for name in names:
+            self.returned[name] = now
+            self.boots.pop(name, None)
+        await self.core.announce_gone(names)
+
+    async def _rent(self, wanted: list[Kind], types: dict[str, MachineType], now: float) -> None:
+        core = self.core
+        counts: dict[Kind, int] = {}
+        for kind in wanted:
+            counts[kind] = counts.get(kind, 0) + 1
+        for kind, count in counts.items():
+            self.sequence += 1
+            name = f"r-{core.generation.number}-{core.label}-{self.sequence}"
+            try:
+                got = await core.cloud.rent(name, *kind, min(count, 50))
+            except NoCapacity:
+                got = []
+            log.info("event=rented kind=%s wanted=%d got=%d", kind, count, len(got))
+            if len(got) < min(count, 50):
+                self.refused[kind] = now + types[kind[0]].boot_s / 2
+                core.signal("demand")
+            for machine in got:
+                self.boots[machine] = Boot(machine, kind, now)
+
+    async def _return_idle(self, rooms: list[Room], types: dict[str, MachineType],
+                           needs: list[tuple[Job, int]], now: float) -> None:
+        """Return machines idle for a while that are not needed as spare room."""
+        core = self.core
+        names = []
+        idle = [r for r in rooms if r.tasks == 0 and r.type in types
+                and r.machine not in self.returned
+                and (not r.open or r.idle_s > 0.5 * types[r.type].boot_s)]
+        idle.sort(key=lambda r: -types[r.type].price if not r.spot else 0.0)
+        for room in idle[:4]:
+            rest = [r for r in core.dispatch.picture().values()
+                    if r.open and r.machine != room.machine and r.machine not in names]
+            if room.open and short(rest, needs):
+                continue
+            if await core.drain(room.machine):
+                names.append(room.machine)
+        if names:
+            log.info("event=returned machines=%s cause=idle", names)
+            await self._return(names, now)
+
+
--- /dev/null
+++ b/clayport/jobs.py
@@ -0,0 +1,259 @@
+"""The home's side: a job's tasks, what is committed of them, and what comes next.
+
+Pure state: the routines that do the I/O live in `server`.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from typing import Any
+
+from .model import ARRAY, GANG, SERVICE, Chunk, Job
+from .statestore import Txn
+from .workers import GONE
+
+# Verdicts on what an owner tells.
+OK, KILL, CLEAR, LATER = range(4)
+
+GENERATION_KEY = "c/generation"
+
+
+def live_key(job: str) -> str:
+    return f"c/live/{job}"
+
+
+def end_key(job: str) -> str:
+    return f"end/{job}"
+
+
+def chunk_key(job: str, index: int) -> str:
+    return f"run/{job}/{index:05d}"
+
+
+def quota_key(team: str) -> str:
+    return f"quota/{team}"
+
+
+class HomeJob:
+    """A job at its home."""
+
+    def __init__(self, job: Job, live_rev: int, size: int, now: float, ended: str = "") -> None:
+        self.job, self.live_rev, self.size = job, live_rev, size
+        self.ended = ended  # "", "cancelled" or "done"
+        self.chunks: dict[int, Chunk] = {}
+        self.states: dict[int, tuple[str, str]] = {}
+        self.outcomes: dict[int, tuple[int, bool]] = {}  # task: attempt, whether done
+        self.where: dict[int, str] = {}  # task that exited: the machine still listing it
+        self.starts: list[tuple[int, str]] = []  # placed, to be reserved and committed
+        self.placing: set[int] = set()
+        self.again: deque[int] = deque()
+        self.cursor = 0
+        self.attempt = 0
+        self.done = 0
+        self.assigned = 0
+        self.since = now
+        self.not_before = 0.0
+        self.errors: dict[str, int] = {}  # machine: failures of this job there
+        self.kill_at = 0.0
+        self.breaking = False  # a gang that lost a task and is being stopped
+        self.closed = False
+
+    def load(self, chunks: dict[int, Chunk]) -> None:
+        """Take over what is committed."""
+        self.chunks = chunks
+        self.attempt = max([self.attempt, *(c.last_attempt for c in chunks.values())])
+        self.recount()
+
+    def recount(self) -> None:
+        self.done = sum(len(c.done) for c in self.chunks.values())
+        self.assigned = sum(len(c.assigned) for c in self.chunks.values())
+        self.again.clear()
+        self.cursor = 0
+
+    def assignment(self, number: int) -> tuple[int, str] | None:
+        chunk = self.chunks.get(number // self.size)
+        return chunk.assigned.get(number) if chunk else None
+
+    def assignments(self) -> list[tuple[int, int, str]]:
+        """(task, attempt, machine) of everything that may be on a machine."""
+        return [(n, a, m) for c in self.chunks.values() for n, (a, m) in c.assigned.items()]
+
+    def _free(self, number: int) -> bool:
+        if number in self.placing:
+            return False
+        chunk = self.chunks.get(number // self.size)
+        return chunk is None or (number not in chunk.assigned and number not in chunk.done)
+
+    @property
+    def pending(self) -> int:
+        """Tasks waiting for a machine; a gang's wait until the last old one is gone."""
+        if self.ended:
+            return 0
+        if self.job.kind == GANG and self.assigned:
+            return 0
+        return self.job.tasks - self.done - self.assigned - len(self.placing)
+
+    @property
+    def running(self) -> int:
+        return sum(1 for s, _ in self.states.values() if s == "running")
+
+    def take(self, count: int) -> list[int]:
+        """Up to `count` waiting tasks, marked as being placed."""
+        taken: list[int] = []
+        while self.again and len(taken) < count:
+            number = self.again.popleft()
+            if self._free(number):
+                taken.append(number)
+                self.placing.add(number)
+        while self.cursor < self.job.tasks and len(taken) < count:
+            if self._free(self.cursor):
+                taken.append(self.cursor)
+                self.placing.add(self.cursor)
+            self.cursor += 1
+        return taken
+
+    def give_back(self, numbers: Iterable[int]) -> None:
+        """Tasks that were not started after all wait again."""
+        for number in numbers:
+            self.placing.discard(number)
+            self.again.append(number)
+
+    # -- events ----------------------------------------------------------
+
+    def event(self, machine: str, number: int, attempt: int, state: str, cause: str,
+              now: float) -> int:
+        """Take note of what an owner tells of a task; the verdict on it."""
+        if self.assignment(number) != (attempt, machine):
+            if number in self.placing:
+                return LATER  # its commit is under way
+            if state == GONE:
+                return OK
+            return CLEAR if state == "exited" else KILL
+        if number in self.outcomes:
+            return OK
+        if state == GONE or state == "exited":
+            self.outcomes[number] = (attempt, cause == "done")
+            if cause == "error":
+                self._failed(machine, now)
+            elif cause == "done":
+                self.errors.pop(machine, None)
+        else:
+            self.states[number] = (state, cause)
+        return OK
+
+    def _failed(self, machine: str, now: float) -> None:
+        """Back off from a machine, and from everywhere when it is the job that fails."""
+        self.errors[machine] = self.errors.get(machine, 0) + 1
+        if len(self.errors) >= 3:
+            self.not_before = now + min(60.0, 2.0 ** min(6, sum(self.errors.values()) / 2))
+
+    def removed(self, machines: set[str]) -> bool:
+        """Tasks on machines whose return is confirmed are gone."""
+        changed = False
+        for number, attempt, machine in self.assignments():
+            if machine in machines and number not in self.outcomes:
+                self.outcomes[number] = (attempt, False)
+                changed = True
+        return changed
+
+    def broken(self) -> list[tuple[int, int, str]]:
+        """The rest of a gang that has lost a task: to be stopped before the next attempt."""
+        if self.job.kind != GANG or self.ended:
+            return []
+        lost = any(not done for _, done in self.outcomes.values()) or self.breaking
+        if not lost:
+            return []
+        self.breaking = True
+        return [(n, a, m) for n, a, m in self.assignments() if n not in self.outcomes]
+
+    # -- transactions ----------------------------------------------------
+
+    def _require(self, txn: Txn, index: int) -> Chunk:
+        """The chunk's condition, and a copy to be changed."""
+        old = self.chunks.get(index)
+        txn.require(chunk_key(self.job.id, index), old.rev if old else 0)
+        return old.copy() if old else Chunk()
+
+    def start_txn(self, fence: int, starts: list[tuple[int, str]], attempt: int
+                  ) -> tuple[Txn, dict[int, Chunk]]:
+        """Commit machine and attempt before any launch, unless the job has ended."""
+        txn = Txn().require(GENERATION_KEY, fence).require(live_key(self.job.id), self.live_rev)
+        chunks: dict[int, Chunk] = {}
+        for number, machine in starts:
+            index = number // self.size
+            if index not in chunks:
+                chunks[index] = self._require(txn, index)
+            chunks[index].assigned[number] = (attempt, machine)
+            chunks[index].last_attempt = attempt
+        for index, chunk in chunks.items():
+            txn.put(chunk_key(self.job.id, index), chunk.value())
+        return txn, chunks
+
+    def outcome_txn(self, fence: int, limit: int) -> tuple[Txn, dict[int, Chunk], list[int], bool]:
+        """Commit what ended, chunk by chunk; the last one ends the job in the same step.
+
+        Answers the transaction, the changed chunks, the tasks covered and
+        whether the job is done with it.
+        """
+        txn = Txn().require(GENERATION_KEY, fence)
+        chunks: dict[int, Chunk] = {}
+        covered: list[int] = []
+        finished = 0
+        for number, (attempt, done) in self.outcomes.items():
+            index = number // self.size
+            if index not in chunks:
+                if len(chunks) == limit:
+                    continue
+                chunks[index] = self._require(txn, index)
+            if chunks[index].assigned.get(number, (0, ""))[0] == attempt:
+                del chunks[index].assigned[number]
+                if done and not self.ended and self.job.kind != SERVICE:
+                    chunks[index].done.add(number)
+                    finished += 1
+            covered.append(number)
+        over = not self.ended and self.done + finished == self.job.tasks
+        for index, chunk in chunks.items():
+            if (self.ended or over) and not chunk.assigned:
+                txn.delete(chunk_key(self.job.id, index))
+            else:
+                txn.put(chunk_key(self.job.id, index), chunk.value())
+        if over:
+            txn.require(live_key(self.job.id), self.live_rev)
+            txn.delete(live_key(self.job.id)).put(end_key(self.job.id), {"s": "done"})
+        return txn, chunks, covered, over
+
+    def committed(self, chunks: dict[int, Chunk], rev: int) -> None:
+        for index, chunk in chunks.items():
+            chunk.rev = rev
+            self.chunks[index] = chunk
+        self.done = sum(len(c.done) for c in self.chunks.values())
+        self.assigned = sum(len(c.assigned) for c in self.chunks.values())
+        if not self.assigned:
+            self.breaking = False
+
+    def covered(self, numbers: Iterable[int]) -> list[tuple[int, int]]:
+        """Forget committed outcomes; tasks that are not done wait again."""
+        cleared = []
+        for number in numbers:
+            attempt, _ = self.outcomes.pop(number)
+            self.states.pop(number, None)
+            cleared.append((number, attempt))
+            if self._free(number):
+                self.again.append(number)
+        return cleared
+
+
+def amounts(job: Job, count: int) -> tuple[float, float]:
+    """What `count` tasks take of their team's limit."""
+    return job.cpus * count, job.gpus * count
+
+
+def quota_of(value: Any) -> tuple[float, float]:
+    return (float(value["c"]), float(value["g"])) if value else (0.0, 0.0)
+
+
+def can_ever_run(job: Job, limit: tuple[float, float]) -> bool:
+    """Whether the team's limit allows the job at all (0: no limit)."""
+    cpus, gpus = amounts(job, 1 if job.kind == ARRAY else job.tasks)
+    return not (0 < limit[0] < cpus - 1e-6 or 0 < limit[1] < gpus - 1e-6)
--- /dev/null
+++ b/clayport/membership.py
@@ -0,0 +1,80 @@
+"""Generations: who takes part, who is home to a job and who owns a machine.
+
+One key holds the generation, and every commit that assigns or ends work names
+its revision. Nothing here is trusted for safety: a controller that is evicted
+while it still believes itself a member can change nothing, since its commits
+fail and its tokens are lower than those of its successors.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from typing import Any
+
+# A token is the generation above the owner's own counter for the machine.
+COUNTER_BITS = 24
+
+
+class Generation:
+    """The member list as committed; `rev` fences every commit made under it."""
+
+    __slots__ = ("number", "members", "rev")
+
+    def __init__(self, number: int, members: dict[str, str], rev: int) -> None:
+        self.number, self.members, self.rev = number, members, rev
+
+    @staticmethod
+    def parse(value: Any, rev: int) -> Generation:
+        members = {str(k): str(v) for k, v in value["members"].items()}
+        return Generation(int(value["number"]), members, rev)
+
+    def value(self) -> dict[str, Any]:
+        return {"number": self.number, "members": self.members}
+
+    @property
+    def base_token(self) -> int:
+        return self.number << COUNTER_BITS
+
+    def place(self, key: str) -> str:
+        """The member that a job (home) or a machine (owner) belongs to."""
+        return rendezvous(key, self.members)
+
+    @property
+    def provisioner(self) -> str:
+        return rendezvous("provisioner", self.members)
+
+
+NOBODY = Generation(0, {}, 0)
+
+
+def rendezvous(key: str, members: Iterable[str]) -> str:
+    """Highest random weight: a member's end moves only what it held."""
+    return max(members, key=lambda m: (blake2b(f"{key}\0{m}".encode(), digest_size=8).digest(), m),
+               default="")
+
+
+def successor(current: Generation, present: dict[str, str]) -> Generation | None:
+    """The generation to propose for the controllers present, or None for no change.
+
+    A restarted controller has a new incarnation: it has forgotten its
+    reservations and counters, so it must not go on in the old generation.
+    """
+    if not present or present == current.members:
+        return None
+    return Generation(current.number + 1, dict(present), 0)
+
+
+def should_leave(now: float, me: str, heard: dict[str, float], present: Iterable[str],
+                 patience_s: float) -> bool:
+    """Whether a controller that reaches no present peer should step aside.
+
+    Peers that crashed lose their keys with their leases; peers whose keys live
+    on but who are out of reach show that it is us who is cut off. Of two that
+    don't reach each other the first in order stays, so that one does.
+    """
+    others = [p for p in present if p != me]
+    silent = [p for p in others if now - heard.get(p, -1e9) > patience_s]
+    if not others or len(silent) * 2 <= len(others):
+        return False
+    return len(others) > 1 or min(others) < me
--- /dev/null
+++ b/clayport/model.py
@@ -0,0 +1,182 @@
+"""Jobs, tasks and machines, in the scheduler's own terms.
+
+The names on the wire are the `rename` tables here and nowhere else.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+ARRAY, GANG, SERVICE = "sweep", "ensemble", "daemon"
+RANKS = {"production": 3, "high": 2, "normal": 1, "best_effort": 0}
+MAX_TASKS = 100_000
+
+
+class Job(msgspec.Struct, frozen=True, rename={
+    "job_class": "jobclass", "team": "owner", "kind": "shape", "priority": "rank",
+    "tasks": "pieces", "cpus": "vcpus", "gpus": "cards", "memory_gb": "ram_gb",
+    "image": "bundle", "types": "flavors", "zone": "site", "one_zone": "together",
+    "spread": "scatter", "spot": "loaners", "estimate_s": "guess_s",
+    "checkpoint_s": "snapshot_every_s", "save_s": "snapshot_s", "deadline_s": "due_s",
+}):
+    """A job's description as its user submitted it."""
+
+    id: Annotated[str, msgspec.Meta(pattern=r"^j-[0-9]{1,30}$")]
+    job_class: Text
+    team: Text
+    kind: Literal["sweep", "ensemble", "daemon"]
+    priority: Literal["production", "high", "normal", "best_effort"]
+    tasks: Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS)]
+    cpus: Amount
+    gpus: Amount
+    memory_gb: Amount
+    image: Text
+    image_gb: Amount
+    one_zone: bool
+    spread: bool
+    spot: bool
+    estimate_s: Amount
+    checkpoint_s: Amount
+    save_s: Amount
+    types: Annotated[list[Text], msgspec.Meta(max_length=64)] | None = None
+    zone: Text | None = None
+    deadline_s: Amount | None = None
+
+    @property
+    def rank(self) -> int:
+        return RANKS[self.priority]
+
+
+class MachineType(msgspec.Struct, frozen=True, rename={
+    "name": "label", "cpus": "vcpus", "gpus": "cards", "memory_gb": "ram_gb",
+    "cache_gb": "local_gb", "fetch_gb_per_s": "pull_gb_per_s", "price": "rate", "zones": "sites",
+}):
+    """One row of the cloud's catalogue."""
+
+    name: str
+    cpus: Amount
+    gpus: Amount
+    memory_gb: Amount
+    cache_gb: Amount
+    fetch_gb_per_s: Amount
+    price: Amount
+    spot_price: Amount
+    boot_s: Amount
+    zones: list[str]
+
+
+class Piece(msgspec.Struct, rename={"task": "piece", "attempt": "try", "state": "status",
+                                    "why": "cause", "saved": "stored"}):
+    """A task as a worker lists it."""
+
+    task: str
+    attempt: int
+    state: str
+    why: str = ""
+    saved: bool = False
+
+
+class Report(msgspec.Struct, rename={"machine": "host", "type": "flavor", "zone": "site",
+                                     "spot": "loaners", "session": "tenure", "seq": "counter",
+                                     "token": "epoch", "notice_s": "reclaim_in_s",
+                                     "tasks": "pieces"}):
+    """A worker's report."""
+
+    machine: Text
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    session: int
+    seq: int
+    token: int
+    tasks: list[Piece]
+    notice_s: float | None = None
+
+
+class Listed(msgspec.Struct, rename={"type": "flavor", "zone": "site", "spot": "loaners",
+                                     "state": "status", "age_s": "held_s"}):
+    """A machine as the cloud lists it."""
+
+    id: str
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    state: str
+    age_s: float = 0.0
+
+
+def task_id(job: str, number: int) -> str:
+    return f"{job}/{number}"
+
+
+def split_task(task: str) -> tuple[str, int]:
+    """The job and number of a task; ValueError for anything else."""
+    job, _, number = task.partition("/")
+    return job, int(number)
+
+
+def fits(job: Job, kind: MachineType) -> bool:
+    """Whether one task of the job fits an empty machine of the type."""
+    return (job.types is None or kind.name in job.types) and job.cpus <= kind.cpus \
+        and job.gpus <= kind.gpus and job.memory_gb <= kind.memory_gb \
+        and (job.zone is None or job.zone in kind.zones)
+
+
+class Chunk:
+    """A slice of a job's tasks as one value of the state service holds it.
+
+    `assigned` maps a task to (attempt, machine); `last_attempt` never falls, so
+    that an attempt number is never used twice for a task.
+    """
+
+    __slots__ = ("rev", "assigned", "done", "last_attempt")
+
+    def __init__(self) -> None:
+        self.rev = 0
+        self.assigned: dict[int, tuple[int, str]] = {}
+        self.done: set[int] = set()
+        self.last_attempt = 0
+
+    def value(self) -> dict[str, Any]:
+        """The JSON value; runs of done tasks are kept as [first, last]."""
+        runs: list[list[int]] = []
+        for number in sorted(self.done):
+            if runs and runs[-1][1] == number - 1:
+                runs[-1][1] = number
+            else:
+                runs.append([number, number])
+        return {"a": [[n, a, m] for n, (a, m) in self.assigned.items()], "d": runs,
+                "n": self.last_attempt}
+
+    @staticmethod
+    def parse(value: Any, rev: int) -> Chunk:
+        chunk = Chunk()
+        chunk.rev = rev
+        chunk.assigned = {int(n): (int(a), str(m)) for n, a, m in value["a"]}
+        for first, last in value["d"]:
+            chunk.done.update(range(first, last + 1))
+        chunk.last_attempt = int(value["n"])
+        return chunk
+
+    def copy(self) -> Chunk:
+        other = Chunk()
+        other.rev, other.assigned = self.rev, dict(self.assigned)
+        other.done, other.last_attempt = set(self.done), self.last_attempt
+        return other
+
+
+# The widest entry of a chunk: "[99999,4294967296,\"i-0000000000\"]," and, in the
+# worst case, a run of its own in the done list.
+CHUNK_ENTRY_BYTES = 56
+
+
+def chunk_size(value_kb: float) -> int:
+    """How many tasks a chunk holds so that its value always fits `value_kb`."""
+    return max(1, int(value_kb * 1024 * 0.9) // CHUNK_ENTRY_BYTES)
--- /dev/null
+++ b/clayport/server.py
@@ -0,0 +1,604 @@
+"""A controller: its routines and what they share."""
+
+from __future__ import annotations
+
+import logging
+import random
+import secrets
+import time
+from collections import OrderedDict
+from collections.abc import Coroutine
+from typing import Any
+
+import curio
+import msgspec
+
+from . import http, peers, peerwire
+from .api import Api
+from .cloud import Cloud, CloudError
+from .config import Settings, endpoint
+from .dispatch import Dispatch
+from .fleet import Fleet, Provisioner
+from .jobs import GENERATION_KEY, HomeJob, end_key
+from .membership import NOBODY, Generation, should_leave, successor
+from .model import Chunk, Job, MachineType, chunk_size
+from .placement import Room
+from .statestore import Change, Compacted, Conflict, NoLease, StateStore, Txn, Unavailable, Unknown
+from .workers import Owner
+
+log = logging.getLogger("clayport.server")
+
+NODE_PREFIX, LIVE_PREFIX = "c/node/", "c/live/"
+# Ended jobs kept in memory so that polls for them need no read.
+ENDED_MOST = 20_000
+
+
+class Controller:
+    """The state shared by the routines of one process, and membership itself."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.label = settings.label
+        self.incarnation = secrets.token_hex(8)
+        self.rng = random.Random(self.incarnation)
+        c = settings.cluster
+        # A crashed controller is evicted when its lease ends: a third of a
+        # worker's lease leaves the workers time to find their new owner.
+        self.ttl_s = 0.3 * c.workers.lease_s
+        self.store = StateStore(*endpoint(settings.services.state, "services.state"),
+                                c.state.rps, c.state.write_rps, 0.2 * c.workers.lease_s, c.size)
+        self.cloud = Cloud(*endpoint(settings.services.cloud, "services.cloud"), c.cloud.rps,
+                           c.workers.lease_s)
+        self.peers = {m.label: peers.Peer(m.label, *endpoint(m.address, "members"),
+                                          0.1 * c.workers.lease_s) for m in settings.members}
+        self.limits = {t.name: (t.cpus_max, t.gpus_max) for t in c.teams}
+        # Sockets: a quarter for the workers' own addresses, the rest but a
+        # reserve (peers, state, cloud) for those who connect to us.
+        self.worker_sockets = c.machine_limits.max_sockets // 4
+        self.types: list[MachineType] = []
+        self.live: dict[str, tuple[Job, int]] = {}
+        self.descs: dict[str, Job] = {}  # ended jobs that may still be on machines
+        self.ended: OrderedDict[str, str] = OrderedDict()
+        self.nodes: dict[str, str] = {}
+        self.rooms: dict[str, Room] = {}
+        self.zones: dict[str, str] = {}
+        self.generation: Generation = NOBODY
+        self.state_known = False  # the mirror has been read at least once
+        self.serving = False  # member, and its share of the work is loaded
+        self.lease: int | None = None
+        self.away = False  # stepped aside
+        self.rescan = True
+        self.started = time.monotonic()
+        self.clear_at = self.started  # when state or every peer's word was last had
+        self.events: dict[str, curio.Event] = {}
+        self.raised: set[str] = set()
+        self.coros: list[Coroutine[Any, Any, Any]] = []
+        self.owner = Owner(self.job_of, self._emit, 0.5 * c.workers.lease_s,
+                           0.3 * c.workers.lease_s)
+        self.fleet = Fleet(self)
+        self.dispatch = Dispatch(self)
+        self.provisioner = Provisioner(self)
+        self.api = Api(self)
+
+    # -- small services for the routines ---------------------------------
+
+    def job_of(self, job: str) -> Job | None:
+        known = self.live.get(job)
+        return known[0] if known else self.descs.get(job)
+
+    def _emit(self, job: str, event: tuple[str, str, int, str, str, bool]) -> None:
+        self.fleet.emit(job, event)
+
+    def jitter(self, base_s: float) -> float:
+        """A pause around `base_s`: controllers must not come back in step."""
+        return base_s * self.rng.uniform(0.5, 1.5)
+
+    def signal(self, name: str) -> None:
+        """Wake the routine that waits for `name`, at the next flush."""
+        self.raised.add(name)
+
+    def spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
+        """Start a short-lived routine at the next flush."""
+        self.coros.append(coro)
+
+    async def flush(self) -> None:
+        """Carry out signals and spawns raised by code that does no I/O."""
+        while self.coros or self.raised:
+            coros, self.coros = self.coros, []
+            raised, self.raised = self.raised, set()
+            for coro in coros:
+                await curio.spawn(self._guard(coro), daemon=True)
+            for name in raised:
+                event = self.events.get(name)
+                if event is None:
+                    event = self.events[name] = curio.Event()
+                await event.set()
+
+    async def _guard(self, coro: Coroutine[Any, Any, Any]) -> None:
+        try:
+            await coro
+        except Exception:
+            log.exception("event=routine-failed")
+        await self.flush()
+
+    async def wait(self, name: str, timeout_s: float | None = None) -> None:
+        """Until `name` is signalled, or the time is over."""
+        await self.flush()
+        event = self.events.get(name)
+        if event is None:
+            event = self.events[name] = curio.Event()
+        if timeout_s is None:
+            await event.wait()
+        else:
+            async with curio.ignore_after(timeout_s):
+                await event.wait()
+        event.clear()
+
+    def room_changed(self) -> None:
+        if self.owner.room_rev != self.dispatch.own_rev:
+            self.signal("place")
+
+    # -- standing --------------------------------------------------------
+
+    @property
+    def member(self) -> bool:
+        return self.generation.members.get(self.label) == self.incarnation
+
+    def state_lost(self, now: float) -> bool:
+        return not self.store.ok and now - self.store.last_ok > self.ttl_s
+
+    def healthy(self) -> bool:
+        """Whether users should come here: in an outage that everybody has, yes."""
+        now = time.monotonic()
+        if not self.state_known or not self.member or self.away:
+            return False
+        if self.state_lost(now):
+            return not any(p.state_ok and now - p.heard < self.ttl_s for p in self.peers.values())
+        return True
+
+    def may_renew(self, now: float) -> bool:
+        """Whether reports may be answered with their own token.
+
+        Bounded when we can't know whether others go on without us: a cancelled
+        task must not be kept alive past its deadline by a controller that is
+        cut off. The bound leaves the lease and as much again within cancel_s.
+        """
+        w = self.settings.cluster.workers
+        bound = (w.cancel_s - w.lease_s) / 2
+        if self.serving and not self.state_lost(now):
+            return True
+        heard = [p for p in self.peers.values() if now - p.heard < self.ttl_s]
+        if any(p.state_ok and p.generation > self.generation.number for p in heard):
+            return False
+        if self.state_known and len(heard) == len(self.peers) \
+                and not any(p.state_ok for p in heard):
+            self.clear_at = now
+        elif self.store.ok:
+            self.clear_at = max(self.clear_at, self.store.last_ok)
+        return now - self.clear_at < bound
+
+    def suspect_stale(self) -> None:
+        """Somebody acts under a newer generation than we know: look at once."""
+        self.rescan = True
+
+    # -- the mirror ------------------------------------------------------
+
+    async def follow(self) -> None:
+        """Mirror the generation, the controllers present and the live jobs."""
+        rev = 0
+        while True:
+            try:
+                if self.rescan:
+                    rev = await self._scan()
+                changes, rev = await self.store.watch("c/", rev, self.ttl_s)
+                for change in changes:
+                    self._apply(change)
+                await self.flush()
+            except Compacted:
+                self.rescan = True
+            except (Unavailable, Unknown) as exc:
+                log.debug("event=watch-lost cause=%s", exc)
+                await curio.sleep(self.jitter(self.ttl_s / 8))
+            except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
+                log.error("event=malformed-state cause=%r", exc)
+                await curio.sleep(self.jitter(self.ttl_s / 8))
+
+    async def _scan(self) -> int:
+        entries, rev = await self.store.scan("c/")
+        self.rescan = False
+        keys = {e.key for e in entries}
+        for label in [n for n in self.nodes if NODE_PREFIX + n not in keys]:
+            del self.nodes[label]
+        for entry in entries:
+            self._put(entry.key, entry.value, entry.rev)
+        for job, (_, since) in list(self.live.items()):
+            if LIVE_PREFIX + job not in keys and since <= rev:
+                self._gone_live(job)
+        self.state_known = True
+        self.signal("members")
+        await self.flush()
+        return rev
+
+    def _apply(self, change: Change) -> None:
+        if change.put is not None:
+            self._put(change.put, change.value, change.rev)
+        elif change.delete is not None:
+            if change.delete.startswith(NODE_PREFIX):
+                label = change.delete[len(NODE_PREFIX):]
+                self.nodes.pop(label, None)
+                if label == self.label:
+                    self.lease = None
+                    self.signal("lease")
+                self.signal("members")
+            elif change.delete.startswith(LIVE_PREFIX):
+                self._gone_live(change.delete[len(LIVE_PREFIX):])
+
+    def _put(self, key: str, value: Any, rev: int) -> None:
+        try:
+            if key == GENERATION_KEY:
+                if rev > self.generation.rev:
+                    self._begin(Generation.parse(value, rev))
+                self.signal("members")
+            elif key.startswith(NODE_PREFIX):
+                self.nodes[key[len(NODE_PREFIX):]] = str(value["inc"])
+                self.signal("members")
+            elif key.startswith(LIVE_PREFIX):
+                self.note_live(msgspec.convert(value["j"], Job), rev)
+        except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
+            log.error("key=%s event=malformed-value cause=%r", key, exc)
+
+    def note_live(self, job: Job, rev: int) -> None:
+        """A job is accepted; its home sets to work."""
+        if job.id in self.live or job.id in self.ended:
+            return
+        self.live[job.id] = (job, rev)
+        if self.serving and self.generation.place(job.id) == self.label \
+                and job.id not in self.dispatch.homes:
+            self._home(job, rev, {}, "")
+            self.signal("place")
+
+    def _gone_live(self, job: str) -> None:
+        if job in self.live and job not in self.ended:
+            self.spawn(self._learn(job))
+
+    async def _learn(self, job: str) -> None:
+        while job in self.live:
+            try:
+                entry = await self.store.get(end_key(job))
+            except (Unavailable, Unknown):
+                await curio.sleep(self.jitter(self.ttl_s / 6))
+                continue
+            if entry is not None:
+                self.note_end(job, str(entry.value["s"]))
+            return
+
+    def note_end(self, job: str, status: str) -> None:
+        """A job is over, as committed."""
+        self.ended[job] = status
+        while len(self.ended) > ENDED_MOST:
+            self.ended.popitem(last=False)
+        known = self.live.pop(job, None)
+        hj = self.dispatch.homes.get(job)
+        if known is not None:
+            self.descs[job] = known[0]
+            while len(self.descs) > ENDED_MOST // 10:
+                self.descs.pop(next(iter(self.descs)))
+        if hj is not None and not hj.ended:
+            hj.ended = status
+            hj.kill_at = 0.0
+            self.signal(f"job {job}")
+
+    def tell_end(self, job: str, status: str) -> None:
+        """Tell the peers too: a state outage may follow before their watch does."""
+        for peer in self.peers.values():
+            self.spawn(self._tell_end(peer, job, status))
+
+    async def _tell_end(self, peer: peers.Peer, job: str, status: str) -> None:
+        end = time.monotonic() + self.settings.cluster.workers.cancel_s
+        while time.monotonic() < end:
+            try:
+                await peer.call(peerwire.ENDED, (job, status))
+                return
+            except peers.PeerError:
+                await curio.sleep(self.jitter(self.ttl_s / 2))
+
+    # -- generations -----------------------------------------------------
+
+    def _begin(self, generation: Generation) -> None:
+        self.generation = generation
+        self.serving = False
+        log.info("generation=%d event=begin members=%s", generation.number,
+                 ",".join(sorted(generation.members)))
+        for hj in self.dispatch.homes.values():
+            self.signal(f"job {hj.job.id}")
+        self.dispatch.homes = {}
+        self.dispatch.inflight.clear()
+        self.dispatch.quotas.clear()
+        self.dispatch.demands.clear()
+        self.dispatch.pulled.clear()
+        self.dispatch.own_rev = -1
+        self.fleet.outboxes.clear()
+        self.owner.begin(generation, self.label)
+        if self.member:
+            self.spawn(self._load(generation))
+
+    async def _load(self, generation: Generation) -> None:
+        """Take over our share: no commit of an earlier generation can follow its key."""
+        while self.generation is generation:
+            try:
+                entries, _ = await self.store.scan("run/")
+                found: dict[str, dict[int, Chunk]] = {}
+                for e in entries:
+                    _, job, index = e.key.split("/")
+                    if generation.place(job) == self.label:
+                        found.setdefault(job, {})[int(index)] = Chunk.parse(e.value, e.rev)
+                orphans: dict[str, tuple[Job, str]] = {}
+                for job in [j for j in found if j not in self.live]:
+                    entry = await self.store.get(end_key(job))
+                    if entry is None:
+                        continue
+                    self.note_end(job, str(entry.value["s"]))
+                    if "j" in entry.value:
+                        orphans[job] = (msgspec.convert(entry.value["j"], Job), entry.value["s"])
+                if self.generation is not generation:
+                    return
+                for job, (desc, rev) in self.live.items():
+                    if generation.place(job) == self.label:
+                        self._home(desc, rev, found.get(job, {}), "")
+                for job, (desc, status) in orphans.items():
+                    self.descs[job] = desc
+                    self._home(desc, 0, found[job], status)
+                self.serving = True
+                log.info("generation=%d event=serving jobs=%d", generation.number,
+                         len(self.dispatch.homes))
+                for name in ("place", "starved", "demand"):
+                    self.signal(name)
+                await self.flush()
+                return
+            except (Unavailable, Unknown) as exc:
+                log.debug("event=load-failed cause=%s", exc)
+            except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
+                log.error("event=malformed-state cause=%r", exc)
+            await curio.sleep(self.jitter(self.ttl_s / 8))
+
+    def _home(self, job: Job, rev: int, chunks: dict[int, Chunk], ended: str) -> None:
+        hj = HomeJob(job, rev, chunk_size(self.settings.cluster.state.value_kb),
+                     time.monotonic(), ended)
+        hj.load(chunks)
+        self.dispatch.homes[job.id] = hj
+        self.spawn(self.dispatch.drive(hj))
+
+    async def keep_lease(self) -> None:
+        """Hold our key in the state service while we can serve."""
+        while True:
+            pause = self.ttl_s / 3
+            try:
+                if self.away:
+                    if self.lease is not None and self.nodes.get(self.label):
+                        lease, self.lease = self.lease, None
+                        await self.store.commit(Txn().delete(NODE_PREFIX + self.label))
+                        log.info("event=stepped-aside lease=%d", lease)
+                elif self.lease is None:
+                    lease = await self.store.lease(self.ttl_s)
+                    await self.store.commit(Txn().put(
+                        NODE_PREFIX + self.label, {"inc": self.incarnation}, lease))
+                    self.lease = lease
+                elif not await self.store.renew(self.lease):
+                    self.lease = None
+                    pause = 0.0
+            except (Unavailable, Unknown, NoLease, Conflict) as exc:
+                log.debug("event=lease-trouble cause=%s", exc)
+                pause = self.jitter(self.ttl_s / 8)
+            await self.wait("lease", max(pause, 0.001))
+
+    async def keep_members(self) -> None:
+        """Propose the next generation when those present differ from its members."""
+        while True:
+            await self.wait("members", self.ttl_s / 2)
+            if not self.state_known:
+                continue
+            if successor(self.generation, self.nodes) is None:
+                continue
+            await curio.sleep(self.jitter(self.ttl_s / 20))
+            proposal = successor(self.generation, self.nodes)
+            if proposal is None:
+                continue
+            txn = Txn().require(GENERATION_KEY, self.generation.rev)
+            try:
+                await self.store.commit(txn.put(GENERATION_KEY, proposal.value()))
+            except Conflict:
+                await curio.sleep(self.ttl_s / 20)
+            except (Unavailable, Unknown, NoLease):
+                await curio.sleep(self.jitter(self.ttl_s / 10))
+
+    async def keep_peers(self, peer: peers.Peer) -> None:
+        """Exchange signs of life, demand and whether the state service answers."""
+        while True:
+            now = time.monotonic()
+            try:
+                label, number, ok, rev = await peer.call(peerwire.PING, (
+                    self.label, self.generation.number, not self.state_lost(now),
+                    self.owner.room_rev, self.dispatch.demand() if self.serving else []))
+                if label == peer.label:
+                    self._heard(peer, number, ok, rev)
+            except peers.PeerError as exc:
+                log.debug("peer=%s event=out-of-reach cause=%s", peer.label, exc)
+            now = time.monotonic()
+            away = self.state_known and should_leave(
+                now, self.label, {p.label: p.heard for p in self.peers.values()}, self.nodes,
+                1.5 * self.ttl_s) and now - self.started > 2 * self.ttl_s
+            if away != self.away:
+                log.info("event=%s cause=peers", "away" if away else "back")
+                self.away = away
+                self.signal("lease")
+            await self.flush()
+            await curio.sleep(self.ttl_s / 4)
+
+    def _heard(self, peer: peers.Peer, number: int, ok: bool, rev: int) -> None:
+        peer.heard = time.monotonic()
+        peer.state_ok, peer.generation = ok, number
+        if rev != peer.room_rev:
+            peer.room_rev = rev
+            if self.dispatch.starved:
+                self.signal("starved")
+        if number > self.generation.number and self.store.ok:
+            self.rescan = True
+
+    async def keep_catalogue(self) -> None:
+        """The machine types and their present prices."""
+        while True:
+            try:
+                self.types = await self.cloud.catalogue()
+                self.owner.types = {t.name: t for t in self.types}
+                self.owner.room_rev += 1
+                await curio.sleep(self.jitter(20 * self.settings.cluster.workers.lease_s))
+            except CloudError as exc:
+                log.info("event=no-catalogue cause=%s", exc)
+                await curio.sleep(self.jitter(self.ttl_s / 3))
+
+    # -- what peers ask --------------------------------------------------
+
+    async def answer(self, kind: int, values: tuple[Any, ...]) -> tuple[int, tuple[Any, ...]]:
+        """Answer a peer; requests of another generation are refused."""
+        try:
+            return await self._answer(kind, values)
+        finally:
+            await self.flush()
+
+    async def _answer(self, kind: int, values: tuple[Any, ...]) -> tuple[int, tuple[Any, ...]]:
+        now = time.monotonic()
+        if kind == peerwire.PING:
+            label, number, ok, rev, demand = values
+            peer = self.peers.get(label)
+            if peer is not None:
+                self._heard(peer, number, ok, rev)
+                before = self.dispatch.demands.get(label)
+                self.dispatch.demands[label] = demand
+                if demand and not before:
+                    self.signal("demand")
+            return peerwire.PONG, (self.label, self.generation.number,
+                                   not self.state_lost(now), self.owner.room_rev)
+        if kind == peerwire.ENDED:
+            if values[1] in ("done", "cancelled"):
+                self.note_end(values[0], values[1])
+            return peerwire.ACK, (True,)
+        if kind == peerwire.INSPECT:
+            return peerwire.ACK, (await self.fleet.inspect(values[0], values[1]),)
+        current = self.serving and values[0] == self.generation.number
+        if kind == peerwire.GONE:
+            # True for ever: names are not used again.
+            self.gone(name for (name,) in values[1])
+            return peerwire.ACK, (True,)
+        if kind == peerwire.COUNTS:
+            counts = self.dispatch.counts(values[1]) if current else None
+            return peerwire.COUNTED, (counts is not None, *(counts or (0, 0)))
+        if kind == peerwire.ROOM:
+            return peerwire.TABLE, self.dispatch.table() if current else (False, 0, [])
+        if kind == peerwire.RESERVE:
+            job = self.job_of(values[1])
+            if not current or job is None:
+                return peerwire.RESERVED, (False, [])
+            flags = self.owner.reserve(job, values[3], values[2], now)
+            return peerwire.RESERVED, (True, [(f,) for f in flags])
+        if kind == peerwire.LAUNCH:
+            if not current:
+                return peerwire.VERDICTS, (False, [])
+            answers = self.owner.launch(values[1])
+            for machine in {i[0] for i in values[1]}:
+                self.fleet.poke(machine)
+            return peerwire.VERDICTS, (True, [(a,) for a in answers])
+        if kind == peerwire.STATES:
+            if not current:
+                return peerwire.VERDICTS, (False, [])
+            return peerwire.VERDICTS, (True, [(v,) for v in self.dispatch.told(values[1])])
+        if kind == peerwire.REPORT:
+            return await self._passed_on(current, values[1], now)
+        if not current:
+            return peerwire.ACK, (False,)
+        if kind == peerwire.STOP:
+            self.owner.stop(values[1])
+            for machine in {i[0] for i in values[1]}:
+                self.fleet.poke(machine)
+        elif kind == peerwire.ADOPT:
+            self.owner.adopt(values[1], now)
+        elif kind == peerwire.DRAIN:
+            return peerwire.ACK, (self.owner.drain(values[1]),)
+        elif kind == peerwire.FENCE:
+            if self.generation.provisioner != self.label:
+                return peerwire.ACK, (False,)
+            await self.fleet.fence(values[1])
+        else:
+            return peerwire.ACK, (False,)
+        return peerwire.ACK, (True,)
+
+    async def _passed_on(self, current: bool, body: bytes, now: float
+                         ) -> tuple[int, tuple[Any, ...]]:
+        """A report of a worker that can't reach us, passed on by a peer."""
+        from .model import Report
+        try:
+            report = msgspec.json.decode(body, type=Report)
+        except msgspec.MsgspecError:
+            return peerwire.REPORTED, (400, b"{}")
+        if not current or self.generation.place(report.machine) != self.label:
+            return peerwire.REPORTED, (503, b"{}")
+        status, value = self.fleet.own_report(report, now, False)
+        return peerwire.REPORTED, (status, msgspec.json.encode(value))
+
+    # -- machines --------------------------------------------------------
+
+    def gone(self, names: Any) -> None:
+        """Machines whose return the cloud has confirmed, and all that was on them."""
+        found = set(names)
+        self.owner.removed(found)
+        for name in found:
+            self.rooms.pop(name, None)
+        for hj in self.dispatch.homes.values():
+            if hj.removed(found):
+                self.signal(f"job {hj.job.id}")
+        self.signal("place")
+
+    async def announce_gone(self, names: list[str]) -> None:
+        self.gone(names)
+        rows = [(n,) for n in names]
+        for peer in self.peers.values():
+            self.spawn(self._announce(peer, rows))
+        await self.flush()
+
+    async def _announce(self, peer: peers.Peer, rows: list[tuple[str]]) -> None:
+        for _ in range(3):
+            try:
+                await peer.call(peerwire.GONE, (self.generation.number, rows))
+                return
+            except peers.PeerError:
+                await curio.sleep(self.jitter(self.ttl_s / 6))
+
+    async def drain(self, machine: str) -> bool:
+        owner = self.generation.place(machine)
+        if owner == self.label:
+            return self.owner.drain(machine)
+        try:
+            return bool((await self.peers[owner].call(
+                peerwire.DRAIN, (self.generation.number, machine)))[0])
+        except (peers.PeerError, KeyError):
+            return False
+
+    # -- the process -----------------------------------------------------
+
+    async def run(self) -> None:
+        """All routines until one fails; the rest is cancelled in order then."""
+        s, w = self.settings, self.settings.cluster.workers
+        users = http.Server(self.api.handle, self.settings.cluster.machine_limits.max_sockets * 5
+                            // 8, 3 * w.lease_s, w.lease_s, "/v1/report")
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(users.serve, *endpoint(s.bind, "bind"))
+            await group.spawn(peers.serve, *endpoint(s.peer_bind, "peer_bind"), self.answer,
+                              4 * s.cluster.size, w.lease_s)
+            for peer in self.peers.values():
+                await group.spawn(self.keep_peers, peer)
+            for label in s.labels:
+                await group.spawn(self.fleet.tell, label)
+            for routine in (self.follow, self.keep_lease, self.keep_members, self.keep_catalogue,
+                            self.dispatch.refresh, self.dispatch.place_all,
+                            self.fleet.watch_silence, self.provisioner.run):
+                await group.spawn(routine)
+            log.info("label=%s event=started incarnation=%s", s.label, self.incarnation)
--- /dev/null
+++ b/clayport/statestore.py
@@ -0,0 +1,242 @@
+"""The state service's protocol. It decides nothing: outcomes are handed on."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any
+
+import curio
+import msgspec
+
+from . import http
+
+
+class Unavailable(Exception):
+    """Not executed: refused by the service, or never sent."""
+
+
+class Unknown(Exception):
+    """No answer: it may have been executed, or may still be."""
+
+
+class Conflict(Exception):
+    """A condition did not hold; nothing was changed."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(", ".join(failed))
+        self.failed = failed
+
+
+class NoLease(Exception):
+    """The lease that a write names has ended."""
+
+
+class Compacted(Exception):
+    """The watch starts too far back; the keys have to be read again."""
+
+
+class Entry(msgspec.Struct):
+    """A key as the service holds it."""
+
+    key: str
+    value: Any = msgspec.field(name="data")
+    rev: int = msgspec.field(name="key_rev")
+
+
+class _Page(msgspec.Struct):
+    items: list[Entry] = msgspec.field(name="pairs")
+    rev: int = msgspec.field(name="store_rev")
+    more: bool = False
+
+
+class Change(msgspec.Struct):
+    """One change of a watch: a write, or a removal."""
+
+    rev: int = msgspec.field(name="key_rev")
+    put: str | None = msgspec.field(name="write", default=None)
+    delete: str | None = msgspec.field(name="remove", default=None)
+    value: Any = msgspec.field(name="data", default=None)
+
+
+class _Log(msgspec.Struct):
+    rev: int = msgspec.field(name="store_rev")
+    events: list[Change] = msgspec.field(name="log", default_factory=list)
+
+
+class _Failed(msgspec.Struct):
+    failed: list[str] = []
+
+
+class _Revision(msgspec.Struct):
+    rev: int = msgspec.field(name="store_rev")
+
+
+class _Lease(msgspec.Struct):
+    id: int = msgspec.field(name="hold")
+
+
+class Txn:
+    """A transaction under construction."""
+
+    def __init__(self) -> None:
+        self.when: dict[str, int] = {}
+        self.writes: list[dict[str, Any]] = []
+
+    def require(self, key: str, rev: int) -> Txn:
+        self.when[key] = rev
+        return self
+
+    def put(self, key: str, value: Any, lease: int | None = None) -> Txn:
+        write: dict[str, Any] = {"write": key, "data": value}
+        if lease is not None:
+            write["hold"] = lease
+        self.writes.append(write)
+        return self
+
+    def delete(self, key: str) -> Txn:
+        self.writes.append({"remove": key})
+        return self
+
+
+class Bucket:
+    """This controller's share of a budget, so that nobody is answered 429."""
+
+    def __init__(self, rate: float, now: float) -> None:
+        self.rate, self.level, self.at = rate, rate, now
+
+    def delay(self, amount: float, now: float) -> float:
+        """Take `amount`; how long to wait before it may be used."""
+        self.level = min(self.rate, self.level + (now - self.at) * self.rate)
+        self.at = now
+        self.level -= amount
+        return max(0.0, -self.level / self.rate)
+
+
+class StateStore:
+    """Requests to the state service, paced to this controller's share."""
+
+    def __init__(self, host: str, port: int, rps: float, write_rps: float, timeout_s: float,
+                 controllers: int) -> None:
+        self.client = http.Client(host, port, keep=8)
+        self.watcher = http.Client(host, port, keep=1)
+        self.timeout_s = timeout_s
+        now = time.monotonic()
+        self.requests = Bucket(rps * 0.9 / controllers, now)
+        self.changes = Bucket(write_rps * 0.9 / controllers, now)
+        self.last_ok = now - 3600.0
+        self.last_bad = now
+        self.sent = 0
+
+    @property
+    def ok(self) -> bool:
+        """Whether the latest answer was one that served."""
+        return self.last_ok >= self.last_bad
+
+    async def _call(self, method: str, path: str, body: Any = None, changes: int = 0,
+                    timeout_s: float | None = None, client: http.Client | None = None
+                    ) -> tuple[int, bytes]:
+        now = time.monotonic()
+        wait = self.requests.delay(1, now)
+        if changes:
+            wait = max(wait, self.changes.delay(changes, now))
+        if wait > 0:
+            await curio.sleep(wait)
+        raw = None if body is None else msgspec.json.encode(body)
+        self.sent += 1
+        try:
+            status, payload = await (client or self.client).request(
+                method, path, raw, timeout_s or self.timeout_s)
+        except http.NotSent as exc:
+            self.last_bad = time.monotonic()
+            raise Unavailable(str(exc)) from None
+        except http.NoAnswer as exc:
+            self.last_bad = time.monotonic()
+            raise Unknown(str(exc)) from None
+        if status in (429, 503):
+            if status == 503:
+                self.last_bad = time.monotonic()
+            raise Unavailable(f"{status} {path}")
+        self.last_ok = time.monotonic()
+        return status, payload
+
+    async def _read(self, path: str, timeout_s: float | None = None) -> tuple[int, bytes]:
+        """A read may be repeated: an unanswered one is tried once more."""
+        try:
+            return await self._call("GET", path, timeout_s=timeout_s)
+        except Unknown:
+            return await self._call("GET", path, timeout_s=timeout_s)
+
+    @staticmethod
+    def _decode(payload: bytes, kind: Any) -> Any:
+        """A malformed answer is an unusable one, never a crash."""
+        try:
+            return msgspec.json.decode(payload, type=kind)
+        except msgspec.MsgspecError as exc:
+            raise Unknown(f"malformed answer: {exc}") from None
+
+    async def get(self, key: str, timeout_s: float | None = None) -> Entry | None:
+        status, payload = await self._read(f"/keys/{key}", timeout_s)
+        if status == 404:
+            return None
+        if status != 200:
+            raise Unavailable(f"{status} for {key}")
+        entry: Entry = self._decode(payload, Entry)
+        return entry
+
+    async def scan(self, prefix: str) -> tuple[list[Entry], int]:
+        """All keys with the prefix, and the revision of the first page."""
+        entries: list[Entry] = []
+        first, since = 0, ""
+        while True:
+            path = f"/keys?prefix={prefix}&most=1000" + (f"&since={since}" if since else "")
+            status, payload = await self._read(path)
+            if status != 200:
+                raise Unavailable(f"{status} for {prefix}")
+            page: _Page = self._decode(payload, _Page)
+            first = first or page.rev
+            entries += page.items
+            if not page.more or not page.items:
+                return entries, first
+            since = page.items[-1].key
+
+    async def commit(self, txn: Txn) -> int:
+        """Apply; the revision. Conflict, NoLease, Unavailable or Unknown otherwise."""
+        body = {"when": [{"key": k, "key_rev": r} for k, r in txn.when.items()],
+                "writes": txn.writes}
+        status, payload = await self._call("POST", "/commit", body, changes=len(txn.writes))
+        if status == 200:
+            return int(self._decode(payload, _Revision).rev)
+        if status == 409:
+            raise Conflict(self._decode(payload, _Failed).failed)
+        if b"no such lease" in payload:
+            raise NoLease
+        raise Unavailable(f"{status} {payload[:200]!r}")
+
+    async def lease(self, ttl_s: float) -> int:
+        status, payload = await self._call("POST", "/leases", {"ttl_ms": int(ttl_s * 1000)})
+        if status != 200:
+            raise Unavailable(f"{status} for a lease")
+        return int(self._decode(payload, _Lease).id)
+
+    async def renew(self, lease: int) -> bool:
+        """False when the lease has ended."""
+        status, _ = await self._call("POST", f"/leases/{lease}/touch", {})
+        return status == 200
+
+    async def watch(self, prefix: str, since: int, wait_s: float) -> tuple[list[Change], int]:
+        """Changes after `since`; an empty list when the time is over."""
+        path = f"/changes?prefix={prefix}&since={since}&block_ms={int(wait_s * 1000)}"
+        status, payload = await self._call("GET", path, timeout_s=wait_s + self.timeout_s,
+                                           client=self.watcher)
+        if status == 410:
+            raise Compacted
+        if status != 200:
+            raise Unavailable(f"{status} for a watch")
+        log: _Log = self._decode(payload, _Log)
+        return log.events, log.rev
+
+
+def jitter(rng: random.Random, base_s: float) -> float:
+    """A pause around `base_s`, so that controllers don't come back in step."""
+    return base_s * rng.uniform(0.5, 1.5)
--- /dev/null
+++ b/clayport/workers.py
@@ -0,0 +1,396 @@
+"""The owner's side: machines, their leases, tokens and commands.
+
+An owner believes a task gone only on a report that carries the token it gave
+out last (so that no older command can still run), never on silence.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from .membership import Generation
+from .model import Job, MachineType, Report, split_task
+from .placement import Room
+
+log = logging.getLogger("clayport.workers")
+
+Key = tuple[str, int]  # task, attempt
+
+# Phases of a task that a home wants on a machine.
+RESERVED, QUEUED, SENT, LIVE = range(4)
+# Commands per request, so that 64 KiB always suffice.
+BATCH = 300
+
+
+class Want:
+    """A task that its home wants here, or has wanted and not yet settled."""
+
+    __slots__ = ("phase", "since", "tried")
+
+    def __init__(self, phase: int, since: float) -> None:
+        self.phase, self.since = phase, since
+        self.tried = False  # a launch has been sent at least once
+
+
+class Machine:
+    """A machine as its owner knows it."""
+
+    def __init__(self, name: str, token: int, now: float) -> None:
+        self.name, self.token = name, token
+        self.address = self.type = self.zone = ""
+        self.spot = False
+        self.session = self.seq = 0
+        self.fenced = False  # the newest report carries the current token
+        self.heard = now  # when a report last came, or when the ownership began
+        self.known = False  # a report has come under this ownership
+        self.direct_at = -1e9  # when a report last came from the worker itself
+        self.notice_at: float | None = None
+        self.draining = False
+        self.listed: dict[Key, tuple[str, str, bool]] = {}
+        self.told: dict[Key, tuple[str, str, bool]] = {}
+        self.want: dict[Key, Want] = {}
+        self.kills: dict[Key, float] = {}
+        self.clears: set[Key] = set()
+        self.images: OrderedDict[str, float] = OrderedDict()
+        self.idle_since = now
+        self.bad_until = -1e9  # /do did not get through: use report responses
+        self.by_response: list[Key] = []  # launches sent in the last report response
+        self.errors: dict[str, int] = {}  # job: failures here since the last success
+        self.busy = False  # a /do is in flight
+        self.fencing = False
+
+    @property
+    def orders(self) -> bool:
+        return bool(self.kills or self.clears
+                    or any(w.phase == QUEUED for w in self.want.values()))
+
+
+GONE = "gone"
+
+
+class Owner:
+    """State of all machines owned here; every method is free of I/O.
+
+    `job_of` finds a job's description, `emit` hands an event to the home.
+    """
+
+    def __init__(self, job_of: Callable[[str], Job | None],
+                 emit: Callable[[str, tuple[str, str, int, str, str, bool]], None],
+                 reserve_s: float, direct_pause_s: float) -> None:
+        self.job_of, self.emit = job_of, emit
+        self.reserve_s, self.direct_pause_s = reserve_s, direct_pause_s
+        self.machines: dict[str, Machine] = {}
+        self.types: dict[str, MachineType] = {}
+        self.generation: Generation | None = None
+        self.room_rev = 0
+
+    def begin(self, generation: Generation, me: str) -> None:
+        """A new generation: tokens rise and every want is adopted anew.
+
+        What the reports said of machines that stay ours is kept, so that they
+        take work again at once; that they are settled is not.
+        """
+        self.generation = generation
+        for name in [n for n in self.machines if generation.place(n) != me]:
+            del self.machines[name]
+        for m in self.machines.values():
+            m.token = generation.base_token + 1
+            m.fenced = m.fencing = False
+            m.by_response = []
+            for holder in (m.want, m.told, m.kills, m.clears):
+                holder.clear()
+        self.room_rev += 1
+
+    def machine(self, name: str, now: float) -> Machine:
+        assert self.generation is not None
+        found = self.machines.get(name)
+        if found is None:
+            found = self.machines[name] = Machine(name, self.generation.base_token + 1, now)
+        return found
+
+    # -- reports ---------------------------------------------------------
+
+    def entitled(self, report: Report) -> bool:
+        """False when a successor has given out a higher token than ours."""
+        assert self.generation is not None
+        known = self.machines.get(report.machine)
+        token = known.token if known else self.generation.base_token + 1
+        return report.token <= token
+
+    def take_report(self, report: Report, now: float, direct: bool) -> Machine | None:
+        """Apply a report; None for one that is older than what is known.
+
+        Reports held in the network arrive minutes late: (session, seq) tells.
+        """
+        m = self.machine(report.machine, now)
+        if m.known and (report.session, report.seq) <= (m.session, m.seq):
+            return None
+        if m.known and report.session > m.session:
+            m.kills.clear()
+            m.clears.clear()
+        m.known = True
+        m.session, m.seq, m.heard = report.session, report.seq, now
+        if direct:
+            m.direct_at = now
+        m.address, m.type, m.zone, m.spot = report.address, report.type, report.zone, report.spot
+        m.notice_at = None if report.notice_s is None else now + report.notice_s
+        # Only under the current token is an older command known to be void.
+        m.fenced = report.token >= m.token
+        listed: dict[Key, tuple[str, str, bool]] = {}
+        for piece in report.tasks:
+            listed[(piece.task, piece.attempt)] = (piece.state, piece.why, piece.saved)
+        before, m.listed = m.listed, listed
+        for key, status in listed.items():
+            want = m.want.get(key)
+            if want is not None and want.phase in (QUEUED, SENT):
+                want.phase = LIVE
+            if m.told.get(key) != status:
+                self._tell(m, key, status)
+            if status[0] == "running" or status[1] == "done":
+                self._cached(m, key)
+        for key in m.by_response:
+            # The worker has one report in flight: what the previous response
+            # ordered is listed now, or that response was dropped.
+            want = m.want.get(key)
+            if want is not None and want.phase == SENT:
+                want.phase = QUEUED
+        m.by_response = []
+        m.kills = {k: g for k, g in m.kills.items() if k in listed or k in m.want}
+        if m.notice_at is not None:
+            self._save(m)
+        if m.fenced:
+            for key, want in m.want.items():
+                if want.phase == LIVE and key not in listed and m.told.get(key, ("",))[0] != GONE:
+                    self._tell(m, key, (GONE, "", False))
+        for key in list(m.told):
+            if key not in listed and key not in m.want:
+                del m.told[key]
+        m.clears = {key for key in m.clears if key in listed}
+        if listed.keys() != before.keys() or before != listed:
+            self._touched(m, now)
+        return m
+
+    def _save(self, m: Machine) -> None:
+        """The cloud takes the machine: tasks that can save are stopped to do so."""
+        for key, status in m.listed.items():
+            job = self.job_of(key[0].partition("/")[0])
+            if status[0] == "running" and job is not None and job.checkpoint_s > 0 \
+                    and key not in m.kills:
+                m.kills[key] = job.save_s
+
+    @staticmethod
+    def sick(m: Machine) -> bool:
+        """A machine that fails the work of several jobs and completes none."""
+        return len(m.errors) >= 2 or sum(m.errors.values()) >= 4
+
+    def _tell(self, m: Machine, key: Key, status: tuple[str, str, bool]) -> None:
+        m.told[key] = status
+        if status[1] == "error":
+            job = key[0].partition("/")[0]
+            m.errors[job] = m.errors.get(job, 0) + 1
+            if self.sick(m):
+                log.info("machine=%s job=%s event=sick errors=%d", m.name, job,
+                         sum(m.errors.values()))
+        elif status[1] == "done":
+            m.errors.clear()
+        self.emit(key[0].partition("/")[0], (m.name, key[0], key[1], *status))
+
+    def retell(self, machine: str, key: Key) -> None:
+        """The home could not judge the event yet: tell it again with a later report."""
+        m = self.machines.get(machine)
+        if m is not None:
+            m.told.pop(key, None)
+
+    def settled(self, machine: str, key: Key) -> None:
+        """The home has taken note that the task is gone."""
+        m = self.machines.get(machine)
+        if m is not None and key not in m.listed:
+            want = m.want.get(key)
+            if want is not None and want.phase == LIVE:
+                del m.want[key]
+                self.room_rev += 1
+
+    def _cached(self, m: Machine, key: Key) -> None:
+        job = self.job_of(key[0].partition("/")[0])
+        kind = self.types.get(m.type)
+        if job is None or kind is None:
+            return
+        m.images[job.image] = job.image_gb
+        m.images.move_to_end(job.image)
+        # The worker keeps the most recently used images that fit its cache.
+        while sum(m.images.values()) > kind.cache_gb and len(m.images) > 1:
+            m.images.popitem(last=False)
+
+    def _touched(self, m: Machine, now: float) -> None:
+        self.room_rev += 1
+        if m.want or any(s[0] != "exited" for s in m.listed.values()):
+            m.idle_since = now
+
+    # -- what homes ask --------------------------------------------------
+
+    def reserve(self, job: Job, items: Iterable[tuple[str, int]], attempt: int,
+                now: float) -> list[bool]:
+        """Keep room for tasks; refused where it is short (the decline that ASC counts)."""
+        granted = []
+        for name, number in items:
+            m = self.machines.get(name)
+            ok = m is not None and self.open(m) and self.room(m).fits(job)
+            if ok and m is not None:
+                m.want[(f"{job.id}/{number}", attempt)] = Want(RESERVED, now)
+                m.idle_since = now
+                self.room_rev += 1
+            granted.append(ok)
+        return granted
+
+    def launch(self, items: Iterable[tuple[str, str, int]]) -> list[int]:
+        """Queue launches; 0: no reservation, so it isn't and won't be launched.
+
+        Only a standing reservation is launched. That guards against a launch
+        request that was held in the network and arrives when its home has long
+        settled the attempt and put the task elsewhere.
+        """
+        answers = []
+        for name, task, attempt in items:
+            m = self.machines.get(name)
+            want = m.want.get((task, attempt)) if m is not None else None
+            if want is not None and want.phase == RESERVED:
+                want.phase = QUEUED
+            answers.append(0 if want is None else 1)
+        return answers
+
+    def stop(self, items: Iterable[tuple[str, str, int, float, bool]]) -> None:
+        """Kill (or, with the flag, clear) tasks."""
+        for name, task, attempt, grace, clear in items:
+            m = self.machines.get(name)
+            if m is None:
+                continue
+            key = (task, attempt)
+            want = m.want.get(key)
+            if want is not None and want.phase in (RESERVED, QUEUED) and not want.tried:
+                # Never sent: settled at once.
+                del m.want[key]
+                self.room_rev += 1
+                self.emit(task.partition("/")[0], (name, task, attempt, GONE, "", False))
+            elif clear:
+                m.want.pop(key, None)
+                self.room_rev += 1
+                if m.listed.get(key, ("",))[0] == "exited":
+                    m.clears.add(key)
+            else:
+                if want is not None and want.phase == QUEUED:
+                    # Sent before without an answer: no new launch, and the next
+                    # report under the raised token settles the old one.
+                    want.phase = LIVE
+                m.kills[key] = min(grace, m.kills.get(key, grace))
+
+    def adopt(self, items: Iterable[tuple[str, str, int]], now: float) -> None:
+        """Assignments that a home found committed: to be judged by fenced reports."""
+        for name, task, attempt in items:
+            m = self.machine(name, now)
+            key = (task, attempt)
+            if key not in m.want:
+                m.want[key] = Want(LIVE, now)
+                self.room_rev += 1
+            elif m.want[key].phase == RESERVED:
+                m.want[key].phase = LIVE
+            m.told.pop(key, None)
+            if key in m.listed:
+                self._tell(m, key, m.listed[key])
+            elif m.known and m.fenced and m.want[key].phase == LIVE:
+                self._tell(m, key, (GONE, "", False))
+
+    def removed(self, names: Iterable[str]) -> None:
+        """The cloud has confirmed the machines' return."""
+        for name in names:
+            if self.machines.pop(name, None) is not None:
+                self.room_rev += 1
+
+    def drain(self, name: str) -> bool:
+        """Close an idle machine for good; False when something is or may be on it."""
+        m = self.machines.get(name)
+        if m is None:
+            return True
+        if m.want or any(s[0] != "exited" for s in m.listed.values()):
+            return False
+        m.draining = True
+        self.room_rev += 1
+        return True
+
+    def expire(self, now: float) -> None:
+        """Drop reservations whose home has not come back for them."""
+        for m in self.machines.values():
+            for key in [k for k, w in m.want.items()
+                        if w.phase == RESERVED and now - w.since > self.reserve_s]:
+                del m.want[key]
+                self.room_rev += 1
+
+    # -- commands --------------------------------------------------------
+
+    def orders(self, m: Machine) -> tuple[list[dict[str, Any]], list[Key]]:
+        """Commands to send now; launches among them become SENT."""
+        out: list[dict[str, Any]] = []
+        for key in list(m.clears)[:BATCH]:
+            out.append({"verb": "clear", "piece": key[0], "try": key[1]})
+        for key, grace in list(m.kills.items())[:BATCH]:
+            out.append({"verb": "kill", "piece": key[0], "try": key[1], "wind_down_s": grace})
+        launches = [k for k, w in m.want.items() if w.phase == QUEUED][:BATCH]
+        for key in launches:
+            m.want[key].phase = SENT
+            m.want[key].tried = True
+            out.append({"verb": "launch", "piece": key[0], "try": key[1]})
+        return out, launches
+
+    def answered(self, m: Machine, orders: list[dict[str, Any]], launches: list[Key]) -> None:
+        """The worker has executed the commands."""
+        for key in launches:
+            want = m.want.get(key)
+            if want is not None and want.phase == SENT:
+                want.phase = LIVE
+        for order in orders:
+            key = (order["piece"], order["try"])
+            if order["verb"] == "kill":
+                m.kills.pop(key, None)
+
+    def unanswered(self, m: Machine, launches: list[Key], sent: bool, now: float) -> None:
+        """No answer: raise the token, which voids what may still be on its way."""
+        for key in launches:
+            want = m.want.get(key)
+            if want is not None and want.phase == SENT:
+                want.phase = QUEUED
+        if sent:
+            m.token += 1
+            m.fenced = False
+        m.bad_until = now + self.direct_pause_s
+
+    # -- room ------------------------------------------------------------
+
+    def open(self, m: Machine) -> bool:
+        return m.known and not m.draining and m.notice_at is None and not m.fencing \
+            and not self.sick(m)
+
+    def room(self, m: Machine, owner: str = "", now: float | None = None) -> Room:
+        """The machine's free room: everything wanted or still listed is counted."""
+        kind = self.types.get(m.type)
+        room = Room(m.name, m.address, m.type, m.zone, m.spot, self.open(m) and kind is not None,
+                    kind.cpus if kind else 0.0, kind.gpus if kind else 0.0,
+                    kind.memory_gb if kind else 0.0, 0, m.images, 0.0, 0.0, owner)
+        keys = {k for k, s in m.listed.items() if s[0] != "exited"}
+        keys.update(k for k in m.want if m.listed.get(k, ("",))[0] != "exited")
+        for key in keys:
+            job = self.job_of(key[0].partition("/")[0])
+            room.tasks += 1
+            if job is not None:
+                room.cpus -= job.cpus
+                room.gpus -= job.gpus
+                room.memory_gb -= job.memory_gb
+        if now is not None:
+            room.idle_s = 0.0 if room.tasks else max(0.0, now - m.idle_since)
+            room.silent_s = now - m.heard
+        return room
+
+    def jobs_on(self, name: str) -> set[str]:
+        m = self.machines.get(name)
+        return {split_task(k[0])[0] for k in (*m.want, *m.listed)} if m else set()
--- /dev/null
+++ b/tests/test_refresh.py
@@ -0,0 +1,41 @@
+"""The adaptive refresh interval, step by step."""
+
+import pytest
+
+from clayport.refresh import Asc
+
+
+@pytest.mark.parametrize("placed, declined, shortage, expected", [
+    (100, 0, False, 11.0),      # nothing declined: grows 1.1 times
+    (0, 0, False, 11.0),        # no attempts: ratio 0
+    (94, 6, False, 5.0),        # above 5 %: halves
+    (95, 5, False, 10.0),       # exactly 5 %: left alone
+    (96, 4, False, 10.0),       # between the thresholds: left alone
+    (97, 3, False, 10.0),       # exactly 3 %: left alone
+    (98, 2, False, 11.0),       # below 3 %: grows
+    (4, 1, False, 10.0),        # one refusal of five attempts: too few to judge
+    (0, 50, True, 11.0),        # true shortage: no refresh would have helped
+])
+def test_step(placed: int, declined: int, shortage: bool, expected: float) -> None:
+    asc = Asc(10.0, 1.0, 60.0)
+    asc.count(placed, declined, shortage)
+    assert asc.step() == pytest.approx(expected)
+
+
+def test_bounds() -> None:
+    asc = Asc(10.0, 1.0, 60.0)
+    for _ in range(10):
+        asc.count(0, 100)
+        asc.step()
+    assert asc.interval == 1.0
+    for _ in range(100):
+        asc.step()
+    assert asc.interval == 60.0
+
+
+def test_sparse_window_is_carried_over() -> None:
+    asc = Asc(10.0, 1.0, 60.0)
+    for _ in range(4):
+        asc.count(4, 1)
+        asc.step()
+    assert asc.interval == 5.0
