--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -26,7 +26,7 @@
 )
 from .model import GANG, SERVICE, Chunk, Job, split_task
 from .peers import PeerError
-from .placement import Room, Spread, place
+from .placement import Room, Spread, guests_of, place, preempt
 from .refresh import Asc
 from .statestore import Conflict, Txn, Unavailable, Unknown
 from .workers import GONE
@@ -92,27 +92,32 @@
             if peer is None or (changed_only and self.pulled.get(label) == peer.room_rev):
                 continue
             try:
-                ok, rev, rows = await peer.call(peerwire.ROOM, (gen.number,))
+                ok, rev, rows, taken = await peer.call(peerwire.ROOM, (gen.number,))
             except PeerError:
                 continue
             if not ok or core.generation is not gen:
                 continue
             self.pulled[label] = rev
+            used: dict[str, list[tuple[int, bool, float, float, float]]] = {}
+            for name, *use in taken:
+                used.setdefault(name, []).append(tuple(use))
             self._replace(label, [Room(m, a, t, z, s, o, c, g, mem, n,
-                                       images.split(" ") if images else (), idle, silent, label)
+                                       images.split(" ") if images else (), idle, silent, label,
+                                       used.get(m, ()))
                                   for m, a, t, z, s, o, c, g, mem, n, images, idle, silent in rows])
 
     def table(self) -> tuple[Any, ...]:
         """Our own free-room table, as peers pull it."""
         core = self.core
         now = time.monotonic()
-        rows = []
+        rows, taken = [], []
         for m in core.owner.machines.values():
             if m.known:
                 r = core.owner.room(m, core.label, now)
                 rows.append((r.machine, r.address, r.type, r.zone, r.spot, r.open, r.cpus, r.gpus,
                              r.memory_gb, r.tasks, " ".join(r.images), r.idle_s, r.silent_s))
-        return (core.serving, core.owner.room_rev, rows)
+                taken += [(r.machine, *k, *v) for k, v in r.used.items()]
+        return (core.serving, core.owner.room_rev, rows, taken)
 
     async def refresh(self) -> None:
         """The adaptive refresh; a lasting shortage also looks when a peer's table changed."""
@@ -183,6 +188,7 @@
         rooms = self.picture()
         waiting.sort(key=lambda hj: (-hj.job.rank, hj.live_rev))
         starved = False
+        guests = self.guests()
         full: set[tuple[Any, ...]] = set()
         for hj in waiting:
             job = hj.job
@@ -197,7 +203,14 @@
                 continue
             pool = [r for r in rooms.values() if hj.errors.get(r.machine, 0) == 0] \
                 if hj.errors else list(rooms.values())
-            chosen = place(job, wanted, pool, self.spread(hj), core.label)
+            spread = self.spread(hj)
+            chosen = place(job, wanted, pool, spread, core.label, guests)
+            if len(chosen) < wanted and job.rank > 0 and now >= hj.preempt_at:
+                room = preempt(job, pool, spread, guests)
+                if room is not None:
+                    # One at a time: what it frees shows before the next.
+                    hj.preempt_at = now + core.ttl_s / 6
+                    core.spawn(self._preempt(room.machine, job))
             if len(chosen) < wanted:
                 starved = True
                 if not job.one_zone and not job.spread:
@@ -214,6 +227,24 @@
             core.signal("demand")
         self.starved = starved
 
+    def guests(self) -> dict[str, Job]:
+        """Jobs that need the GPUs of a type, those just ended included."""
+        core = self.core
+        return guests_of([*(j for j, _ in core.live.values()), *core.descs.values()], core.types)
+
+    async def _preempt(self, machine: str, job: Job) -> None:
+        core = self.core
+        owner = core.generation.place(machine)
+        if owner == core.label:
+            core.owner.preempt(job, machine, time.monotonic())
+            core.fleet.poke(machine)
+            return
+        try:
+            await core.peers[owner].call(peerwire.PREEMPT,
+                                         (core.generation.number, machine, job.id))
+        except (PeerError, KeyError):
+            pass
+
     def spread(self, hj: HomeJob) -> Spread:
         zones = []
         if hj.job.one_zone or hj.job.spread:
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -253,6 +253,8 @@
                 continue
             now = time.monotonic()
             core.owner.expire(now)
+            if core.away or core.state_lost(now):
+                continue  # possibly evicted: see Provisioner.run
             mine = list(core.owner.machines.values())
             silent = [m for m in mine if now - m.heard > self.silent_s and not m.fencing
                       and (m.known or m.want)]
@@ -327,6 +329,7 @@
         self.sequence = 0
         self.began: object = None
         self.ready_at = 0.0
+        self.began_at = self.listed_at = -1e9
 
     async def run(self) -> None:
         core = self.core
@@ -335,6 +338,10 @@
             await curio.sleep(core.ttl_s / 12)
             if not core.serving or core.generation.provisioner != core.label or not core.types:
                 continue
+            if core.away or core.state_lost(time.monotonic()):
+                # Possibly evicted: a return sent now may be held in the network
+                # and destroy, minutes later, machines that work.
+                continue
             try:
                 await self.tick()
             except CloudError as exc:
@@ -347,11 +354,13 @@
         gen = core.generation
         fresh = self.began is not gen
         await core.dispatch.refresh_peers(changed_only=not fresh)
-        await self._list(now)
+        if fresh or now - self.listed_at > core.settings.cluster.cloud.list_lag_s:
+            await self._list(now)
         if fresh:
             # What a predecessor rented may not be listed yet: wait for the list
             # to be sure before renting again.
             self.began = gen
+            self.began_at = now
             self.ready_at = now + (2 * core.settings.cluster.cloud.list_lag_s
                                    if self.listed or gen.number > 3 else 0.0)
         if core.generation is not gen:
@@ -368,11 +377,12 @@
         demand = core.dispatch.all_demand()
         spare = self.spare()
         needs = [(job, count) for job, count in demand]
-        missing = short(supply, needs + spare)
+        guests = core.dispatch.guests()
+        missing = short(supply, needs + spare, guests)
         self.refused = {k: t for k, t in self.refused.items() if t > now}
         if now >= self.ready_at and missing:
             await self._rent(shopping(core.types, missing, set(self.refused)), types, now)
-        await self._return_idle(rooms, types, needs + spare, now)
+        await self._return_idle(rooms, types, needs + spare, guests, now)
 
     def spare(self) -> list[tuple[Job, int]]:
         """Room kept for the next replicas and for those of a lost machine."""
@@ -387,6 +397,7 @@
         core = self.core
         lag = core.settings.cluster.cloud.list_lag_s
         found = await core.cloud.machines()
+        self.listed_at = now
         self.listed = {m.id: m for m in found}
         self.returned = {n: t for n, t in self.returned.items() if now - t < 4 * lag + core.ttl_s}
         for m in found:
@@ -403,7 +414,13 @@
                 del self.boots[name]
 
     async def _give_up(self, now: float, types: dict[str, MachineType]) -> None:
-        """Return machines that never came up; they cost as long as they are kept."""
+        """Return machines that never came up; they cost as long as they are kept.
+
+        Not right after a takeover: machines that work are unknown then until
+        their reports have found their new owners.
+        """
+        if now - self.began_at < 2 * self.core.settings.cluster.workers.lease_s:
+            return
         late = [b.name for b in self.boots.values()
                 if b.kind[0] in types and now - b.since > GIVE_UP * types[b.kind[0]].boot_s]
         if late:
@@ -437,7 +454,8 @@
                 self.boots[machine] = Boot(machine, kind, now)
 
     async def _return_idle(self, rooms: list[Room], types: dict[str, MachineType],
-                           needs: list[tuple[Job, int]], now: float) -> None:
+                           needs: list[tuple[Job, int]], guests: dict[str, Job],
+                           now: float) -> None:
         """Return machines idle for a while that are not needed as spare room."""
         core = self.core
         names = []
@@ -448,7 +466,7 @@
         for room in idle[:4]:
             rest = [r for r in core.dispatch.picture().values()
                     if r.open and r.machine != room.machine and r.machine not in names]
-            if room.open and short(rest, needs):
+            if room.open and short(rest, needs, guests):
                 continue
             if await core.drain(room.machine):
                 names.append(room.machine)
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -54,6 +54,7 @@
         self.assigned = 0
         self.since = now
         self.not_before = 0.0
+        self.preempt_at = 0.0
         self.errors: dict[str, int] = {}  # machine: failures of this job there
         self.kill_at = 0.0
         self.breaking = False  # a gang that lost a task and is being stopped
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -28,6 +28,7 @@
 REPORT, REPORTED = 16, 17
 FENCE, DRAIN, GONE = 18, 19, 20
 INSPECT = 21
+PREEMPT = 22
 
 # generation leads every request that acts on machines or tasks: one from
 # another generation is refused as a whole.
@@ -50,7 +51,9 @@
     ROOM: ("Q",),
     # room revision, (machine, address, type, zone, spot, open, cpus, gpus, memory, tasks,
     # images, idle_s, silent_s)
-    TABLE: ("?", "Q", ("s", "s", "s", "s", "?", "?", "d", "d", "d", "I", "s", "d", "d")),
+    # what is taken: (machine, rank, without GPUs, cpus, gpus, memory)
+    TABLE: ("?", "Q", ("s", "s", "s", "s", "?", "?", "d", "d", "d", "I", "s", "d", "d"),
+            ("s", "B", "?", "d", "d", "d")),
     ENDED: ("s", "s"),
     COUNTS: ("Q", "s"),
     COUNTED: ("?", "I", "I"),
@@ -60,6 +63,8 @@
     DRAIN: ("Q", "s"),
     GONE: ("Q", ("s",)),
     INSPECT: ("s", "s"),
+    # generation, machine, job
+    PREEMPT: ("Q", "s", "s"),
 }
 
 
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from zlib import crc32
 
-from .model import Job
+from .model import Job, MachineType, fits
 
 EPSILON = 1e-6
 
@@ -14,16 +14,19 @@
     """A machine as the snapshot shows it; placements subtract at once."""
 
     __slots__ = ("machine", "address", "type", "zone", "spot", "open", "cpus", "gpus",
-                 "memory_gb", "tasks", "images", "idle_s", "silent_s", "owner")
+                 "memory_gb", "tasks", "images", "idle_s", "silent_s", "owner", "used")
 
     def __init__(self, machine: str, address: str, type: str, zone: str, spot: bool, open: bool,
                  cpus: float, gpus: float, memory_gb: float, tasks: int, images: Iterable[str],
-                 idle_s: float, silent_s: float, owner: str) -> None:
+                 idle_s: float, silent_s: float, owner: str,
+                 used: Iterable[tuple[int, bool, float, float, float]] = ()) -> None:
         self.machine, self.address, self.type, self.zone = machine, address, type, zone
         self.spot, self.open = spot, open
         self.cpus, self.gpus, self.memory_gb = cpus, gpus, memory_gb
         self.tasks, self.images = tasks, set(images)
         self.idle_s, self.silent_s, self.owner = idle_s, silent_s, owner
+        # What is taken, by (rank, whether without GPUs): cpus, gpus, memory.
+        self.used = {(rank, plain): [c, g, m] for rank, plain, c, g, m in used}
 
     def allows(self, job: Job) -> bool:
         """The job's own conditions: type, zone and kind."""
@@ -39,6 +42,34 @@
         self.gpus -= job.gpus * count
         self.memory_gb -= job.memory_gb * count
         self.tasks += count
+        taken = self.used.setdefault((job.rank, job.gpus == 0), [0.0, 0.0, 0.0])
+        taken[0] += job.cpus * count
+        taken[1] += job.gpus * count
+        taken[2] += job.memory_gb * count
+
+    def leaves(self, job: Job, guest: Job) -> bool:
+        """Whether a task of `job` leaves room for `guest`, once other guests are done
+        and work of lower rank than the guest's has been preempted."""
+        cpus, memory_gb = self.cpus - job.cpus, self.memory_gb - job.memory_gb
+        if job.rank < guest.rank:
+            cpus, memory_gb = self.cpus, self.memory_gb
+        for (rank, plain), (c, _, m) in self.used.items():
+            if not plain or rank < guest.rank:
+                cpus += c
+                memory_gb += m
+        return cpus + EPSILON >= guest.cpus and memory_gb + EPSILON >= guest.memory_gb
+
+    def after_preemption(self, job: Job) -> float | None:
+        """The CPUs that preempting lower ranks for one task would take; None: no use."""
+        free = [self.cpus, self.gpus, self.memory_gb]
+        lower = sorted((k, v) for k, v in self.used.items() if k[0] < job.rank)
+        for _, taken in lower:
+            for i in range(3):
+                free[i] += taken[i]
+        need = (job.cpus, job.gpus, job.memory_gb)
+        if not lower or any(have + EPSILON < n for have, n in zip(free, need)):
+            return None
+        return max(0.0, job.cpus - self.cpus) + max(0.0, job.memory_gb - self.memory_gb)
 
 
 class Spread:
@@ -85,18 +116,27 @@
             left, herd)
 
 
-def place(job: Job, wanted: int, rooms: Iterable[Room], spread: Spread, salt: str) -> list[Room]:
+def place(job: Job, wanted: int, rooms: Iterable[Room], spread: Spread, salt: str,
+          guests: dict[str, Job] | None = None) -> list[Room]:
     """Machines for up to `wanted` tasks; the rooms and the spread are charged.
 
-    A gang gets all or none.
+    A gang gets all or none. `guests` maps a type to the largest job that needs
+    its GPUs: work without GPUs leaves room for it, since it fits nowhere else.
     """
+    guests = guests or {}
+
+    def kept(room: Room) -> bool:
+        guest = guests.get(room.type) if job.gpus == 0 else None
+        return guest is not None and not room.leaves(job, guest)
+
     candidates = [r for r in rooms if r.allows(job) and r.fits(job)]
     if job.one_zone and not spread.counts and not spread.unknown and len(candidates) > 1:
         candidates = _best_zone(job, wanted, candidates)
     chosen: list[Room] = []
     candidates.sort(key=lambda r: _preference(job, r, salt))
     for room in candidates:
-        while len(chosen) < wanted and room.fits(job) and spread.allows(room.zone):
+        while len(chosen) < wanted and room.fits(job) and spread.allows(room.zone) \
+                and not kept(room):
             room.take(job)
             spread.add(room.zone)
             chosen.append(room)
@@ -128,3 +168,32 @@
     zone = max(by_zone, key=lambda z: (by_zone[z] >= wanted, sum(
         job.image in r.images for r in candidates if r.zone == z), by_zone[z], z))
     return [r for r in candidates if r.zone == zone]
+
+
+def guests_of(jobs: Iterable[Job], types: Iterable[MachineType]) -> dict[str, Job]:
+    """For each type with GPUs, the largest job with GPUs that it may have to take."""
+    found: dict[str, Job] = {}
+    wanting = {(j.cpus, j.gpus, j.memory_gb): j for j in jobs if j.gpus > 0}.values()
+    for kind in types:
+        for job in wanting:
+            if kind.gpus > 0 and fits(job, kind) and (
+                    kind.name not in found or job.cpus > found[kind.name].cpus):
+                found[kind.name] = job
+    return found
+
+
+def preempt(job: Job, rooms: Iterable[Room], spread: Spread, guests: dict[str, Job]
+            ) -> Room | None:
+    """The machine where stopping work of lower rank for one task costs least."""
+    best: tuple[float, str] | None = None
+    chosen = None
+    for room in rooms:
+        if not room.open or not room.allows(job) or not spread.allows(room.zone):
+            continue
+        guest = guests.get(room.type) if job.gpus == 0 else None
+        if guest is not None and not room.leaves(job, guest):
+            continue
+        cost = room.after_preemption(job)
+        if cost is not None and (best is None or (cost, room.machine) < best):
+            best, chosen = (cost, room.machine), room
+    return chosen
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -32,13 +32,14 @@
     return kind.spot_price if spot else kind.price
 
 
-def short(rooms: list[Room], demand: Iterable[tuple[Job, int]]) -> list[tuple[Job, int]]:
+def short(rooms: list[Room], demand: Iterable[tuple[Job, int]],
+          guests: dict[str, Job]) -> list[tuple[Job, int]]:
     """The demand that doesn't fit into the rooms (which are charged)."""
     left = []
     for job, count in demand:
-        # Conditions over zones are left to placement: here only room counts.
-        chosen = place(job, count, rooms, Spread(job, ()), "") if job.kind != "ensemble" else \
-            place(job, count, rooms, Spread(job, ()), "")
+        # What else the job runs is not known here: conditions over zones are
+        # judged for the waiting tasks alone.
+        chosen = place(job, count, rooms, Spread(job, ()), "", guests)
         if len(chosen) < count:
             left.append((job, count - len(chosen)))
     return left
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -493,7 +493,7 @@
             counts = self.dispatch.counts(values[1]) if current else None
             return peerwire.COUNTED, (counts is not None, *(counts or (0, 0)))
         if kind == peerwire.ROOM:
-            return peerwire.TABLE, self.dispatch.table() if current else (False, 0, [])
+            return peerwire.TABLE, self.dispatch.table() if current else (False, 0, [], [])
         if kind == peerwire.RESERVE:
             job = self.job_of(values[1])
             if not current or job is None:
@@ -521,6 +521,11 @@
                 self.fleet.poke(machine)
         elif kind == peerwire.ADOPT:
             self.owner.adopt(values[1], now)
+        elif kind == peerwire.PREEMPT:
+            wanting = self.job_of(values[2])
+            if wanting is not None:
+                self.owner.preempt(wanting, values[1], now)
+                self.fleet.poke(values[1])
         elif kind == peerwire.DRAIN:
             return peerwire.ACK, (self.owner.drain(values[1]),)
         elif kind == peerwire.FENCE:
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -61,6 +61,8 @@
         self.errors: dict[str, int] = {}  # job: failures here since the last success
         self.busy = False  # a /do is in flight
         self.fencing = False
+        # Room made by preemption is kept for the rank it was made for.
+        self.hold_rank, self.hold_until = 0, -1e9
 
     @property
     def orders(self) -> bool:
@@ -237,7 +239,8 @@
         granted = []
         for name, number in items:
             m = self.machines.get(name)
-            ok = m is not None and self.open(m) and self.room(m).fits(job)
+            ok = m is not None and self.open(m) and self.room(m).fits(job) \
+                and (job.rank >= m.hold_rank or now >= m.hold_until)
             if ok and m is not None:
                 m.want[(f"{job.id}/{number}", attempt)] = Want(RESERVED, now)
                 m.idle_since = now
@@ -286,6 +289,39 @@
                     want.phase = LIVE
                 m.kills[key] = min(grace, m.kills.get(key, grace))
 
+    def preempt(self, job: Job, name: str, now: float) -> float:
+        """Stop work of lower rank until a task of `job` fits; how long that takes.
+
+        Of the lowest rank first, and what can save its progress before what can't.
+        """
+        m = self.machines.get(name)
+        if m is None or not self.open(m) or now < m.hold_until:
+            return 0.0
+        room = self.room(m)
+        # Work that is being stopped already is on its way out.
+        victims = []
+        for key, status in m.listed.items():
+            victim = self.job_of(key[0].partition("/")[0])
+            if victim is None or status[0] == "exited" or victim.rank >= job.rank:
+                continue
+            if key in m.kills or status[0] == "saving":
+                room.take(victim, -1)
+            else:
+                victims.append((victim.rank, victim.checkpoint_s == 0, key, victim))
+        longest = 0.0
+        for _, _, key, victim in sorted(victims, key=lambda v: v[:3]):
+            if room.fits(job):
+                break
+            grace = victim.save_s if victim.checkpoint_s > 0 else 0.0
+            m.kills[key] = grace
+            longest = max(longest, grace)
+            room.take(victim, -1)
+        if not room.fits(job):
+            return 0.0
+        m.hold_rank, m.hold_until = job.rank, now + longest + self.direct_pause_s
+        log.info("machine=%s job=%s event=preempt tasks=%d", name, job.id, len(m.kills))
+        return longest + self.direct_pause_s
+
     def adopt(self, items: Iterable[tuple[str, str, int]], now: float) -> None:
         """Assignments that a home found committed: to be judged by fenced reports."""
         for name, task, attempt in items:
@@ -381,11 +417,10 @@
         keys.update(k for k in m.want if m.listed.get(k, ("",))[0] != "exited")
         for key in keys:
             job = self.job_of(key[0].partition("/")[0])
-            room.tasks += 1
             if job is not None:
-                room.cpus -= job.cpus
-                room.gpus -= job.gpus
-                room.memory_gb -= job.memory_gb
+                room.take(job)
+            else:
+                room.tasks += 1
         if now is not None:
             room.idle_s = 0.0 if room.tasks else max(0.0, now - m.idle_since)
             room.silent_s = now - m.heard
