--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -77,6 +77,7 @@
             del core.rooms[name]
         for room in rooms:
             core.rooms[room.machine] = room
+            core.zones[room.machine] = room.zone  # never changes
         # What was placed and isn't reserved yet stays subtracted.
         for machine, job in self.inflight.values():
             room_ = core.rooms.get(machine)
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -557,6 +557,7 @@
         self.owner.removed(found)
         for name in found:
             self.rooms.pop(name, None)
+            self.zones.pop(name, None)
         for hj in self.dispatch.homes.values():
             if hj.removed(found):
                 self.signal(f"job {hj.job.id}")
