--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -102,10 +102,14 @@
             used: dict[str, list[tuple[int, bool, float, float, float]]] = {}
             for name, *use in taken:
                 used.setdefault(name, []).append(tuple(use))
-            self._replace(label, [Room(m, a, t, z, s, o, c, g, mem, n,
-                                       images.split(" ") if images else (), idle, silent, label,
-                                       used.get(m, ()))
-                                  for m, a, t, z, s, o, c, g, mem, n, images, idle, silent in rows])
+            rooms = []
+            for m, a, t, z, s, o, c, g, mem, n, images, idle, silent, hold in rows:
+                room = Room(m, a, t, z, s, o, c, g, mem, n,
+                            images.split(" ") if images else (), idle, silent, label,
+                            used.get(m, ()))
+                room.hold = hold
+                rooms.append(room)
+            self._replace(label, rooms)
 
     def table(self) -> tuple[Any, ...]:
         """Our own free-room table, as peers pull it."""
@@ -116,7 +120,7 @@
             if m.known:
                 r = core.owner.room(m, core.label, now)
                 rows.append((r.machine, r.address, r.type, r.zone, r.spot, r.open, r.cpus, r.gpus,
-                             r.memory_gb, r.tasks, " ".join(r.images), r.idle_s, r.silent_s))
+                             r.memory_gb, r.tasks, " ".join(r.images), r.idle_s, r.silent_s, r.hold))
                 taken += [(r.machine, *k, *v) for k, v in r.used.items()]
         return (core.serving, core.owner.room_rev, rows, taken)
 
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -370,6 +370,10 @@
         types = {t.name: t for t in core.types}
         await self._give_up(now, types)
         supply = [r for r in rooms if r.open]
+        busy = sum(types[r.type].cpus - r.cpus for r in rooms if r.type in types)
+        log.debug("event=fleet machines=%d cpus=%d busy=%d booting=%d waiting=%s", len(rooms),
+                  sum(types[r.type].cpus for r in rooms if r.type in types), busy,
+                  len(self.boots), [(j.job_class, n) for j, n in core.dispatch.all_demand()])
         for boot in self.boots.values():
             kind = types.get(boot.kind[0])
             if kind is not None and now - boot.since < LATE * kind.boot_s:
@@ -381,7 +385,7 @@
         missing = short(supply, needs + spare, guests)
         self.refused = {k: t for k, t in self.refused.items() if t > now}
         if now >= self.ready_at and missing:
-            await self._rent(shopping(core.types, missing, set(self.refused)), types, now)
+            await self._rent(shopping(core.types, missing, set(self.refused), busy), types, now)
         await self._return_idle(rooms, types, needs + spare, guests, now)
 
     def spare(self) -> list[tuple[Job, int]]:
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -50,9 +50,10 @@
     VERDICTS: ("?", ("B",)),
     ROOM: ("Q",),
     # room revision, (machine, address, type, zone, spot, open, cpus, gpus, memory, tasks,
-    # images, idle_s, silent_s)
+    # images, idle_s, silent_s, rank that its room is kept for)
     # what is taken: (machine, rank, without GPUs, cpus, gpus, memory)
-    TABLE: ("?", "Q", ("s", "s", "s", "s", "?", "?", "d", "d", "d", "I", "s", "d", "d"),
+    TABLE: ("?", "Q", ("s", "s", "s", "s", "?", "?", "d", "d", "d", "I", "s", "d", "d",
+                            "B"),
             ("s", "B", "?", "d", "d", "d")),
     ENDED: ("s", "s"),
     COUNTS: ("Q", "s"),
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -14,7 +14,7 @@
     """A machine as the snapshot shows it; placements subtract at once."""
 
     __slots__ = ("machine", "address", "type", "zone", "spot", "open", "cpus", "gpus",
-                 "memory_gb", "tasks", "images", "idle_s", "silent_s", "owner", "used")
+                 "memory_gb", "tasks", "images", "idle_s", "silent_s", "owner", "used", "hold")
 
     def __init__(self, machine: str, address: str, type: str, zone: str, spot: bool, open: bool,
                  cpus: float, gpus: float, memory_gb: float, tasks: int, images: Iterable[str],
@@ -25,6 +25,7 @@
         self.cpus, self.gpus, self.memory_gb = cpus, gpus, memory_gb
         self.tasks, self.images = tasks, set(images)
         self.idle_s, self.silent_s, self.owner = idle_s, silent_s, owner
+        self.hold = 0  # room made by preemption is kept for this rank
         # What is taken, by (rank, whether without GPUs): cpus, gpus, memory.
         self.used = {(rank, plain): [c, g, m] for rank, plain, c, g, m in used}
 
@@ -34,7 +35,7 @@
             and (job.zone is None or job.zone == self.zone)
 
     def fits(self, job: Job) -> bool:
-        return self.open and self.cpus + EPSILON >= job.cpus \
+        return self.open and job.rank >= self.hold and self.cpus + EPSILON >= job.cpus \
             and self.gpus + EPSILON >= job.gpus and self.memory_gb + EPSILON >= job.memory_gb
 
     def take(self, job: Job, count: int = 1) -> None:
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -9,6 +9,8 @@
 
 Kind = tuple[str, str, bool]  # type, zone, spot
 
+# The share of the busy CPUs by which work may be expected to grow.
+EXPECTED = 0.1
 # A machine that takes this many times its type's boot time is given up, and
 # one that takes this many times is no longer counted on.
 GIVE_UP, LATE = 4.0, 1.6
@@ -46,11 +48,18 @@
 
 
 def shopping(types: list[MachineType], missing: list[tuple[Job, int]],
-             refused: set[Kind]) -> list[Kind]:
-    """Machines to rent for what is missing, cheapest a task first."""
+             refused: set[Kind], busy_cpus: float) -> list[Kind]:
+    """Machines to rent for what is missing, cheapest a task first.
+
+    A big machine is worth its price only when it fills up: what will use it is
+    what is missing now, and a share of what the fleet is busy with, since that
+    much more work of the kind can be expected while the machine lives.
+    """
     bought: list[Kind] = []
     rooms: list[Room] = []
+    expected = EXPECTED * busy_cpus + sum(j.cpus * n for j, n in missing)
     for job, wanted in missing:
+        likely = int(expected / job.cpus) if job.cpus else wanted
         wanted -= len(place(job, wanted, rooms, Spread(job, ()), ""))
         zones: dict[str, int] = {}
         while wanted > 0:
@@ -65,7 +74,7 @@
                         if (kind.name, zone, spot) in refused:
                             continue
                         room = empty_room(kind, "", zone, spot)
-                        held = min(wanted, capacity(job, room))
+                        held = min(max(wanted, likely), capacity(job, room))
                         offer = (price_of(kind, spot) / held, zones.get(zone, 0), zone, kind, spot)
                         if best is None or offer[:3] < best[:3]:
                             best = offer
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -422,6 +422,7 @@
             else:
                 room.tasks += 1
         if now is not None:
+            room.hold = m.hold_rank if now < m.hold_until else 0
             room.idle_s = 0.0 if room.tasks else max(0.0, now - m.idle_since)
             room.silent_s = now - m.heard
         return room
