--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -26,7 +26,7 @@
 )
 from .model import GANG, SERVICE, Chunk, Job, split_task
 from .peers import PeerError
-from .placement import Room, Spread, guests_of, place, preempt
+from .placement import Policy, Room, Spread, place, preempt
 from .refresh import Asc
 from .statestore import Conflict, Txn, Unavailable, Unknown
 from .workers import GONE
@@ -101,7 +101,7 @@
             self.pulled[label] = rev
             used: dict[str, list[tuple[int, bool, float, float, float]]] = {}
             for name, *use in taken:
-                used.setdefault(name, []).append(tuple(use))
+                used.setdefault(name, []).append((use[0], use[1], use[2], use[3], use[4]))
             rooms = []
             for m, a, t, z, s, o, c, g, mem, n, images, idle, silent, hold in rows:
                 room = Room(m, a, t, z, s, o, c, g, mem, n,
@@ -121,7 +121,7 @@
                 r = core.owner.room(m, core.label, now)
                 rows.append((r.machine, r.address, r.type, r.zone, r.spot, r.open, r.cpus, r.gpus,
                              r.memory_gb, r.tasks, " ".join(r.images), r.idle_s, r.silent_s, r.hold))
-                taken += [(r.machine, *k, *v) for k, v in r.used.items()]
+                taken += [(r.machine, k[0], k[1], v[0], v[1], v[2]) for k, v in r.used.items()]
         return (core.serving, core.owner.room_rev, rows, taken)
 
     async def refresh(self) -> None:
@@ -160,7 +160,7 @@
                 found.append((hj.job.id, waiting, now - hj.since))
         return found[:DEMAND_MOST]
 
-    def all_demand(self) -> list[tuple[Job, int]]:
+    def all_demand(self) -> list[tuple[Job, int, float]]:
         """Demand of the whole generation, most urgent first."""
         core = self.core
         rows = self.demand()
@@ -169,7 +169,7 @@
                 rows += self.demands.get(label, [])
         found = [(core.live[job][0], count, age) for job, count, age in rows if job in core.live]
         found.sort(key=lambda row: (-row[0].rank, -row[2]))
-        return [(job, count) for job, count, _ in found]
+        return found
 
     # -- placing ---------------------------------------------------------
 
@@ -193,7 +193,7 @@
         rooms = self.picture()
         waiting.sort(key=lambda hj: (-hj.job.rank, hj.live_rev))
         starved = False
-        guests = self.guests()
+        policy = self.policy()
         full: set[tuple[Any, ...]] = set()
         for hj in waiting:
             job = hj.job
@@ -209,9 +209,9 @@
             pool = [r for r in rooms.values() if hj.errors.get(r.machine, 0) == 0] \
                 if hj.errors else list(rooms.values())
             spread = self.spread(hj)
-            chosen = place(job, wanted, pool, spread, core.label, guests)
+            chosen = place(job, wanted, pool, spread, core.label, policy)
             if len(chosen) < wanted and job.rank > 0 and now >= hj.preempt_at:
-                room = preempt(job, pool, spread, guests)
+                room = preempt(job, pool, spread, policy)
                 if room is not None:
                     # One at a time: what it frees shows before the next.
                     hj.preempt_at = now + core.ttl_s / 6
@@ -232,10 +232,10 @@
             core.signal("demand")
         self.starved = starved
 
-    def guests(self) -> dict[str, Job]:
-        """Jobs that need the GPUs of a type, those just ended included."""
+    def policy(self) -> Policy:
+        """What keeps work off machines, from all jobs known, those just ended included."""
         core = self.core
-        return guests_of([*(j for j, _ in core.live.values()), *core.descs.values()], core.types)
+        return Policy([*(j for j, _ in core.live.values()), *core.descs.values()], core.types)
 
     async def _preempt(self, machine: str, job: Job) -> None:
         core = self.core
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -15,10 +15,20 @@
 from .cloud import CloudError, NoCapacity
 from .config import ConfigError, endpoint
 from .jobs import CLEAR, KILL, LATER
-from .model import SERVICE, Job, Listed, MachineType, Report
+from .model import Job, Listed, MachineType, Report
 from .peers import PeerError
-from .placement import Room
-from .provisioning import GIVE_UP, LATE, Boot, Kind, empty_room, shopping, short
+from .placement import Policy, Room
+from .provisioning import (
+    GIVE_UP,
+    LATE,
+    Boot,
+    Kind,
+    empty_room,
+    pressing,
+    shopping,
+    short,
+    spare_room,
+)
 from .workers import GONE, Key, Machine
 
 if TYPE_CHECKING:
@@ -373,29 +383,23 @@
         busy = sum(types[r.type].cpus - r.cpus for r in rooms if r.type in types)
         log.debug("event=fleet machines=%d cpus=%d busy=%d booting=%d waiting=%s", len(rooms),
                   sum(types[r.type].cpus for r in rooms if r.type in types), busy,
-                  len(self.boots), [(j.job_class, n) for j, n in core.dispatch.all_demand()])
+                  len(self.boots), [(j.job_class, n) for j, n, _ in core.dispatch.all_demand()])
         for boot in self.boots.values():
             kind = types.get(boot.kind[0])
             if kind is not None and now - boot.since < LATE * kind.boot_s:
                 supply.append(empty_room(kind, boot.name, boot.kind[1], boot.kind[2]))
         demand = core.dispatch.all_demand()
-        spare = self.spare()
-        needs = [(job, count) for job, count in demand]
-        guests = core.dispatch.guests()
-        missing = short(supply, needs + spare, guests)
+        policy = core.dispatch.policy()
+        spare = spare_room([j for j, _ in core.live.values()], core.arrivals, core.types,
+                           core.urgent, now)
+        cpus = sum(types[r.type].cpus for r in supply if r.type in types)
+        needs = pressing(demand, core.finish_limits, cpus)
+        missing = short(supply, needs + spare, policy)
         self.refused = {k: t for k, t in self.refused.items() if t > now}
         if now >= self.ready_at and missing:
-            await self._rent(shopping(core.types, missing, set(self.refused), busy), types, now)
-        await self._return_idle(rooms, types, needs + spare, guests, now)
-
-    def spare(self) -> list[tuple[Job, int]]:
-        """Room kept for the next replicas and for those of a lost machine."""
-        services = [job for job, _ in self.core.live.values() if job.kind == SERVICE]
-        if not services:
-            return []
-        biggest = max(services, key=lambda j: (j.cpus, j.memory_gb))
-        tasks = sum(j.tasks for j in services)
-        return [(biggest, max(4, round(tasks * 0.1)))]
+            await self._rent(shopping(core.types, missing, set(self.refused), busy, policy), types, now)
+        needs = [(job, count) for job, count, _ in demand]
+        await self._return_idle(rooms, types, needs + spare, policy, now)
 
     async def _list(self, now: float) -> None:
         core = self.core
@@ -458,7 +462,7 @@
                 self.boots[machine] = Boot(machine, kind, now)
 
     async def _return_idle(self, rooms: list[Room], types: dict[str, MachineType],
-                           needs: list[tuple[Job, int]], guests: dict[str, Job],
+                           needs: list[tuple[Job, int]], policy: Policy,
                            now: float) -> None:
         """Return machines idle for a while that are not needed as spare room."""
         core = self.core
@@ -470,7 +474,7 @@
         for room in idle[:4]:
             rest = [r for r in core.dispatch.picture().values()
                     if r.open and r.machine != room.machine and r.machine not in names]
-            if room.open and short(rest, needs, guests):
+            if room.open and short(rest, needs, policy):
                 continue
             if await core.drain(room.machine):
                 names.append(room.machine)
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import Any
 from zlib import crc32
 
-from .model import Job, MachineType, fits
+from .model import RANKS, Job, MachineType, fits
 
 EPSILON = 1e-6
+# How much above the cheapest type's price a type is dear: beyond what types of
+# different size differ by, well below what GPUs add.
+DEAR = 3.0
 
 
 class Room:
@@ -109,35 +113,31 @@
     The salt differs by controller, so that equal machines are taken in another
     order by each of them and equal snapshots don't herd onto one machine.
     """
-    left = room.cpus - job.cpus + 8.0 * (room.gpus - job.gpus)
+    left = room.cpus - job.cpus + room.gpus - job.gpus
     herd = crc32(f"{salt}{room.machine}".encode()) / 2**32
-    return (0.0 if job.image in room.images else 1.0,
+    # Replicas stay: machines that have some take more, so that others empty.
+    lasting = sum(v[0] for k, v in room.used.items() if k[0] == RANKS["production"])
+    return (room.gpus if job.gpus == 0 else 0.0,
+            0.0 if job.image in room.images else 1.0,
             0.0 if room.spot else 1.0,
-            room.gpus if job.gpus == 0 else 0.0,
-            left, herd)
+            -lasting, left, herd)
 
 
 def place(job: Job, wanted: int, rooms: Iterable[Room], spread: Spread, salt: str,
-          guests: dict[str, Job] | None = None) -> list[Room]:
+          policy: Policy | None = None) -> list[Room]:
     """Machines for up to `wanted` tasks; the rooms and the spread are charged.
 
-    A gang gets all or none. `guests` maps a type to the largest job that needs
-    its GPUs: work without GPUs leaves room for it, since it fits nowhere else.
+    A gang gets all or none.
     """
-    guests = guests or {}
-
-    def kept(room: Room) -> bool:
-        guest = guests.get(room.type) if job.gpus == 0 else None
-        return guest is not None and not room.leaves(job, guest)
-
-    candidates = [r for r in rooms if r.allows(job) and r.fits(job)]
+    policy = policy or OPEN
+    candidates = [r for r in rooms if r.allows(job) and r.fits(job) and not policy.dear(job, r)]
     if job.one_zone and not spread.counts and not spread.unknown and len(candidates) > 1:
         candidates = _best_zone(job, wanted, candidates)
     chosen: list[Room] = []
     candidates.sort(key=lambda r: _preference(job, r, salt))
     for room in candidates:
         while len(chosen) < wanted and room.fits(job) and spread.allows(room.zone) \
-                and not kept(room):
+                and not policy.kept(job, room):
             room.take(job)
             spread.add(room.zone)
             chosen.append(room)
@@ -171,6 +171,49 @@
     return [r for r in candidates if r.zone == zone]
 
 
+class Policy:
+    """What keeps work off machines that it would fit.
+
+    `guests` maps a type to the largest job that needs its GPUs: work without
+    GPUs leaves room for it, since it fits nowhere else. `prices` holds each
+    type's price: work that could wait keeps off types without guests that cost
+    `DEAR` times what it would cost elsewhere, so that they can be returned.
+    """
+
+    def __init__(self, jobs: Iterable[Job], types: Iterable[MachineType]) -> None:
+        self.types = list(types)
+        self.guests = guests_of(jobs, self.types)
+        self._dear: dict[tuple[Any, ...], set[str]] = {}
+
+    def kept(self, job: Job, room: Room) -> bool:
+        guest = self.guests.get(room.type) if job.gpus == 0 else None
+        return guest is not None and not room.leaves(job, guest)
+
+    def dear_types(self, job: Job) -> set[str]:
+        """Types whose price a task is far above the cheapest one's."""
+        if job.rank == RANKS["production"]:
+            return set()
+        key = (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone)
+        found = self._dear.get(key)
+        if found is None:
+            cost = {t.name: t.price / tasks for t in self.types
+                    if fits(job, t) and (tasks := tasks_on(job, t)) > 0}
+            least = min(cost.values(), default=0.0)
+            found = self._dear[key] = {n for n, c in cost.items() if c > DEAR * least}
+        return found
+
+    def dear(self, job: Job, room: Room) -> bool:
+        return room.type not in self.guests and room.type in self.dear_types(job)
+
+
+def tasks_on(job: Job, kind: MachineType) -> int:
+    """How many tasks of the job an empty machine of the type holds."""
+    bounds = [int((have + EPSILON) / need) for have, need in (
+        (kind.cpus, job.cpus), (kind.gpus, job.gpus), (kind.memory_gb, job.memory_gb))
+        if need > 0]
+    return min(bounds, default=1)
+
+
 def guests_of(jobs: Iterable[Job], types: Iterable[MachineType]) -> dict[str, Job]:
     """For each type with GPUs, the largest job with GPUs that it may have to take."""
     found: dict[str, Job] = {}
@@ -183,16 +226,16 @@
     return found
 
 
-def preempt(job: Job, rooms: Iterable[Room], spread: Spread, guests: dict[str, Job]
-            ) -> Room | None:
+OPEN = Policy((), ())
+
+
+def preempt(job: Job, rooms: Iterable[Room], spread: Spread, policy: Policy) -> Room | None:
     """The machine where stopping work of lower rank for one task costs least."""
     best: tuple[float, str] | None = None
     chosen = None
     for room in rooms:
-        if not room.open or not room.allows(job) or not spread.allows(room.zone):
-            continue
-        guest = guests.get(room.type) if job.gpus == 0 else None
-        if guest is not None and not room.leaves(job, guest):
+        if not room.open or not room.allows(job) or not spread.allows(room.zone) \
+                or policy.kept(job, room) or policy.dear(job, room):
             continue
         cost = room.after_preemption(job)
         if cost is not None and (best is None or (cost, room.machine) < best):
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
+import math
+from collections import deque
 from collections.abc import Iterable
 
-from .model import Job, MachineType, fits
-from .placement import Room, Spread, capacity, place
+from .model import SERVICE, Job, MachineType, fits
+from .placement import Policy, Room, Spread, capacity, place
 
 Kind = tuple[str, str, bool]  # type, zone, spot
 
 # The share of the busy CPUs by which work may be expected to grow.
 EXPECTED = 0.1
+# The share of a service class's replicas for which room is kept: about those of
+# a lost machine.
+SPARE = 0.1
+# Estimates are often wrong by half: a line is taken to last this much longer,
+# and this share of the time allowed is planned with.
+LINE, MARGIN = 1.5, 0.8
 # A machine that takes this many times its type's boot time is given up, and
 # one that takes this many times is no longer counted on.
 GIVE_UP, LATE = 4.0, 1.6
@@ -35,20 +43,84 @@
 
 
 def short(rooms: list[Room], demand: Iterable[tuple[Job, int]],
-          guests: dict[str, Job]) -> list[tuple[Job, int]]:
+          policy: Policy) -> list[tuple[Job, int]]:
     """The demand that doesn't fit into the rooms (which are charged)."""
     left = []
     for job, count in demand:
         # What else the job runs is not known here: conditions over zones are
         # judged for the waiting tasks alone.
-        chosen = place(job, count, rooms, Spread(job, ()), "", guests)
+        chosen = place(job, count, rooms, Spread(job, ()), "", policy)
         if len(chosen) < count:
             left.append((job, count - len(chosen)))
     return left
 
 
+class Arrivals:
+    """How often tasks of a class arrive, from what was seen over a sliding span."""
+
+    def __init__(self, span_s: float, now: float) -> None:
+        self.span_s, self.began = span_s, now
+        self.seen: dict[str, deque[tuple[float, Job]]] = {}
+
+    def note(self, job: Job, now: float) -> None:
+        self.seen.setdefault(job.job_class, deque(maxlen=200)).append((now, job))
+
+    def expected(self, job_class: str, within_s: float, now: float) -> float:
+        """Tasks of the class to be expected within the time."""
+        seen = self.seen.get(job_class)
+        while seen and now - seen[0][0] > self.span_s:
+            seen.popleft()
+        span = max(min(self.span_s, now - self.began), self.span_s / 10)
+        return sum(j.tasks for _, j in seen) / span * within_s if seen else 0.0
+
+
+def spare_room(live: Iterable[Job], arrivals: Arrivals, types: list[MachineType],
+               urgent: set[str], now: float) -> list[tuple[Job, int]]:
+    """Room kept for work that must start sooner than a machine boots.
+
+    For each class whose start is an aim, what is to be expected while a machine
+    boots; for services at least what a lost machine would need again.
+    """
+    examples: dict[str, Job] = {}
+    tasks: dict[str, int] = {}
+    for job in live:
+        if job.job_class in urgent or job.kind == SERVICE:
+            best = examples.get(job.job_class)
+            if best is None or (job.cpus, job.memory_gb) > (best.cpus, best.memory_gb):
+                examples[job.job_class] = job
+            tasks[job.job_class] = tasks.get(job.job_class, 0) + job.tasks
+    for name in urgent:
+        if name not in examples and arrivals.seen.get(name):
+            examples[name] = arrivals.seen[name][-1][1]
+    found = []
+    for name, job in sorted(examples.items()):
+        boots = [t.boot_s for t in types if fits(job, t)]
+        expected = arrivals.expected(name, min(boots, default=0.0), now)
+        lost = SPARE * tasks.get(name, 0) if job.kind == SERVICE else 0.0
+        found.append((job, max(1, math.ceil(max(expected, lost)))))
+    return found
+
+
+def pressing(demand: Iterable[tuple[Job, int, float]], limits: dict[str, float],
+             fleet_cpus: float) -> list[tuple[Job, int]]:
+    """The demand that would be late if it waited for room to become free.
+
+    Work of a class that is to be finished within a time may wait in line as
+    long as the line, served by the fleet as it is, lets it finish in time.
+    """
+    ahead = 0.0
+    found = []
+    for job, count, age in demand:
+        limit = job.deadline_s if job.deadline_s is not None else limits.get(job.job_class)
+        line = LINE * ahead / fleet_cpus if fleet_cpus > 0 else math.inf
+        ahead += count * job.cpus * max(1.0, job.estimate_s)
+        if limit is None or line > MARGIN * limit - age - job.estimate_s:
+            found.append((job, count))
+    return found
+
+
 def shopping(types: list[MachineType], missing: list[tuple[Job, int]],
-             refused: set[Kind], busy_cpus: float) -> list[Kind]:
+             refused: set[Kind], busy_cpus: float, policy: Policy) -> list[Kind]:
     """Machines to rent for what is missing, cheapest a task first.
 
     A big machine is worth its price only when it fills up: what will use it is
@@ -60,12 +132,13 @@
     expected = EXPECTED * busy_cpus + sum(j.cpus * n for j, n in missing)
     for job, wanted in missing:
         likely = int(expected / job.cpus) if job.cpus else wanted
+        dear = policy.dear_types(job)
         wanted -= len(place(job, wanted, rooms, Spread(job, ()), ""))
         zones: dict[str, int] = {}
         while wanted > 0:
             best: tuple[float, int, str, MachineType, bool] | None = None
             for kind in types:
-                if not fits(job, kind):
+                if not fits(job, kind) or kind.name in dear:
                     continue
                 for zone in kind.zones:
                     if job.zone is not None and job.zone != zone:
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -23,6 +23,7 @@
 from .membership import NOBODY, Generation, should_leave, successor
 from .model import Chunk, Job, MachineType, chunk_size
 from .placement import Room
+from .provisioning import Arrivals
 from .statestore import Change, Compacted, Conflict, NoLease, StateStore, Txn, Unavailable, Unknown
 from .workers import Owner
 
@@ -51,6 +52,15 @@
                            c.workers.lease_s)
         self.peers = {m.label: peers.Peer(m.label, *endpoint(m.address, "members"),
                                           0.1 * c.workers.lease_s) for m in settings.members}
+        # What is aimed at for the classes: the time to finish, and which of them
+        # are to start soon.
+        self.finish_limits: dict[str, float] = {}
+        for aim in c.objectives:
+            if aim.kind == "finished" and aim.job_class and aim.within_s:
+                self.finish_limits[aim.job_class] = min(
+                    aim.within_s, self.finish_limits.get(aim.job_class, aim.within_s))
+        self.urgent = {a.job_class for a in c.objectives if a.kind == "wait" and a.job_class}
+        self.arrivals = Arrivals(30 * c.workers.lease_s, time.monotonic())
         self.limits = {t.name: (t.cpus_max, t.gpus_max) for t in c.teams}
         # Sockets: a quarter for the workers' own addresses, the rest but a
         # reserve (peers, state, cloud) for those who connect to us.
@@ -252,6 +262,8 @@
         if job.id in self.live or job.id in self.ended:
             return
         self.live[job.id] = (job, rev)
+        if self.state_known:
+            self.arrivals.note(job, time.monotonic())
         if self.serving and self.generation.place(job.id) == self.label \
                 and job.id not in self.dispatch.homes:
             self._home(job, rev, {}, "")
