--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -27,6 +27,7 @@
 from .model import GANG, SERVICE, Chunk, Job, split_task
 from .peers import PeerError
 from .placement import Policy, Room, Spread, place, preempt
+from .provisioning import slack
 from .refresh import Asc
 from .statestore import Conflict, Txn, Unavailable, Unknown
 from .workers import GONE
@@ -115,13 +116,14 @@
         """Our own free-room table, as peers pull it."""
         core = self.core
         now = time.monotonic()
-        rows, taken = [], []
+        rows: list[tuple[Any, ...]] = []
+        taken: list[tuple[Any, ...]] = []
         for m in core.owner.machines.values():
             if m.known:
                 r = core.owner.room(m, core.label, now)
                 rows.append((r.machine, r.address, r.type, r.zone, r.spot, r.open, r.cpus, r.gpus,
                              r.memory_gb, r.tasks, " ".join(r.images), r.idle_s, r.silent_s, r.hold))
-                taken += [(r.machine, k[0], k[1], v[0], v[1], v[2]) for k, v in r.used.items()]
+                taken += [(r.machine, *key, *used) for key, used in r.used.items()]
         return (core.serving, core.owner.room_rev, rows, taken)
 
     async def refresh(self) -> None:
@@ -198,7 +200,8 @@
         for hj in waiting:
             job = hj.job
             shape = (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone, job.spot,
-                     job.kind, job.one_zone, job.spread, job.tasks if job.kind == GANG else 0)
+                     job.kind, job.rank, job.one_zone, job.spread,
+                     job.tasks if job.kind == GANG else 0)
             if shape in full and not hj.errors:
                 starved = True
                 continue
@@ -209,7 +212,9 @@
             pool = [r for r in rooms.values() if hj.errors.get(r.machine, 0) == 0] \
                 if hj.errors else list(rooms.values())
             spread = self.spread(hj)
-            chosen = place(job, wanted, pool, spread, core.label, policy)
+            patient = job.kind != SERVICE \
+                and slack(job, now - hj.since, core.finish_limits) > core.patience_s
+            chosen = place(job, wanted, pool, spread, core.label, policy, patient)
             if len(chosen) < wanted and job.rank > 0 and now >= hj.preempt_at:
                 room = preempt(job, pool, spread, policy)
                 if room is not None:
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -15,9 +15,9 @@
 from .cloud import CloudError, NoCapacity
 from .config import ConfigError, endpoint
 from .jobs import CLEAR, KILL, LATER
-from .model import Job, Listed, MachineType, Report
+from .model import RANKS, Job, Listed, MachineType, Report
 from .peers import PeerError
-from .placement import Policy, Room
+from .placement import Policy, Room, Spread, place
 from .provisioning import (
     GIVE_UP,
     LATE,
@@ -25,6 +25,7 @@
     Kind,
     empty_room,
     pressing,
+    price_of,
     shopping,
     short,
     spare_room,
@@ -252,6 +253,28 @@
         elif verdict == CLEAR:
             owner.stop([(machine, task, attempt, 0.0, True)])
 
+    def evacuate(self, name: str) -> bool:
+        """Move a machine's replicas off, if all find room where their image is cached.
+
+        A replica is stopped before it starts elsewhere, so the move must take no
+        longer than a few messages.
+        """
+        core = self.core
+        m = core.owner.machines.get(name)
+        if m is None or not core.owner.open(m):
+            return False
+        rooms = [r.copy() for r in core.dispatch.picture().values() if r.machine != name]
+        policy = core.dispatch.policy()
+        for _, job in core.owner.replicas(m):
+            near = [r for r in rooms if job.image in r.images and not policy.dear(job, r)
+                    and (r.zone == m.zone or not (job.spread or job.one_zone))]
+            if not place(job, 1, near, Spread(job, ()), core.label, policy):
+                return False
+        log.info("machine=%s event=evacuate replicas=%d", name, len(core.owner.replicas(m)))
+        core.owner.evacuate(m)
+        self.poke(name)
+        return True
+
     # -- silence ---------------------------------------------------------
 
     async def watch_silence(self) -> None:
@@ -339,7 +362,7 @@
         self.sequence = 0
         self.began: object = None
         self.ready_at = 0.0
-        self.began_at = self.listed_at = -1e9
+        self.began_at = self.listed_at = self.evacuated_at = -1e9
 
     async def run(self) -> None:
         core = self.core
@@ -379,11 +402,10 @@
         rooms = list(core.dispatch.picture().values())
         types = {t.name: t for t in core.types}
         await self._give_up(now, types)
-        supply = [r for r in rooms if r.open]
+        supply = [r.copy() for r in rooms if r.open]
         busy = sum(types[r.type].cpus - r.cpus for r in rooms if r.type in types)
-        log.debug("event=fleet machines=%d cpus=%d busy=%d booting=%d waiting=%s", len(rooms),
-                  sum(types[r.type].cpus for r in rooms if r.type in types), busy,
-                  len(self.boots), [(j.job_class, n) for j, n, _ in core.dispatch.all_demand()])
+        if log.isEnabledFor(logging.DEBUG):
+            self._describe(rooms, types)
         for boot in self.boots.values():
             kind = types.get(boot.kind[0])
             if kind is not None and now - boot.since < LATE * kind.boot_s:
@@ -397,9 +419,28 @@
         missing = short(supply, needs + spare, policy)
         self.refused = {k: t for k, t in self.refused.items() if t > now}
         if now >= self.ready_at and missing:
-            await self._rent(shopping(core.types, missing, set(self.refused), busy, policy), types, now)
+            wanted = shopping(core.types, missing, set(self.refused), busy)
+            await self._rent(wanted, types, now)
         needs = [(job, count) for job, count, _ in demand]
         await self._return_idle(rooms, types, needs + spare, policy, now)
+        if not needs and now - self.evacuated_at > core.settings.cluster.workers.lease_s:
+            await self._consolidate(types, spare, policy, now)
+
+    def _describe(self, rooms: list[Room], types: dict[str, MachineType]) -> None:
+        """How full the fleet is, by kind: machines, CPUs and those busy; and what waits."""
+        kinds: dict[tuple[str, bool], list[float]] = {}
+        for room in rooms:
+            if room.type in types:
+                row = kinds.setdefault((room.type, room.spot), [0, 0, 0])
+                row[0] += 1
+                row[1] += types[room.type].cpus
+                row[2] += types[room.type].cpus - room.cpus
+        waiting: dict[str, int] = {}
+        for job, count, _ in self.core.dispatch.all_demand():
+            waiting[job.job_class] = waiting.get(job.job_class, 0) + count
+        log.debug("event=fleet booting=%d waiting=%s %s", len(self.boots), waiting,
+                  " ".join(f"{t}{'*' if spot else ''}={n:.0f}:{busy:.0f}/{cpus:.0f}"
+                           for (t, spot), (n, cpus, busy) in sorted(kinds.items())))
 
     async def _list(self, now: float) -> None:
         core = self.core
@@ -472,14 +513,45 @@
                 and (not r.open or r.idle_s > 0.5 * types[r.type].boot_s)]
         idle.sort(key=lambda r: -types[r.type].price if not r.spot else 0.0)
         for room in idle[:4]:
-            rest = [r for r in core.dispatch.picture().values()
+            rest = [r.copy() for r in core.dispatch.picture().values()
                     if r.open and r.machine != room.machine and r.machine not in names]
             if room.open and short(rest, needs, policy):
                 continue
-            if await core.drain(room.machine):
+            if await core.ask_owner(peerwire.DRAIN, room.machine):
                 names.append(room.machine)
         if names:
             log.info("event=returned machines=%s cause=idle", names)
             await self._return(names, now)
 
 
+
+    async def _consolidate(self, types: dict[str, MachineType], spare: list[tuple[Job, int]],
+                           policy: Policy, now: float) -> None:
+        """Empty a machine whose work the others have room for, the dearest first.
+
+        Nothing waits at the moment. Replicas last, so without this a machine
+        that has one stays rented, however little else there is for it.
+        """
+        core = self.core
+        rooms = core.dispatch.picture()
+        best: tuple[float, str] | None = None
+        for room in rooms.values():
+            kind = types.get(room.type)
+            if kind is None or not room.open or room.tasks == 0 or room.type in policy.guests:
+                continue
+            lasting = room.used.get((RANKS["production"], True), [0.0, 0.0, 0.0])
+            if lasting[0] <= 0:
+                continue  # empties by itself
+            rest = [r.copy() for r in rooms.values() if r.open and r.machine != room.machine
+                    and not (r.spot and not room.spot)]
+            free = sum(r.cpus for r in rest)
+            # As much again as the machine holds stays free, so that the next
+            # job doesn't buy it back.
+            if free < 2 * kind.cpus or short(rest, spare, policy):
+                continue
+            price = price_of(kind, room.spot) * (1 - (kind.cpus - room.cpus) / kind.cpus / 2)
+            if best is None or (price, room.machine) > best:
+                best = (price, room.machine)
+        if best is not None:
+            self.evacuated_at = now
+            await core.ask_owner(peerwire.EVACUATE, best[1])
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -28,7 +28,7 @@
 REPORT, REPORTED = 16, 17
 FENCE, DRAIN, GONE = 18, 19, 20
 INSPECT = 21
-PREEMPT = 22
+PREEMPT, EVACUATE = 22, 23
 
 # generation leads every request that acts on machines or tasks: one from
 # another generation is refused as a whole.
@@ -65,6 +65,7 @@
     GONE: ("Q", ("s",)),
     INSPECT: ("s", "s"),
     # generation, machine, job
+    EVACUATE: ("Q", "s"),
     PREEMPT: ("Q", "s", "s"),
 }
 
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections.abc import Iterable
 from typing import Any
 from zlib import crc32
@@ -33,6 +34,12 @@
         # What is taken, by (rank, whether without GPUs): cpus, gpus, memory.
         self.used = {(rank, plain): [c, g, m] for rank, plain, c, g, m in used}
 
+    def copy(self) -> Room:
+        """For what-if questions, which charge the rooms they ask about."""
+        other = copy.copy(self)
+        other.used = {k: list(v) for k, v in self.used.items()}
+        return other
+
     def allows(self, job: Job) -> bool:
         """The job's own conditions: type, zone and kind."""
         return (job.types is None or self.type in job.types) and (job.spot or not self.spot) \
@@ -106,7 +113,7 @@
         return True
 
 
-def _preference(job: Job, room: Room, salt: str) -> tuple[float, ...]:
+def _preference(job: Job, room: Room, salt: str, dear: bool) -> tuple[float, ...]:
     """Lower is better: image cached, then the cheaper kind where it may be used,
     then the machine left fullest (so that others become idle and can go back).
 
@@ -117,24 +124,26 @@
     herd = crc32(f"{salt}{room.machine}".encode()) / 2**32
     # Replicas stay: machines that have some take more, so that others empty.
     lasting = sum(v[0] for k, v in room.used.items() if k[0] == RANKS["production"])
-    return (room.gpus if job.gpus == 0 else 0.0,
+    return (float(dear), float(job.gpus == 0 and room.gpus > 0),
             0.0 if job.image in room.images else 1.0,
             0.0 if room.spot else 1.0,
             -lasting, left, herd)
 
 
 def place(job: Job, wanted: int, rooms: Iterable[Room], spread: Spread, salt: str,
-          policy: Policy | None = None) -> list[Room]:
+          policy: Policy | None = None, patient: bool = False) -> list[Room]:
     """Machines for up to `wanted` tasks; the rooms and the spread are charged.
 
-    A gang gets all or none.
+    A gang gets all or none. `patient` work has time to wait for a machine that
+    isn't dear.
     """
     policy = policy or OPEN
-    candidates = [r for r in rooms if r.allows(job) and r.fits(job) and not policy.dear(job, r)]
+    candidates = [r for r in rooms if r.allows(job) and r.fits(job)
+                  and not (patient and policy.dear(job, r))]
     if job.one_zone and not spread.counts and not spread.unknown and len(candidates) > 1:
         candidates = _best_zone(job, wanted, candidates)
     chosen: list[Room] = []
-    candidates.sort(key=lambda r: _preference(job, r, salt))
+    candidates.sort(key=lambda r: _preference(job, r, salt, policy.dear(job, r)))
     for room in candidates:
         while len(chosen) < wanted and room.fits(job) and spread.allows(room.zone) \
                 and not policy.kept(job, room):
@@ -191,8 +200,6 @@
 
     def dear_types(self, job: Job) -> set[str]:
         """Types whose price a task is far above the cheapest one's."""
-        if job.rank == RANKS["production"]:
-            return set()
         key = (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone)
         found = self._dear.get(key)
         if found is None:
@@ -235,7 +242,7 @@
     chosen = None
     for room in rooms:
         if not room.open or not room.allows(job) or not spread.allows(room.zone) \
-                or policy.kept(job, room) or policy.dear(job, room):
+                or policy.kept(job, room):
             continue
         cost = room.after_preemption(job)
         if cost is not None and (best is None or (cost, room.machine) < best):
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -101,6 +101,12 @@
     return found
 
 
+def slack(job: Job, age_s: float, limits: dict[str, float]) -> float:
+    """How long the job's tasks may still wait: negative when it is late already."""
+    limit = job.deadline_s if job.deadline_s is not None else limits.get(job.job_class)
+    return -math.inf if limit is None else MARGIN * limit - age_s - job.estimate_s
+
+
 def pressing(demand: Iterable[tuple[Job, int, float]], limits: dict[str, float],
              fleet_cpus: float) -> list[tuple[Job, int]]:
     """The demand that would be late if it waited for room to become free.
@@ -111,16 +117,15 @@
     ahead = 0.0
     found = []
     for job, count, age in demand:
-        limit = job.deadline_s if job.deadline_s is not None else limits.get(job.job_class)
         line = LINE * ahead / fleet_cpus if fleet_cpus > 0 else math.inf
         ahead += count * job.cpus * max(1.0, job.estimate_s)
-        if limit is None or line > MARGIN * limit - age - job.estimate_s:
+        if line > slack(job, age, limits):
             found.append((job, count))
     return found
 
 
 def shopping(types: list[MachineType], missing: list[tuple[Job, int]],
-             refused: set[Kind], busy_cpus: float, policy: Policy) -> list[Kind]:
+             refused: set[Kind], busy_cpus: float) -> list[Kind]:
     """Machines to rent for what is missing, cheapest a task first.
 
     A big machine is worth its price only when it fills up: what will use it is
@@ -132,13 +137,12 @@
     expected = EXPECTED * busy_cpus + sum(j.cpus * n for j, n in missing)
     for job, wanted in missing:
         likely = int(expected / job.cpus) if job.cpus else wanted
-        dear = policy.dear_types(job)
         wanted -= len(place(job, wanted, rooms, Spread(job, ()), ""))
         zones: dict[str, int] = {}
         while wanted > 0:
             best: tuple[float, int, str, MachineType, bool] | None = None
             for kind in types:
-                if not fits(job, kind) or kind.name in dear:
+                if not fits(job, kind):
                     continue
                 for zone in kind.zones:
                     if job.zone is not None and job.zone != zone:
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -59,6 +59,8 @@
             if aim.kind == "finished" and aim.job_class and aim.within_s:
                 self.finish_limits[aim.job_class] = min(
                     aim.within_s, self.finish_limits.get(aim.job_class, aim.within_s))
+        # Work with more slack than this keeps off dear machines.
+        self.patience_s = 2 * c.workers.lease_s
         self.urgent = {a.job_class for a in c.objectives if a.kind == "wait" and a.job_class}
         self.arrivals = Arrivals(30 * c.workers.lease_s, time.monotonic())
         self.limits = {t.name: (t.cpus_max, t.gpus_max) for t in c.teams}
@@ -538,6 +540,8 @@
             if wanting is not None:
                 self.owner.preempt(wanting, values[1], now)
                 self.fleet.poke(values[1])
+        elif kind == peerwire.EVACUATE:
+            return peerwire.ACK, (self.fleet.evacuate(values[1]),)
         elif kind == peerwire.DRAIN:
             return peerwire.ACK, (self.owner.drain(values[1]),)
         elif kind == peerwire.FENCE:
@@ -590,13 +594,15 @@
             except peers.PeerError:
                 await curio.sleep(self.jitter(self.ttl_s / 6))
 
-    async def drain(self, machine: str) -> bool:
+    async def ask_owner(self, kind: int, machine: str) -> bool:
+        """DRAIN or EVACUATE: whether the machine's owner has agreed."""
         owner = self.generation.place(machine)
         if owner == self.label:
-            return self.owner.drain(machine)
+            return self.owner.drain(machine) if kind == peerwire.DRAIN \
+                else self.fleet.evacuate(machine)
         try:
             return bool((await self.peers[owner].call(
-                peerwire.DRAIN, (self.generation.number, machine)))[0])
+                kind, (self.generation.number, machine)))[0])
         except (peers.PeerError, KeyError):
             return False
 
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from .membership import Generation
-from .model import Job, MachineType, Report, split_task
+from .model import SERVICE, Job, MachineType, Report, split_task
 from .placement import Room
 
 log = logging.getLogger("clayport.workers")
@@ -355,6 +355,25 @@
         self.room_rev += 1
         return True
 
+    def replicas(self, m: Machine) -> list[tuple[Key, Job]]:
+        """The replicas on a machine that would have to move."""
+        found = []
+        for key, status in m.listed.items():
+            job = self.job_of(key[0].partition("/")[0])
+            if job is not None and job.kind == SERVICE and status[0] != "exited":
+                found.append((key, job))
+        return found
+
+    def evacuate(self, m: Machine) -> None:
+        """Take no more work and stop the replicas, which their homes start elsewhere.
+
+        Other work is left to end on its own.
+        """
+        m.draining = True
+        for key, _ in self.replicas(m):
+            m.kills.setdefault(key, 0.0)
+        self.room_rev += 1
+
     def expire(self, now: float) -> None:
         """Drop reservations whose home has not come back for them."""
         for m in self.machines.values():
