--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -122,7 +122,8 @@
             if m.known:
                 r = core.owner.room(m, core.label, now)
                 rows.append((r.machine, r.address, r.type, r.zone, r.spot, r.open, r.cpus, r.gpus,
-                             r.memory_gb, r.tasks, " ".join(r.images), r.idle_s, r.silent_s, r.hold))
+                             r.memory_gb, r.tasks, " ".join(r.images), r.idle_s, r.silent_s,
+                             r.hold))
                 taken += [(r.machine, *key, *used) for key, used in r.used.items()]
         return (core.serving, core.owner.room_rev, rows, taken)
 
@@ -231,7 +232,7 @@
             hj.starts = [(n, r.machine) for n, r in zip(numbers, chosen)]
             for number, machine in hj.starts:
                 self.inflight[(job.id, number)] = (machine, job)
-            core.signal(f"job {job.id}")
+            core.signal(hj.name)
         if starved and not self.starved:
             core.signal("starved")
             core.signal("demand")
@@ -276,7 +277,10 @@
     async def drive(self, hj: HomeJob) -> None:
         """The routine of one job, for as long as this generation lasts."""
         core = self.core
-        name = f"job {hj.job.id}"
+        # A name of this generation's own: the previous routine of the same job may
+        # end later, and must neither take our signals nor remove what we wait for
+        # (a cancelled job's kill was once never sent because of that).
+        name = hj.name
         gen = core.generation
         try:
             await self._adopt(hj)
@@ -293,7 +297,7 @@
                     core.descs.pop(hj.job.id, None)
                     return
                 await core.flush()
-                await core.wait(name, core.ttl_s if hj.ended or hj.breaking else None)
+                await core.wait(name, core.ttl_s if hj.ended or hj.breaking else 4 * core.ttl_s)
         except Evicted:
             pass
         finally:
@@ -622,7 +626,7 @@
                 verdict = hj.event(machine, number, attempt, state, cause, now)
                 if number in hj.outcomes:
                     hj.where[number] = machine if state == "exited" else ""
-                    core.signal(f"job {job}")
+                    core.signal(hj.name)
             verdicts.append(verdict)
         return verdicts
 
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -254,10 +254,10 @@
             owner.stop([(machine, task, attempt, 0.0, True)])
 
     def evacuate(self, name: str) -> bool:
-        """Move a machine's replicas off, if all find room where their image is cached.
+        """Move a machine's replicas off, if all find room where they start soon.
 
-        A replica is stopped before it starts elsewhere, so the move must take no
-        longer than a few messages.
+        A replica is stopped before it starts elsewhere, so its image must be
+        there, or be fetched in less time than passes between two reports.
         """
         core = self.core
         m = core.owner.machines.get(name)
@@ -266,7 +266,7 @@
         rooms = [r.copy() for r in core.dispatch.picture().values() if r.machine != name]
         policy = core.dispatch.policy()
         for _, job in core.owner.replicas(m):
-            near = [r for r in rooms if job.image in r.images and not policy.dear(job, r)
+            near = [r for r in rooms if self._soon(job, r) and not policy.dear(job, r)
                     and (r.zone == m.zone or not (job.spread or job.one_zone))]
             if not place(job, 1, near, Spread(job, ()), core.label, policy):
                 return False
@@ -275,6 +275,12 @@
         self.poke(name)
         return True
 
+    def _soon(self, job: Job, room: Room) -> bool:
+        kind = self.core.owner.types.get(room.type)
+        return job.image in room.images or (
+            kind is not None and job.image_gb < kind.fetch_gb_per_s
+            * self.core.settings.cluster.workers.report_s)
+
     # -- silence ---------------------------------------------------------
 
     async def watch_silence(self) -> None:
@@ -525,6 +531,14 @@
 
 
 
+    @staticmethod
+    def _worse(rest: list[Room], room: Room, spare: list[tuple[Job, int]],
+               policy: Policy) -> bool:
+        """Whether less of the spare room would be left without the machine."""
+        without = sum(n for _, n in short([r.copy() for r in rest], spare, policy))
+        with_it = sum(n for _, n in short([*(r.copy() for r in rest), room.copy()], spare, policy))
+        return without > with_it
+
     async def _consolidate(self, types: dict[str, MachineType], spare: list[tuple[Job, int]],
                            policy: Policy, now: float) -> None:
         """Empty a machine whose work the others have room for, the dearest first.
@@ -547,7 +561,7 @@
             free = sum(r.cpus for r in rest)
             # As much again as the machine holds stays free, so that the next
             # job doesn't buy it back.
-            if free < 2 * kind.cpus or short(rest, spare, policy):
+            if free < 2 * kind.cpus or self._worse(rest, room, spare, policy):
                 continue
             price = price_of(kind, room.spot) * (1 - (kind.cpus - room.cpus) / kind.cpus / 2)
             if best is None or (price, room.machine) > best:
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -38,7 +38,9 @@
 class HomeJob:
     """A job at its home."""
 
-    def __init__(self, job: Job, live_rev: int, size: int, now: float, ended: str = "") -> None:
+    def __init__(self, job: Job, live_rev: int, size: int, now: float, ended: str = "",
+                 generation: int = 0) -> None:
+        self.name = f"job {job.id} {generation}"  # the signal of its routine
         self.job, self.live_rev, self.size = job, live_rev, size
         self.ended = ended  # "", "cancelled" or "done"
         self.chunks: dict[int, Chunk] = {}
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -195,9 +195,13 @@
         self._dear: dict[tuple[Any, ...], set[str]] = {}
 
     def kept(self, job: Job, room: Room) -> bool:
-        guest = self.guests.get(room.type) if job.gpus == 0 else None
+        guest = self._guest(room) if job.gpus == 0 else None
         return guest is not None and not room.leaves(job, guest)
 
+    def _guest(self, room: Room) -> Job | None:
+        guest = self.guests.get(room.type)
+        return guest if guest is not None and (guest.spot or not room.spot) else None
+
     def dear_types(self, job: Job) -> set[str]:
         """Types whose price a task is far above the cheapest one's."""
         key = (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone)
@@ -210,7 +214,7 @@
         return found
 
     def dear(self, job: Job, room: Room) -> bool:
-        return room.type not in self.guests and room.type in self.dear_types(job)
+        return room.type in self.dear_types(job) and self._guest(room) is None
 
 
 def tasks_on(job: Job, kind: MachineType) -> int:
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -300,7 +300,7 @@
         if hj is not None and not hj.ended:
             hj.ended = status
             hj.kill_at = 0.0
-            self.signal(f"job {job}")
+            self.signal(hj.name)
 
     def tell_end(self, job: str, status: str) -> None:
         """Tell the peers too: a state outage may follow before their watch does."""
@@ -324,7 +324,7 @@
         log.info("generation=%d event=begin members=%s", generation.number,
                  ",".join(sorted(generation.members)))
         for hj in self.dispatch.homes.values():
-            self.signal(f"job {hj.job.id}")
+            self.signal(hj.name)
         self.dispatch.homes = {}
         self.dispatch.inflight.clear()
         self.dispatch.quotas.clear()
@@ -377,7 +377,7 @@
 
     def _home(self, job: Job, rev: int, chunks: dict[int, Chunk], ended: str) -> None:
         hj = HomeJob(job, rev, chunk_size(self.settings.cluster.state.value_kb),
-                     time.monotonic(), ended)
+                     time.monotonic(), ended, self.generation.number)
         hj.load(chunks)
         self.dispatch.homes[job.id] = hj
         self.spawn(self.dispatch.drive(hj))
@@ -576,7 +576,7 @@
             self.zones.pop(name, None)
         for hj in self.dispatch.homes.values():
             if hj.removed(found):
-                self.signal(f"job {hj.job.id}")
+                self.signal(hj.name)
         self.signal("place")
 
     async def announce_gone(self, names: list[str]) -> None:
