--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -104,7 +104,7 @@
 def slack(job: Job, age_s: float, limits: dict[str, float]) -> float:
     """How long the job's tasks may still wait: negative when it is late already."""
     limit = job.deadline_s if job.deadline_s is not None else limits.get(job.job_class)
-    return -math.inf if limit is None else MARGIN * limit - age_s - job.estimate_s
+    return -math.inf if limit is None else MARGIN * limit - age_s - LINE * job.estimate_s
 
 
 def pressing(demand: Iterable[tuple[Job, int, float]], limits: dict[str, float],
