Replicas move one at a time where their home has room; rooms made are a job's own

A duty that failed ended the process (a dictionary changed while it was walked): duties are now supervised, and the walk is over a copy.

--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -263,6 +263,29 @@
                 zones.append(self.core.zones.get(machine))
         return Spread(hj.job, zones)
 
+    def movable(self, job: str, number: int, machine: str) -> bool:
+        """Whether a replica would find another place where it starts soon.
+
+        It is stopped before it starts elsewhere, so its image must be there, or be
+        fetched in less time than passes between two reports.
+        """
+        hj = self.homes.get(job)
+        room = self.picture().get(machine)
+        if hj is None or hj.pending or room is None \
+                or (hj.assignment(number) or (0, ""))[1] != machine:
+            return False
+        zones = [self.core.zones.get(m) for n, _, m in hj.assignments() if n != number]
+        policy = self.policy()
+        near = [r.copy() for r in self.picture().values() if r.machine != machine
+                and self._soon(hj.job, r) and not policy.dear(hj.job, r)]
+        return bool(place(hj.job, 1, near, Spread(hj.job, zones), "", policy))
+
+    def _soon(self, job: Job, room: Room) -> bool:
+        kind = self.core.owner.types.get(room.type)
+        return job.image in room.images or (
+            kind is not None and job.image_gb < kind.fetch_gb_per_s
+            * self.core.settings.cluster.workers.report_s)
+
     def _within_limit(self, job: Job, wanted: int) -> int:
         """Tasks that the team's limit leaves room for, as far as known here."""
         limit = self.core.limits.get(job.team, (0.0, 0.0))
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Any
@@ -15,9 +16,9 @@
 from .cloud import CloudError, NoCapacity
 from .config import ConfigError, endpoint
 from .jobs import CLEAR, KILL, LATER
-from .model import RANKS, Job, Listed, MachineType, Report
+from .model import RANKS, Job, Listed, MachineType, Report, split_task
 from .peers import PeerError
-from .placement import Policy, Room, Spread, place
+from .placement import Policy, Room
 from .provisioning import (
     GIVE_UP,
     LATE,
@@ -26,6 +27,7 @@
     empty_room,
     pressing,
     price_of,
+    remaining,
     shopping,
     short,
     spare_room,
@@ -253,33 +255,59 @@
         elif verdict == CLEAR:
             owner.stop([(machine, task, attempt, 0.0, True)])
 
-    def evacuate(self, name: str) -> bool:
-        """Move a machine's replicas off, if all find room where they start soon.
-
-        A replica is stopped before it starts elsewhere, so its image must be
-        there, or be fetched in less time than passes between two reports.
-        """
+    def evacuate(self, name: str, drain: bool) -> bool:
+        """Begin to move a machine's replicas off: to drain it, all of them; otherwise as
+        many as the guest of its GPUs needs to fit again."""
         core = self.core
         m = core.owner.machines.get(name)
-        if m is None or not core.owner.open(m):
+        if m is None or m.evacuating or not core.owner.open(m) or not core.owner.replicas(m):
             return False
-        rooms = [r.copy() for r in core.dispatch.picture().values() if r.machine != name]
-        policy = core.dispatch.policy()
-        for _, job in core.owner.replicas(m):
-            near = [r for r in rooms if self._soon(job, r) and not policy.dear(job, r)
-                    and (r.zone == m.zone or not (job.spread or job.one_zone))]
-            if not place(job, 1, near, Spread(job, ()), core.label, policy):
-                return False
-        log.info("machine=%s event=evacuate replicas=%d", name, len(core.owner.replicas(m)))
-        core.owner.evacuate(m)
-        self.poke(name)
+        log.info("machine=%s event=evacuate replicas=%d drain=%s", name,
+                 len(core.owner.replicas(m)), drain)
+        m.evacuating = True
+        m.draining = drain
+        core.owner.room_rev += 1
+        core.spawn(self._evacuate(m, drain))
         return True
 
-    def _soon(self, job: Job, room: Room) -> bool:
-        kind = self.core.owner.types.get(room.type)
-        return job.image in room.images or (
-            kind is not None and job.image_gb < kind.fetch_gb_per_s
-            * self.core.settings.cluster.workers.report_s)
+    async def _evacuate(self, m: Machine, drain: bool) -> None:
+        """One replica at a time, each only while its home has another place for it."""
+        core = self.core
+        gen = core.generation
+        try:
+            while core.generation is gen and core.serving and m.notice_at is None:
+                replicas = [r for r in core.owner.replicas(m) if r[0] not in m.kills]
+                kind = core.owner.types.get(m.type)
+                if kind is None or not replicas:
+                    return
+                room = core.owner.room(m)
+                if not drain and core.dispatch.policy().blocked(room, kind) <= 0:
+                    return
+                for key, job in replicas:
+                    if await self._movable(m, key, job):
+                        m.kills.setdefault(key, 0.0)
+                        self.poke(m.name)
+                        await core.flush()
+                        break
+                else:
+                    m.draining = False
+                    core.owner.room_rev += 1
+                    return
+                await curio.sleep(core.settings.cluster.workers.report_s / 2)
+        finally:
+            m.evacuating = False
+
+    async def _movable(self, m: Machine, key: Key, job: Job) -> bool:
+        core = self.core
+        number = split_task(key[0])[1]
+        home = core.generation.place(job.id)
+        if home == core.label:
+            return core.dispatch.movable(job.id, number, m.name)
+        try:
+            return bool((await core.peers[home].call(
+                peerwire.MOVE, (core.generation.number, job.id, number, m.name)))[0])
+        except (PeerError, KeyError):
+            return False
 
     # -- silence ---------------------------------------------------------
 
@@ -422,16 +450,44 @@
                            core.urgent, now)
         cpus = sum(types[r.type].cpus for r in supply if r.type in types)
         needs = pressing(demand, core.finish_limits, cpus)
+        cheap = [r.copy() for r in supply]
         missing = short(supply, needs + spare, policy)
+        moving = self._on_dear(rooms, policy)
+        for job, _ in moving:
+            cheap = [r for r in cheap if not policy.dear(job, r)]
+        stuck = short(cheap, moving, policy)
         self.refused = {k: t for k, t in self.refused.items() if t > now}
-        if now >= self.ready_at and missing:
-            wanted = shopping(core.types, missing, set(self.refused), busy)
+        if now >= self.ready_at and (missing or stuck):
+            left = {job.id: remaining(job, age, core.finish_limits) for job, _, age in demand}
+            wanted = shopping(core.types, missing, set(self.refused), busy, policy, left)
+            # Room for replicas on dear machines, where it is cheaper.
+            wanted += shopping(core.types, stuck, set(self.refused), busy, policy,
+                               {job.id: -math.inf for job, _ in stuck})
             await self._rent(wanted, types, now)
         needs = [(job, count) for job, count, _ in demand]
         await self._return_idle(rooms, types, needs + spare, policy, now)
+        if now - self.evacuated_at > core.settings.cluster.workers.lease_s / 2:
+            for room in list(core.dispatch.picture().values()):
+                kind = types.get(room.type)
+                if kind is not None and room.open and policy.blocked(room, kind) > 0 \
+                        and await core.ask_owner(peerwire.EVACUATE, room.machine, False):
+                    # Replicas placed before a job that needs the GPUs was known.
+                    self.evacuated_at = now
+                    break
         if not needs and now - self.evacuated_at > core.settings.cluster.workers.lease_s:
             await self._consolidate(types, spare, policy, now)
 
+    @staticmethod
+    def _on_dear(rooms: list[Room], policy: Policy) -> list[tuple[Job, int]]:
+        """Replicas that run on machines far dearer than they need."""
+        found = []
+        for job in policy.services:
+            cpus = sum(r.used.get((RANKS["production"], True), [0.0])[0] for r in rooms
+                       if policy.dear(job, r))
+            if cpus > 0:
+                found.append((job, math.ceil(cpus / max(job.cpus, 0.1))))
+        return found[:1]
+
     def _describe(self, rooms: list[Room], types: dict[str, MachineType]) -> None:
         """How full the fleet is, by kind: machines, CPUs and those busy; and what waits."""
         kinds: dict[tuple[str, bool], list[float]] = {}
@@ -514,11 +570,16 @@
         """Return machines idle for a while that are not needed as spare room."""
         core = self.core
         names = []
+        # Cheap room that replicas on dear machines can still move to is kept.
+        keep = sum(job.cpus * n for job, n in self._on_dear(rooms, policy))
         idle = [r for r in rooms if r.tasks == 0 and r.type in types
                 and r.machine not in self.returned
                 and (not r.open or r.idle_s > 0.5 * types[r.type].boot_s)]
         idle.sort(key=lambda r: -types[r.type].price if not r.spot else 0.0)
         for room in idle[:4]:
+            if keep > 0 and not any(policy.dear(job, room) for job in policy.services):
+                keep -= room.cpus
+                continue
             rest = [r.copy() for r in core.dispatch.picture().values()
                     if r.open and r.machine != room.machine and r.machine not in names]
             if room.open and short(rest, needs, policy):
@@ -568,4 +629,4 @@
                 best = (price, room.machine)
         if best is not None:
             self.evacuated_at = now
-            await core.ask_owner(peerwire.EVACUATE, best[1])
+            await core.ask_owner(peerwire.EVACUATE, best[1], True)
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -28,7 +28,7 @@
 REPORT, REPORTED = 16, 17
 FENCE, DRAIN, GONE = 18, 19, 20
 INSPECT = 21
-PREEMPT, EVACUATE = 22, 23
+PREEMPT, EVACUATE, MOVE = 22, 23, 24
 
 # generation leads every request that acts on machines or tasks: one from
 # another generation is refused as a whole.
@@ -50,10 +50,10 @@
     VERDICTS: ("?", ("B",)),
     ROOM: ("Q",),
     # room revision, (machine, address, type, zone, spot, open, cpus, gpus, memory, tasks,
-    # images, idle_s, silent_s, rank that its room is kept for)
+    # images, idle_s, silent_s, job that its room is kept for)
     # what is taken: (machine, rank, without GPUs, cpus, gpus, memory)
     TABLE: ("?", "Q", ("s", "s", "s", "s", "?", "?", "d", "d", "d", "I", "s", "d", "d",
-                            "B"),
+                            "s"),
             ("s", "B", "?", "d", "d", "d")),
     ENDED: ("s", "s"),
     COUNTS: ("Q", "s"),
@@ -65,7 +65,10 @@
     GONE: ("Q", ("s",)),
     INSPECT: ("s", "s"),
     # generation, machine, job
-    EVACUATE: ("Q", "s"),
+    # generation, job, task number, machine: whether the replica has a better place
+    MOVE: ("Q", "s", "I", "s"),
+    # generation, machine, whether to drain it
+    EVACUATE: ("Q", "s", "?"),
     PREEMPT: ("Q", "s", "s"),
 }
 
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -7,7 +7,7 @@
 from typing import Any
 from zlib import crc32
 
-from .model import RANKS, Job, MachineType, fits
+from .model import RANKS, SERVICE, Job, MachineType, fits
 
 EPSILON = 1e-6
 # How much above the cheapest type's price a type is dear: beyond what types of
@@ -30,7 +30,7 @@
         self.cpus, self.gpus, self.memory_gb = cpus, gpus, memory_gb
         self.tasks, self.images = tasks, set(images)
         self.idle_s, self.silent_s, self.owner = idle_s, silent_s, owner
-        self.hold = 0  # room made by preemption is kept for this rank
+        self.hold = ""  # the job that room made by preemption is kept for
         # What is taken, by (rank, whether without GPUs): cpus, gpus, memory.
         self.used = {(rank, plain): [c, g, m] for rank, plain, c, g, m in used}
 
@@ -46,7 +46,7 @@
             and (job.zone is None or job.zone == self.zone)
 
     def fits(self, job: Job) -> bool:
-        return self.open and job.rank >= self.hold and self.cpus + EPSILON >= job.cpus \
+        return self.open and self.hold in ("", job.id) and self.cpus + EPSILON >= job.cpus \
             and self.gpus + EPSILON >= job.gpus and self.memory_gb + EPSILON >= job.memory_gb
 
     def take(self, job: Job, count: int = 1) -> None:
@@ -191,7 +191,11 @@
 
     def __init__(self, jobs: Iterable[Job], types: Iterable[MachineType]) -> None:
         self.types = list(types)
+        jobs = list(jobs)
         self.guests = guests_of(jobs, self.types)
+        # One service of each shape, the largest first.
+        shapes = {(j.cpus, j.memory_gb): j for j in jobs if j.kind == SERVICE}
+        self.services = [shapes[k] for k in sorted(shapes, reverse=True)]
         self._dear: dict[tuple[Any, ...], set[str]] = {}
 
     def kept(self, job: Job, room: Room) -> bool:
@@ -202,6 +206,20 @@
         guest = self.guests.get(room.type)
         return guest if guest is not None and (guest.spot or not room.spot) else None
 
+    def blocked(self, room: Room, kind: MachineType) -> float:
+        """The CPUs by which work that stays exceeds what the type's guest leaves."""
+        guest = self._guest(room)
+        if guest is None:
+            return 0.0
+        cpus = memory_gb = 0.0
+        for (rank, plain), (c, _, m) in room.used.items():
+            if plain and rank >= guest.rank:
+                cpus += c
+                memory_gb += m
+        if memory_gb > kind.memory_gb - guest.memory_gb + EPSILON:
+            return max(1.0, cpus - kind.cpus + guest.cpus)
+        return max(0.0, cpus - kind.cpus + guest.cpus - EPSILON)
+
     def dear_types(self, job: Job) -> set[str]:
         """Types whose price a task is far above the cheapest one's."""
         key = (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone)
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -107,6 +107,12 @@
     return -math.inf if limit is None else MARGIN * limit - age_s - LINE * job.estimate_s
 
 
+def remaining(job: Job, age_s: float, limits: dict[str, float]) -> float:
+    """How long the job's tasks may still wait, if its estimate is right."""
+    limit = job.deadline_s if job.deadline_s is not None else limits.get(job.job_class)
+    return math.inf if limit is None else limit - age_s - job.estimate_s
+
+
 def pressing(demand: Iterable[tuple[Job, int, float]], limits: dict[str, float],
              fleet_cpus: float) -> list[tuple[Job, int]]:
     """The demand that would be late if it waited for room to become free.
@@ -125,24 +131,29 @@
 
 
 def shopping(types: list[MachineType], missing: list[tuple[Job, int]],
-             refused: set[Kind], busy_cpus: float) -> list[Kind]:
+             refused: set[Kind], busy_cpus: float, policy: Policy,
+             left: dict[str, float]) -> list[Kind]:
     """Machines to rent for what is missing, cheapest a task first.
 
     A big machine is worth its price only when it fills up: what will use it is
     what is missing now, and a share of what the fleet is busy with, since that
-    much more work of the kind can be expected while the machine lives.
+    much more work of the kind can be expected while the machine lives. `left`
+    says how long jobs may still wait: a dear machine is rented only for a job
+    that it can still bring in time.
     """
     bought: list[Kind] = []
     rooms: list[Room] = []
     expected = EXPECTED * busy_cpus + sum(j.cpus * n for j, n in missing)
     for job, wanted in missing:
         likely = int(expected / job.cpus) if job.cpus else wanted
+        dear = policy.dear_types(job)
+        time_left = left.get(job.id, math.inf)
         wanted -= len(place(job, wanted, rooms, Spread(job, ()), ""))
         zones: dict[str, int] = {}
         while wanted > 0:
             best: tuple[float, int, str, MachineType, bool] | None = None
             for kind in types:
-                if not fits(job, kind):
+                if not fits(job, kind) or (kind.name in dear and time_left < kind.boot_s):
                     continue
                 for zone in kind.zones:
                     if job.zone is not None and job.zone != zone:
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -7,7 +7,7 @@
 import secrets
 import time
 from collections import OrderedDict
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import curio
@@ -541,7 +541,9 @@
                 self.owner.preempt(wanting, values[1], now)
                 self.fleet.poke(values[1])
         elif kind == peerwire.EVACUATE:
-            return peerwire.ACK, (self.fleet.evacuate(values[1]),)
+            return peerwire.ACK, (self.fleet.evacuate(values[1], values[2]),)
+        elif kind == peerwire.MOVE:
+            return peerwire.ACK, (self.dispatch.movable(*values[1:]),)
         elif kind == peerwire.DRAIN:
             return peerwire.ACK, (self.owner.drain(values[1]),)
         elif kind == peerwire.FENCE:
@@ -594,20 +596,30 @@
             except peers.PeerError:
                 await curio.sleep(self.jitter(self.ttl_s / 6))
 
-    async def ask_owner(self, kind: int, machine: str) -> bool:
+    async def ask_owner(self, kind: int, machine: str, *more: bool) -> bool:
         """DRAIN or EVACUATE: whether the machine's owner has agreed."""
         owner = self.generation.place(machine)
         if owner == self.label:
             return self.owner.drain(machine) if kind == peerwire.DRAIN \
-                else self.fleet.evacuate(machine)
+                else self.fleet.evacuate(machine, *more)
         try:
             return bool((await self.peers[owner].call(
-                kind, (self.generation.number, machine)))[0])
+                kind, (self.generation.number, machine, *more)))[0])
         except (peers.PeerError, KeyError):
             return False
 
     # -- the process -----------------------------------------------------
 
+    async def duty(self, routine: Callable[..., Coroutine[Any, Any, None]], *args: Any) -> None:
+        """A long-lived routine; an error in one round is logged and must not end the
+        process, which would cost its users and workers more than the round."""
+        while True:
+            try:
+                await routine(*args)
+            except Exception:
+                log.exception("event=duty-failed duty=%s", routine.__name__)
+            await curio.sleep(self.jitter(self.ttl_s / 3))
+
     async def run(self) -> None:
         """All routines until one fails; the rest is cancelled in order then."""
         s, w = self.settings, self.settings.cluster.workers
@@ -618,11 +630,11 @@
             await group.spawn(peers.serve, *endpoint(s.peer_bind, "peer_bind"), self.answer,
                               4 * s.cluster.size, w.lease_s)
             for peer in self.peers.values():
-                await group.spawn(self.keep_peers, peer)
+                await group.spawn(self.duty, self.keep_peers, peer)
             for label in s.labels:
-                await group.spawn(self.fleet.tell, label)
+                await group.spawn(self.duty, self.fleet.tell, label)
             for routine in (self.follow, self.keep_lease, self.keep_members, self.keep_catalogue,
                             self.dispatch.refresh, self.dispatch.place_all,
                             self.fleet.watch_silence, self.provisioner.run):
-                await group.spawn(routine)
+                await group.spawn(self.duty, routine)
             log.info("label=%s event=started incarnation=%s", s.label, self.incarnation)
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -49,6 +49,7 @@
         self.direct_at = -1e9  # when a report last came from the worker itself
         self.notice_at: float | None = None
         self.draining = False
+        self.evacuating = False
         self.listed: dict[Key, tuple[str, str, bool]] = {}
         self.told: dict[Key, tuple[str, str, bool]] = {}
         self.want: dict[Key, Want] = {}
@@ -61,8 +62,9 @@
         self.errors: dict[str, int] = {}  # job: failures here since the last success
         self.busy = False  # a /do is in flight
         self.fencing = False
-        # Room made by preemption is kept for the rank it was made for.
-        self.hold_rank, self.hold_until = 0, -1e9
+        # Room made by preemption is kept for the job it was made for: others of
+        # its rank would otherwise take it first.
+        self.hold_job, self.hold_until = "", -1e9
 
     @property
     def orders(self) -> bool:
@@ -240,7 +242,7 @@
         for name, number in items:
             m = self.machines.get(name)
             ok = m is not None and self.open(m) and self.room(m).fits(job) \
-                and (job.rank >= m.hold_rank or now >= m.hold_until)
+                and (m.hold_job == job.id or now >= m.hold_until)
             if ok and m is not None:
                 m.want[(f"{job.id}/{number}", attempt)] = Want(RESERVED, now)
                 m.idle_since = now
@@ -318,7 +320,7 @@
             room.take(victim, -1)
         if not room.fits(job):
             return 0.0
-        m.hold_rank, m.hold_until = job.rank, now + longest + self.direct_pause_s
+        m.hold_job, m.hold_until = job.id, now + longest + self.direct_pause_s
         log.info("machine=%s job=%s event=preempt tasks=%d", name, job.id, len(m.kills))
         return longest + self.direct_pause_s
 
@@ -364,16 +366,6 @@
                 found.append((key, job))
         return found
 
-    def evacuate(self, m: Machine) -> None:
-        """Take no more work and stop the replicas, which their homes start elsewhere.
-
-        Other work is left to end on its own.
-        """
-        m.draining = True
-        for key, _ in self.replicas(m):
-            m.kills.setdefault(key, 0.0)
-        self.room_rev += 1
-
     def expire(self, now: float) -> None:
         """Drop reservations whose home has not come back for them."""
         for m in self.machines.values():
@@ -441,7 +433,7 @@
             else:
                 room.tasks += 1
         if now is not None:
-            room.hold = m.hold_rank if now < m.hold_until else 0
+            room.hold = m.hold_job if now < m.hold_until else ""
             room.idle_s = 0.0 if room.tasks else max(0.0, now - m.idle_since)
             room.silent_s = now - m.heard
         return room
