A model test of several controllers in simulated time, and what it found

Found: a new idle machine did not move the room table's revision, so peers did not see it; a team's use as once read was believed for ever, so a gang waited without end; the zones of a scattered job's other tasks were not told, so machines were rented in the wrong zone one after another; nothing was returned while anything waited that could not be helped.

--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -27,7 +27,7 @@
 from .model import GANG, SERVICE, Chunk, Job, split_task
 from .peers import PeerError
 from .placement import Policy, Room, Spread, place, preempt
-from .provisioning import slack
+from .provisioning import Need, slack
 from .refresh import Asc
 from .statestore import Conflict, Txn, Unavailable, Unknown
 from .workers import GONE
@@ -53,8 +53,9 @@
         self.homes: dict[str, HomeJob] = {}
         self.asc = Asc()
         self.inflight: dict[tuple[str, int], tuple[str, Job]] = {}
-        self.quotas: dict[str, tuple[tuple[float, float], int]] = {}
-        self.demands: dict[str, list[tuple[str, int, float]]] = {}
+        # A team's use as last read: (cpus, gpus), revision, when.
+        self.quotas: dict[str, tuple[tuple[float, float], int, float]] = {}
+        self.demands: dict[str, list[tuple[str, int, float, str]]] = {}
         self.pulled: dict[str, int] = {}  # peer: its room revision at the last pull
         self.own_rev = -1
         self.starved = False
@@ -153,25 +154,29 @@
 
     # -- demand ----------------------------------------------------------
 
-    def demand(self) -> list[tuple[str, int, float]]:
-        """What waits here: (job, tasks, since), bounded."""
+    def demand(self) -> list[tuple[str, int, float, str]]:
+        """What waits here: (job, tasks, since, zones of its other tasks), bounded."""
         now = time.monotonic()
         found = []
         for hj in self.homes.values():
             waiting = hj.pending + len(hj.placing)
             if waiting > 0 and now >= hj.not_before:
-                found.append((hj.job.id, waiting, now - hj.since))
+                zones = ""
+                if hj.job.spread or hj.job.one_zone:
+                    zones = " ".join(self.core.zones.get(m, "") for _, _, m in hj.assignments())
+                found.append((hj.job.id, waiting, now - hj.since, zones))
         return found[:DEMAND_MOST]
 
-    def all_demand(self) -> list[tuple[Job, int, float]]:
+    def all_demand(self) -> list[Need]:
         """Demand of the whole generation, most urgent first."""
         core = self.core
         rows = self.demand()
         for label in core.generation.members:
             if label != core.label:
                 rows += self.demands.get(label, [])
-        found = [(core.live[job][0], count, age) for job, count, age in rows if job in core.live]
-        found.sort(key=lambda row: (-row[0].rank, -row[2]))
+        found = [Need(core.live[job][0], count, age, tuple(zones.split()))
+                 for job, count, age, zones in rows if job in core.live]
+        found.sort(key=lambda need: (-need.job.rank, -need.age_s))
         return found
 
     # -- placing ---------------------------------------------------------
@@ -287,9 +292,15 @@
             * self.core.settings.cluster.workers.report_s)
 
     def _within_limit(self, job: Job, wanted: int) -> int:
-        """Tasks that the team's limit leaves room for, as far as known here."""
+        """Tasks that the team's limit leaves room for, as far as known here.
+
+        What was read long ago is not believed: other homes may have released
+        some since, and nothing else would ever make us look again.
+        """
         limit = self.core.limits.get(job.team, (0.0, 0.0))
-        used = self.quotas.get(job.team, ((0.0, 0.0), 0))[0]
+        used, _, at = self.quotas.get(job.team, ((0.0, 0.0), 0, 0.0))
+        if time.monotonic() - at > self.core.settings.cluster.workers.report_s:
+            return wanted
         for cap, have, need in zip(limit, used, amounts(job, 1)):
             if cap > 0 and need > 0:
                 wanted = min(wanted, int((cap - have + 1e-6) / need))
@@ -384,6 +395,8 @@
         core, job = self.core, hj.job
         fence = self._fence()
         gen = core.generation
+        if await self._charge(job, 1 if job.kind != GANG else len(starts)) is None:
+            return
         hj.attempt += 1
         attempt = hj.attempt
         granted = await self._reserve(hj, starts, attempt)
@@ -469,7 +482,7 @@
         entry = await self.core.store.get(key)
         used = quota_of(entry.value if entry else None)
         rev = entry.rev if entry else 0
-        self.quotas[job.team] = (used, rev)
+        self.quotas[job.team] = (used, rev, time.monotonic())
         after = (round(used[0] + cpus, 6), round(used[1] + gpus, 6))
         if count > 0 and ((0 < limit[0] < after[0] - 1e-6) or (0 < limit[1] < after[1] - 1e-6)):
             return None
@@ -477,7 +490,7 @@
 
     def _charged(self, quota: dict[str, tuple[dict[str, float], int]], rev: int) -> None:
         for key, (value, _) in quota.items():
-            self.quotas[key.partition("/")[2]] = (quota_of(value), rev)
+            self.quotas[key.partition("/")[2]] = (quota_of(value), rev, time.monotonic())
 
     async def _launch(self, hj: HomeJob, items: list[tuple[str, str, int]], fence: int) -> None:
         """Hand committed starts to the owners, until each has said yes or no."""
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -24,6 +24,7 @@
     LATE,
     Boot,
     Kind,
+    Need,
     empty_room,
     pressing,
     price_of,
@@ -453,19 +454,18 @@
         cheap = [r.copy() for r in supply]
         missing = short(supply, needs + spare, policy)
         moving = self._on_dear(rooms, policy)
-        for job, _ in moving:
-            cheap = [r for r in cheap if not policy.dear(job, r)]
+        for need in moving:
+            cheap = [r for r in cheap if not policy.dear(need.job, r)]
         stuck = short(cheap, moving, policy)
         self.refused = {k: t for k, t in self.refused.items() if t > now}
         if now >= self.ready_at and (missing or stuck):
-            left = {job.id: remaining(job, age, core.finish_limits) for job, _, age in demand}
+            left = {n.job.id: remaining(n.job, n.age_s, core.finish_limits) for n in demand}
             wanted = shopping(core.types, missing, set(self.refused), busy, policy, left)
             # Room for replicas on dear machines, where it is cheaper.
             wanted += shopping(core.types, stuck, set(self.refused), busy, policy,
-                               {job.id: -math.inf for job, _ in stuck})
+                               {n.job.id: -math.inf for n in stuck})
             await self._rent(wanted, types, now)
-        needs = [(job, count) for job, count, _ in demand]
-        await self._return_idle(rooms, types, needs + spare, policy, now)
+        await self._return_idle(rooms, types, demand + spare, policy, now)
         if now - self.evacuated_at > core.settings.cluster.workers.lease_s / 2:
             for room in list(core.dispatch.picture().values()):
                 kind = types.get(room.type)
@@ -474,18 +474,18 @@
                     # Replicas placed before a job that needs the GPUs was known.
                     self.evacuated_at = now
                     break
-        if not needs and now - self.evacuated_at > core.settings.cluster.workers.lease_s:
+        if not demand and now - self.evacuated_at > core.settings.cluster.workers.lease_s:
             await self._consolidate(types, spare, policy, now)
 
     @staticmethod
-    def _on_dear(rooms: list[Room], policy: Policy) -> list[tuple[Job, int]]:
+    def _on_dear(rooms: list[Room], policy: Policy) -> list[Need]:
         """Replicas that run on machines far dearer than they need."""
         found = []
         for job in policy.services:
             cpus = sum(r.used.get((RANKS["production"], True), [0.0])[0] for r in rooms
                        if policy.dear(job, r))
             if cpus > 0:
-                found.append((job, math.ceil(cpus / max(job.cpus, 0.1))))
+                found.append(Need(job, math.ceil(cpus / max(job.cpus, 0.1))))
         return found[:1]
 
     def _describe(self, rooms: list[Room], types: dict[str, MachineType]) -> None:
@@ -498,8 +498,9 @@
                 row[1] += types[room.type].cpus
                 row[2] += types[room.type].cpus - room.cpus
         waiting: dict[str, int] = {}
-        for job, count, _ in self.core.dispatch.all_demand():
-            waiting[job.job_class] = waiting.get(job.job_class, 0) + count
+        for need in self.core.dispatch.all_demand():
+            name = need.job.job_class
+            waiting[name] = waiting.get(name, 0) + need.tasks
         log.debug("event=fleet booting=%d waiting=%s %s", len(self.boots), waiting,
                   " ".join(f"{t}{'*' if spot else ''}={n:.0f}:{busy:.0f}/{cpus:.0f}"
                            for (t, spot), (n, cpus, busy) in sorted(kinds.items())))
@@ -565,13 +566,13 @@
                 self.boots[machine] = Boot(machine, kind, now)
 
     async def _return_idle(self, rooms: list[Room], types: dict[str, MachineType],
-                           needs: list[tuple[Job, int]], policy: Policy,
+                           needs: list[Need], policy: Policy,
                            now: float) -> None:
         """Return machines idle for a while that are not needed as spare room."""
         core = self.core
         names = []
         # Cheap room that replicas on dear machines can still move to is kept.
-        keep = sum(job.cpus * n for job, n in self._on_dear(rooms, policy))
+        keep = sum(n.job.cpus * n.tasks for n in self._on_dear(rooms, policy))
         idle = [r for r in rooms if r.tasks == 0 and r.type in types
                 and r.machine not in self.returned
                 and (not r.open or r.idle_s > 0.5 * types[r.type].boot_s)]
@@ -582,7 +583,7 @@
                 continue
             rest = [r.copy() for r in core.dispatch.picture().values()
                     if r.open and r.machine != room.machine and r.machine not in names]
-            if room.open and short(rest, needs, policy):
+            if room.open and self._worse(rest, room, needs, policy):
                 continue
             if await core.ask_owner(peerwire.DRAIN, room.machine):
                 names.append(room.machine)
@@ -593,14 +594,15 @@
 
 
     @staticmethod
-    def _worse(rest: list[Room], room: Room, spare: list[tuple[Job, int]],
-               policy: Policy) -> bool:
-        """Whether less of the spare room would be left without the machine."""
-        without = sum(n for _, n in short([r.copy() for r in rest], spare, policy))
-        with_it = sum(n for _, n in short([*(r.copy() for r in rest), room.copy()], spare, policy))
-        return without > with_it
-
-    async def _consolidate(self, types: dict[str, MachineType], spare: list[tuple[Job, int]],
+    def _worse(rest: list[Room], room: Room, needs: list[Need], policy: Policy) -> bool:
+        """Whether less of what is needed would fit without the machine."""
+        without = sum(n.tasks for n in short([r.copy() for r in rest], needs, policy))
+        if not without:
+            return False
+        rest = [*(r.copy() for r in rest), room.copy()]
+        return without > sum(n.tasks for n in short(rest, needs, policy))
+
+    async def _consolidate(self, types: dict[str, MachineType], spare: list[Need],
                            policy: Policy, now: float) -> None:
         """Empty a machine whose work the others have room for, the dearest first.
 
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -33,8 +33,9 @@
 # generation leads every request that acts on machines or tasks: one from
 # another generation is refused as a whole.
 SCHEMAS: dict[int, Schema] = {
-    # label, generation, state service answers, room revision, demand: (job, pending, since)
-    PING: ("s", "Q", "?", "Q", ("s", "I", "d")),
+    # label, generation, state service answers, room revision, demand: (job, pending, since,
+    # zones of its other tasks)
+    PING: ("s", "Q", "?", "Q", ("s", "I", "d", "s")),
     PONG: ("s", "Q", "?", "Q"),
     # generation, job, attempt, (machine, task number); answered: granted flags in order
     RESERVE: ("Q", "s", "Q", ("s", "I")),
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -5,6 +5,7 @@
 import math
 from collections import deque
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from .model import SERVICE, Job, MachineType, fits
 from .placement import Policy, Room, Spread, capacity, place
@@ -24,6 +25,16 @@
 GIVE_UP, LATE = 4.0, 1.6
 
 
+class Need(NamedTuple):
+    """Tasks of a job that want room: how long they have waited, and the zones in
+    which the job's other tasks are (where that matters)."""
+
+    job: Job
+    tasks: int
+    age_s: float = 0.0
+    zones: tuple[str, ...] = ()
+
+
 class Boot:
     """A machine that has been rented and has not reported yet."""
 
@@ -42,16 +53,15 @@
     return kind.spot_price if spot else kind.price
 
 
-def short(rooms: list[Room], demand: Iterable[tuple[Job, int]],
-          policy: Policy) -> list[tuple[Job, int]]:
+def short(rooms: list[Room], demand: Iterable[Need], policy: Policy) -> list[Need]:
     """The demand that doesn't fit into the rooms (which are charged)."""
     left = []
-    for job, count in demand:
-        # What else the job runs is not known here: conditions over zones are
-        # judged for the waiting tasks alone.
-        chosen = place(job, count, rooms, Spread(job, ()), "", policy)
-        if len(chosen) < count:
-            left.append((job, count - len(chosen)))
+    for need in demand:
+        # A gang gets all or none of what it needs.
+        chosen = place(need.job, need.tasks, rooms, Spread(need.job, need.zones), "", policy)
+        if len(chosen) < need.tasks:
+            zones = (*need.zones, *(r.zone for r in chosen)) if need.job.spread else need.zones
+            left.append(need._replace(tasks=need.tasks - len(chosen), zones=zones))
     return left
 
 
@@ -75,7 +85,7 @@
 
 
 def spare_room(live: Iterable[Job], arrivals: Arrivals, types: list[MachineType],
-               urgent: set[str], now: float) -> list[tuple[Job, int]]:
+               urgent: set[str], now: float) -> list[Need]:
     """Room kept for work that must start sooner than a machine boots.
 
     For each class whose start is an aim, what is to be expected while a machine
@@ -97,7 +107,7 @@
         boots = [t.boot_s for t in types if fits(job, t)]
         expected = arrivals.expected(name, min(boots, default=0.0), now)
         lost = SPARE * tasks.get(name, 0) if job.kind == SERVICE else 0.0
-        found.append((job, max(1, math.ceil(max(expected, lost)))))
+        found.append(Need(job, max(1, math.ceil(max(expected, lost)))))
     return found
 
 
@@ -113,8 +123,7 @@
     return math.inf if limit is None else limit - age_s - job.estimate_s
 
 
-def pressing(demand: Iterable[tuple[Job, int, float]], limits: dict[str, float],
-             fleet_cpus: float) -> list[tuple[Job, int]]:
+def pressing(demand: Iterable[Need], limits: dict[str, float], fleet_cpus: float) -> list[Need]:
     """The demand that would be late if it waited for room to become free.
 
     Work of a class that is to be finished within a time may wait in line as
@@ -122,15 +131,16 @@
     """
     ahead = 0.0
     found = []
-    for job, count, age in demand:
+    for need in demand:
+        job = need.job
         line = LINE * ahead / fleet_cpus if fleet_cpus > 0 else math.inf
-        ahead += count * job.cpus * max(1.0, job.estimate_s)
-        if line > slack(job, age, limits):
-            found.append((job, count))
+        ahead += need.tasks * job.cpus * max(1.0, job.estimate_s)
+        if line > slack(job, need.age_s, limits):
+            found.append(need)
     return found
 
 
-def shopping(types: list[MachineType], missing: list[tuple[Job, int]],
+def shopping(types: list[MachineType], missing: list[Need],
              refused: set[Kind], busy_cpus: float, policy: Policy,
              left: dict[str, float]) -> list[Kind]:
     """Machines to rent for what is missing, cheapest a task first.
@@ -143,12 +153,13 @@
     """
     bought: list[Kind] = []
     rooms: list[Room] = []
-    expected = EXPECTED * busy_cpus + sum(j.cpus * n for j, n in missing)
-    for job, wanted in missing:
+    expected = EXPECTED * busy_cpus + sum(n.job.cpus * n.tasks for n in missing)
+    for job, wanted, _, others in missing:
+        spread = Spread(job, others)
         likely = int(expected / job.cpus) if job.cpus else wanted
         dear = policy.dear_types(job)
         time_left = left.get(job.id, math.inf)
-        wanted -= len(place(job, wanted, rooms, Spread(job, ()), ""))
+        wanted -= len(place(job, wanted, rooms, spread, ""))
         zones: dict[str, int] = {}
         while wanted > 0:
             best: tuple[float, int, str, MachineType, bool] | None = None
@@ -156,7 +167,7 @@
                 if not fits(job, kind) or (kind.name in dear and time_left < kind.boot_s):
                     continue
                 for zone in kind.zones:
-                    if job.zone is not None and job.zone != zone:
+                    if job.zone is not None and job.zone != zone or not spread.allows(zone):
                         continue
                     for spot in ((True, False) if job.spot else (False,)):
                         if (kind.name, zone, spot) in refused:
@@ -170,7 +181,11 @@
                 break
             _, _, zone, kind, spot = best
             room = empty_room(kind, f"new-{len(bought)}", zone, spot)
-            held = min(wanted, capacity(job, room))
+            held = 0
+            while held < min(wanted, capacity(job, empty_room(kind, "", zone, spot))) \
+                    and spread.allows(zone):
+                spread.add(zone)
+                held += 1
             room.take(job, held)
             rooms.append(room)
             zones[zone] = zones.get(zone, 0) + 1
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -135,6 +135,9 @@
         if m.known and report.session > m.session:
             m.kills.clear()
             m.clears.clear()
+        # A machine that is new or closes without any task changes the room as well:
+        # peers pull a table only when its revision has moved.
+        shown = (m.known, m.notice_at is None, self.sick(m))
         m.known = True
         m.session, m.seq, m.heard = report.session, report.seq, now
         if direct:
@@ -173,7 +176,7 @@
             if key not in listed and key not in m.want:
                 del m.told[key]
         m.clears = {key for key in m.clears if key in listed}
-        if listed.keys() != before.keys() or before != listed:
+        if before != listed or shown != (True, m.notice_at is None, self.sick(m)):
             self._touched(m, now)
         return m
 
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,108 @@
+"""Several real controllers in simulated time: whatever is lost, held or crashes, the
+Rules hold, and once things are calm all work gets done."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+import pytest
+
+from .world import Clock, World, job, simulate
+
+JOBS: list[tuple[dict[str, Any], float]] = [
+    ({"pieces": 6}, 6.0),
+    ({"pieces": 2, "shape": "daemon", "jobclass": "web", "rank": "production", "loaners": False,
+      "scatter": True, "guess_s": 0.0}, 1e9),
+    ({"pieces": 2, "shape": "ensemble", "owner": "tight", "cards": 1.0, "together": True,
+      "loaners": False}, 9.0),
+    ({"pieces": 3, "owner": "tight", "cards": 1.0}, 5.0),
+    ({"pieces": 12, "rank": "best_effort", "bundle": "img-2"}, 10.0),
+    ({"pieces": 3, "site": "south", "flavors": ["plain"]}, 4.0),
+]
+
+
+async def trouble(world: World, calm_at: float) -> None:
+    """Random failures, one after another and overlapping, until `calm_at`."""
+    rng = world.rng
+    while world.clock() < calm_at:
+        await curio.sleep(rng.uniform(1.0, 6.0))
+        what = rng.choice(["crash", "crash", "crash_all", "cut", "one_way", "loss", "outage",
+                           "hang", "die", "worker_cut"])
+        if what == "crash":
+            await curio.spawn(restart, world, rng.choice(world.labels), daemon=True)
+        elif what == "crash_all" and rng.random() < 0.3:
+            for label in world.labels:
+                await curio.spawn(restart, world, label, daemon=True)
+        elif what in ("cut", "one_way", "worker_cut"):
+            a = rng.choice(world.labels)
+            others = sorted(world.workers) or world.labels
+            entry = {"cut": a, "one_way": f"{a}>{rng.choice([*world.labels, 'state', 'cloud'])}",
+                     "worker_cut": rng.choice(others)}[what]
+            await curio.spawn(cut, world, entry, rng.uniform(2.0, 25.0), daemon=True)
+        elif what == "loss":
+            world.loss = rng.choice([0.0, 0.02, 0.1])
+        elif what == "outage":
+            world.state.outage(world.clock(), rng.uniform(1.0, 12.0))
+        elif world.workers:
+            worker = rng.choice(sorted(world.workers.values(), key=lambda w: w.name))
+            if what == "hang":
+                worker.hung_until = world.clock() + rng.uniform(1.0, 14.0)
+            elif what == "die" and rng.random() < 0.4:
+                world.kill(worker)
+    world.loss = 0.0
+    world.cut.clear()
+
+
+async def cut(world: World, entry: str, for_s: float) -> None:
+    world.cut.add(entry)
+    await curio.sleep(for_s)
+    world.cut.discard(entry)
+
+
+async def restart(world: World, label: str) -> None:
+    if label in world.controllers:
+        await world.crash(label)
+        await curio.sleep(world.rng.uniform(1.0, 9.0))
+        await world.start(label)
+
+
+async def day(clock: Clock, seed: int, troubled: bool) -> World:
+    world = World(clock, seed)
+    for label in world.labels:
+        await world.start(label)
+    for routine in (world.spawner, world.poll, world.watch_rules):
+        await curio.spawn(routine, daemon=True)
+    if troubled:
+        await curio.spawn(trouble, world, clock() + 60.0, daemon=True)
+    aborted = []
+    for number in range(14):
+        fields, run_s = JOBS[number % len(JOBS)]
+        await curio.spawn(world.submit, job(number, **fields), run_s, daemon=True)
+        if number % 4 == 1:
+            aborted.append(number)
+        await curio.sleep(world.rng.uniform(0.2, 6.0))
+        if aborted and world.rng.random() < 0.5:
+            await curio.spawn(world.abort, job(aborted.pop())["id"], daemon=True)
+    end = clock() + 260.0
+    while clock() < end and not world.broken:
+        await curio.sleep(2.0)
+        finite = [i for i in world.accepted if world.jobs[i]["shape"] != "daemon"]
+        if len(world.accepted) == 14 and all(
+                world.told.get(i) in ("done", "cancelled") for i in finite):
+            break
+    if not world.broken:
+        await curio.sleep(40.0)  # long enough for a cancelled task to be seen
+    return world
+
+
+@pytest.mark.parametrize("seed, troubled", [(1, False), *((s, True) for s in range(2, 10))])
+def test_rules_hold(monkeypatch: pytest.MonkeyPatch, seed: int, troubled: bool) -> None:
+    world = simulate(monkeypatch, lambda clock: day(clock, seed, troubled))
+    assert world.broken == []
+    assert len(world.accepted) == 14
+    assert world.launches > 0
+    waiting = {i: world.told.get(i) for i in world.accepted
+               if world.jobs[i]["shape"] != "daemon"
+               and world.told.get(i) not in ("done", "cancelled")}
+    assert waiting == {}, "all work gets done once things are calm"
