--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
@@ -217,16 +218,30 @@
                 continue
             pool = [r for r in rooms.values() if hj.errors.get(r.machine, 0) == 0] \
                 if hj.errors else list(rooms.values())
-            spread = self.spread(hj)
+            age = now - hj.since
             patient = job.kind != SERVICE \
-                and slack(job, now - hj.since, core.finish_limits) > core.patience_s
-            chosen = place(job, wanted, pool, spread, core.label, policy, patient)
+                and slack(job, age, core.finish_limits) > core.patience_s
+            spread = self.spread(hj)
+            limit = core.wait_limits.get(job.job_class)
+            chosen: list[Room] = []
+            if limit is not None and age < limit and job.kind != GANG:
+                # Started in time only where the image is, or comes soon enough:
+                # rather than fetch it elsewhere, work of lower rank is stopped there.
+                quick = [r for r in pool if self._fetch_s(job, r) < limit - age]
+                chosen = place(job, wanted, quick, spread, core.label, policy)
+                if len(chosen) < wanted and job.rank > 0:
+                    if now < hj.preempt_at:
+                        wanted = len(chosen)
+                    elif not hj.preempted and self._make_room(hj, quick, spread, policy, 0.0, now):
+                        hj.preempted = True
+                        wanted = len(chosen)
+            if len(chosen) < wanted:
+                chosen += place(job, wanted - len(chosen), pool, spread, core.label, policy,
+                                patient)
             if len(chosen) < wanted and job.rank > 0 and now >= hj.preempt_at:
-                room = preempt(job, pool, spread, policy)
-                if room is not None:
-                    # One at a time: what it frees shows before the next.
-                    hj.preempt_at = now + core.ttl_s / 6
-                    core.spawn(self._preempt(room.machine, job))
+                grace = math.inf if limit is None else max(0.0, limit - age - max(
+                    (self._fetch_s(job, r) for r in pool if r.allows(job)), default=0.0))
+                self._make_room(hj, pool, spread, policy, grace, now)
             if len(chosen) < wanted:
                 starved = True
                 if not job.one_zone and not job.spread:
@@ -248,16 +263,34 @@
         core = self.core
         return Policy([*(j for j, _ in core.live.values()), *core.descs.values()], core.types)
 
-    async def _preempt(self, machine: str, job: Job) -> None:
+    def _make_room(self, hj: HomeJob, pool: list[Room], spread: Spread, policy: Policy,
+                   grace_s: float, now: float) -> bool:
+        """Have work of lower rank stopped for one task of the job, if that helps."""
+        room = preempt(hj.job, pool, spread, policy)
+        if room is None:
+            return False
+        # One at a time: what it frees shows before the next.
+        hj.preempt_at = now + self.core.ttl_s / 6
+        self.core.spawn(self._preempt(room.machine, hj.job, grace_s))
+        return True
+
+    def _fetch_s(self, job: Job, room: Room) -> float:
+        """How long the image takes to be there; rates differ by up to a third."""
+        kind = self.core.owner.types.get(room.type)
+        if job.image in room.images or kind is None or kind.fetch_gb_per_s <= 0:
+            return 0.0
+        return job.image_gb / kind.fetch_gb_per_s * 4 / 3
+
+    async def _preempt(self, machine: str, job: Job, grace_s: float) -> None:
         core = self.core
         owner = core.generation.place(machine)
         if owner == core.label:
-            core.owner.preempt(job, machine, time.monotonic())
+            core.owner.preempt(job, machine, grace_s, time.monotonic())
             core.fleet.poke(machine)
             return
         try:
             await core.peers[owner].call(peerwire.PREEMPT,
-                                         (core.generation.number, machine, job.id))
+                                         (core.generation.number, machine, job.id, grace_s))
         except (PeerError, KeyError):
             pass
 
@@ -268,7 +301,7 @@
                 zones.append(self.core.zones.get(machine))
         return Spread(hj.job, zones)
 
-    def movable(self, job: str, number: int, machine: str) -> bool:
+    def movable(self, job: str, number: int, machine: str, drain: bool) -> bool:
         """Whether a replica would find another place where it starts soon.
 
         It is stopped before it starts elsewhere, so its image must be there, or be
@@ -277,19 +310,22 @@
         hj = self.homes.get(job)
         room = self.picture().get(machine)
         if hj is None or hj.pending or room is None \
-                or (hj.assignment(number) or (0, ""))[1] != machine:
+                or (hj.assignment(number) or (0, ""))[1] != machine \
+                or time.monotonic() - hj.moved_at < self.core.settings.cluster.workers.lease_s \
+                * (3.0 if drain else 0.3):
             return False
         zones = [self.core.zones.get(m) for n, _, m in hj.assignments() if n != number]
         policy = self.policy()
         near = [r.copy() for r in self.picture().values() if r.machine != machine
                 and self._soon(hj.job, r) and not policy.dear(hj.job, r)]
-        return bool(place(hj.job, 1, near, Spread(hj.job, zones), "", policy))
+        if not place(hj.job, 1, near, Spread(hj.job, zones), "", policy):
+            return False
+        # Not again soon: a move costs a moment each time.
+        hj.moved_at = time.monotonic()
+        return True
 
     def _soon(self, job: Job, room: Room) -> bool:
-        kind = self.core.owner.types.get(room.type)
-        return job.image in room.images or (
-            kind is not None and job.image_gb < kind.fetch_gb_per_s
-            * self.core.settings.cluster.workers.report_s)
+        return self._fetch_s(job, room) < self.core.settings.cluster.workers.report_s
 
     def _within_limit(self, job: Job, wanted: int) -> int:
         """Tasks that the team's limit leaves room for, as far as known here.
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -27,7 +27,6 @@
     Need,
     empty_room,
     pressing,
-    price_of,
     remaining,
     shopping,
     short,
@@ -40,6 +39,10 @@
 
 log = logging.getLogger("clayport.fleet")
 
+# The share of the fleet's CPUs that has to be free before replicas are moved to
+# empty a machine.
+SLACK = 0.25
+
 Told = tuple[str, str, int, str, str, bool]
 
 
@@ -285,7 +288,7 @@
                 if not drain and core.dispatch.policy().blocked(room, kind) <= 0:
                     return
                 for key, job in replicas:
-                    if await self._movable(m, key, job):
+                    if await self._movable(m, key, job, drain):
                         m.kills.setdefault(key, 0.0)
                         self.poke(m.name)
                         await core.flush()
@@ -298,15 +301,16 @@
         finally:
             m.evacuating = False
 
-    async def _movable(self, m: Machine, key: Key, job: Job) -> bool:
+    async def _movable(self, m: Machine, key: Key, job: Job, drain: bool) -> bool:
         core = self.core
         number = split_task(key[0])[1]
         home = core.generation.place(job.id)
         if home == core.label:
-            return core.dispatch.movable(job.id, number, m.name)
+            return core.dispatch.movable(job.id, number, m.name, drain)
         try:
             return bool((await core.peers[home].call(
-                peerwire.MOVE, (core.generation.number, job.id, number, m.name)))[0])
+                peerwire.MOVE, (core.generation.number, job.id, number, m.name,
+                                drain)))[0])
         except (PeerError, KeyError):
             return False
 
@@ -611,24 +615,26 @@
         """
         core = self.core
         rooms = core.dispatch.picture()
-        best: tuple[float, str] | None = None
-        for room in rooms.values():
+        best: tuple[float, float, str] | None = None
+        total = sum(types[r.type].cpus for r in rooms.values() if r.type in types)
+        for room in list(rooms.values()):
             kind = types.get(room.type)
             if kind is None or not room.open or room.tasks == 0 or room.type in policy.guests:
                 continue
-            lasting = room.used.get((RANKS["production"], True), [0.0, 0.0, 0.0])
-            if lasting[0] <= 0:
+            lasting = room.used.get((RANKS["production"], True), [0.0, 0.0, 0.0])[0]
+            if lasting <= 0:
                 continue  # empties by itself
+            dear = any(policy.dear(job, room) for job in policy.services)
             rest = [r.copy() for r in rooms.values() if r.open and r.machine != room.machine
                     and not (r.spot and not room.spot)]
             free = sum(r.cpus for r in rest)
-            # As much again as the machine holds stays free, so that the next
-            # job doesn't buy it back.
-            if free < 2 * kind.cpus or self._worse(rest, room, spare, policy):
+            # Enough stays free that the next job doesn't buy it back.
+            if free < (2 * kind.cpus if dear else max(2 * kind.cpus, SLACK * total)) \
+                    or self._worse(rest, room, spare, policy):
                 continue
-            price = price_of(kind, room.spot) * (1 - (kind.cpus - room.cpus) / kind.cpus / 2)
-            if best is None or (price, room.machine) > best:
-                best = (price, room.machine)
+            # The dear ones first, then those with the fewest replicas to move.
+            if best is None or (dear, -lasting, room.machine) > best:
+                best = (dear, -lasting, room.machine)
         if best is not None:
             self.evacuated_at = now
-            await core.ask_owner(peerwire.EVACUATE, best[1], True)
+            await core.ask_owner(peerwire.EVACUATE, best[2], True)
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -57,6 +57,8 @@
         self.since = now
         self.not_before = 0.0
         self.preempt_at = 0.0
+        self.preempted = False
+        self.moved_at = now
         self.errors: dict[str, int] = {}  # machine: failures of this job there
         self.kill_at = 0.0
         self.breaking = False  # a gang that lost a task and is being stopped
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -66,8 +66,8 @@
     GONE: ("Q", ("s",)),
     INSPECT: ("s", "s"),
     # generation, machine, job
-    # generation, job, task number, machine: whether the replica has a better place
-    MOVE: ("Q", "s", "I", "s"),
+    # generation, job, task number, machine, to drain it: has the replica another place
+    MOVE: ("Q", "s", "I", "s", "?"),
     # generation, machine, whether to drain it
     EVACUATE: ("Q", "s", "?"),
     PREEMPT: ("Q", "s", "s"),
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -61,7 +61,9 @@
                     aim.within_s, self.finish_limits.get(aim.job_class, aim.within_s))
         # Work with more slack than this keeps off dear machines.
         self.patience_s = 2 * c.workers.lease_s
-        self.urgent = {a.job_class for a in c.objectives if a.kind == "wait" and a.job_class}
+        self.wait_limits = {a.job_class: a.within_s for a in c.objectives
+                            if a.kind == "wait" and a.job_class and a.within_s}
+        self.urgent = set(self.wait_limits)
         self.arrivals = Arrivals(30 * c.workers.lease_s, time.monotonic())
         self.limits = {t.name: (t.cpus_max, t.gpus_max) for t in c.teams}
         # Sockets: a quarter for the workers' own addresses, the rest but a
@@ -538,7 +540,7 @@
         elif kind == peerwire.PREEMPT:
             wanting = self.job_of(values[2])
             if wanting is not None:
-                self.owner.preempt(wanting, values[1], now)
+                self.owner.preempt(wanting, values[1], values[3], now)
                 self.fleet.poke(values[1])
         elif kind == peerwire.EVACUATE:
             return peerwire.ACK, (self.fleet.evacuate(values[1], values[2]),)
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -294,10 +294,11 @@
                     want.phase = LIVE
                 m.kills[key] = min(grace, m.kills.get(key, grace))
 
-    def preempt(self, job: Job, name: str, now: float) -> float:
+    def preempt(self, job: Job, name: str, grace_s: float, now: float) -> float:
         """Stop work of lower rank until a task of `job` fits; how long that takes.
 
         Of the lowest rank first, and what can save its progress before what can't.
+        What would save for longer than `grace_s` goes back to its last checkpoint.
         """
         m = self.machines.get(name)
         if m is None or not self.open(m) or now < m.hold_until:
@@ -317,7 +318,7 @@
         for _, _, key, victim in sorted(victims, key=lambda v: v[:3]):
             if room.fits(job):
                 break
-            grace = victim.save_s if victim.checkpoint_s > 0 else 0.0
+            grace = victim.save_s if victim.checkpoint_s > 0 and victim.save_s <= grace_s else 0.0
             m.kills[key] = grace
             longest = max(longest, grace)
             room.take(victim, -1)
