--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -318,7 +318,10 @@
         policy = self.policy()
         near = [r.copy() for r in self.picture().values() if r.machine != machine
                 and self._soon(hj.job, r) and not policy.dear(hj.job, r)]
-        if not place(hj.job, 1, near, Spread(hj.job, zones), "", policy):
+        spread = Spread(hj.job, zones)
+        if not place(hj.job, 1, [r.copy() for r in near], spread, "", policy) and (
+                drain or preempt(hj.job, near, Spread(hj.job, zones), policy) is None):
+            # To free GPUs, work of lower rank may have to make way elsewhere.
             return False
         # Not again soon: a move costs a moment each time.
         hj.moved_at = time.monotonic()
