--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -22,13 +22,16 @@
 ]
 
 
+JOBS_A_DAY = 24
+
+
 async def trouble(world: World, calm_at: float) -> None:
     """Random failures, one after another and overlapping, until `calm_at`."""
     rng = world.rng
     while world.clock() < calm_at:
         await curio.sleep(rng.uniform(1.0, 6.0))
         what = rng.choice(["crash", "crash", "crash_all", "cut", "one_way", "loss", "outage",
-                           "hang", "die", "worker_cut"])
+                           "hang", "die", "worker_cut", "held", "held"])
         if what == "crash":
             await curio.spawn(restart, world, rng.choice(world.labels), daemon=True)
         elif what == "crash_all" and rng.random() < 0.3:
@@ -40,6 +43,8 @@
             entry = {"cut": a, "one_way": f"{a}>{rng.choice([*world.labels, 'state', 'cloud'])}",
                      "worker_cut": rng.choice(others)}[what]
             await curio.spawn(cut, world, entry, rng.uniform(2.0, 25.0), daemon=True)
+        elif what == "held":
+            await curio.spawn(held, world, rng.choice(world.labels), daemon=True)
         elif what == "loss":
             world.loss = rng.choice([0.0, 0.02, 0.1])
         elif what == "outage":
@@ -52,6 +57,7 @@
                 world.kill(worker)
     world.loss = 0.0
     world.cut.clear()
+    world.held.clear()
 
 
 async def cut(world: World, entry: str, for_s: float) -> None:
@@ -60,6 +66,16 @@
     world.cut.discard(entry)
 
 
+async def held(world: World, label: str) -> None:
+    """A controller's commands are held on their way, and it ends meanwhile."""
+    world.held.add(label)
+    await curio.sleep(world.rng.uniform(0.5, 3.0))
+    if world.rng.random() < 0.7:
+        await curio.spawn(restart, world, label, daemon=True)
+    await curio.sleep(world.rng.uniform(0.5, 3.0))
+    world.held.discard(label)
+
+
 async def restart(world: World, label: str) -> None:
     if label in world.controllers:
         await world.crash(label)
@@ -76,19 +92,19 @@
     if troubled:
         await curio.spawn(trouble, world, clock() + 60.0, daemon=True)
     aborted = []
-    for number in range(14):
+    for number in range(JOBS_A_DAY):
         fields, run_s = JOBS[number % len(JOBS)]
         await curio.spawn(world.submit, job(number, **fields), run_s, daemon=True)
         if number % 4 == 1:
             aborted.append(number)
-        await curio.sleep(world.rng.uniform(0.2, 6.0))
+        await curio.sleep(world.rng.uniform(0.2, 3.0))
         if aborted and world.rng.random() < 0.5:
             await curio.spawn(world.abort, job(aborted.pop())["id"], daemon=True)
     end = clock() + 260.0
     while clock() < end and not world.broken:
         await curio.sleep(2.0)
         finite = [i for i in world.accepted if world.jobs[i]["shape"] != "daemon"]
-        if len(world.accepted) == 14 and all(
+        if len(world.accepted) == JOBS_A_DAY and all(
                 world.told.get(i) in ("done", "cancelled") for i in finite):
             break
     if not world.broken:
@@ -100,7 +116,7 @@
 def test_rules_hold(monkeypatch: pytest.MonkeyPatch, seed: int, troubled: bool) -> None:
     world = simulate(monkeypatch, lambda clock: day(clock, seed, troubled))
     assert world.broken == []
-    assert len(world.accepted) == 14
+    assert len(world.accepted) == JOBS_A_DAY
     assert world.launches > 0
     waiting = {i: world.told.get(i) for i in world.accepted
                if world.jobs[i]["shape"] != "daemon"
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -114,6 +114,20 @@
     assert b.gone() == gone
 
 
+def test_unanswered_command_raises_the_token() -> None:
+    """What may still be on its way is void once the worker has seen a higher token."""
+    b = Bench()
+    b.report()
+    b.launch()
+    token = b.machine.token
+    _, launches = b.owner.orders(b.machine)
+    b.owner.unanswered(b.machine, launches, True, 0.0)
+    assert b.machine.token > token and not b.machine.fenced
+    # Never sent at all: nothing to void.
+    b.owner.unanswered(b.machine, [], False, 0.0)
+    assert b.machine.token == token + 1
+
+
 def test_launch_needs_a_standing_reservation() -> None:
     """A launch request held in the network must not start a settled attempt again."""
     b = Bench()
--- a/tests/world.py
+++ b/tests/world.py
@@ -317,6 +317,7 @@
         self.controllers: dict[str, Controller] = {}
         self.routines: dict[str, curio.Task] = {}
         self.cut: set[str] = set()  # endpoints nothing reaches
+        self.held: set[str] = set()  # controllers whose requests are held
         self.loss = 0.0
         self.late: list[Coroutine[Any, Any, Any]] = []
         self.jobs: dict[str, dict[str, Any]] = {}
@@ -405,6 +406,10 @@
                 await curio.spawn(self._later(serve), daemon=True)
             await curio.sleep(timeout_s)
             raise http.NoAnswer("cut")
+        if source in self.held and hold and target in self.workers:
+            await curio.spawn(self._later(serve), daemon=True)
+            await curio.sleep(timeout_s)
+            raise http.NoAnswer("held")
         await curio.sleep(delay)
         lost = self.rng.random() < self.loss
         if lost and self.rng.random() < 0.5:
