--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -216,8 +216,8 @@
             wanted = self._within_limit(job, wanted)
             if wanted <= 0 or (job.kind == GANG and wanted < hj.pending):
                 continue
-            pool = [r for r in rooms.values() if hj.errors.get(r.machine, 0) == 0] \
-                if hj.errors else list(rooms.values())
+            pool = [r for r in rooms.values() if r.machine not in hj.errors
+                    and r.machine not in hj.left] if hj.errors or hj.left else list(rooms.values())
             age = now - hj.since
             patient = job.kind != SERVICE \
                 and slack(job, age, core.finish_limits) > core.patience_s
@@ -243,6 +243,11 @@
                 fetch = max((self._fetch_s(job, r) for r in pool if r.allows(job)), default=0.0)
                 left = math.inf if limit is None else limit - age - fetch
                 self._make_room(hj, pool, spread, policy, left if left > 0 else math.inf, now)
+            if len(chosen) < wanted and now >= hj.preempt_at and self._guaranteed(job):
+                hj.preempt_at = now + core.ttl_s
+                rooms_for = [r.machine for r in pool if r.open and r.allows(job)
+                             and spread.allows(r.zone)]
+                core.spawn(self._claim(job, rooms_for))
             if len(chosen) < wanted:
                 starved = True
                 if not job.one_zone and not job.spread:
@@ -275,6 +280,34 @@
         self.core.spawn(self._preempt(room.machine, hj.job, grace_s))
         return True
 
+    def _guaranteed(self, job: Job) -> bool:
+        """Whether the job's team has a guarantee that may be claimed for it."""
+        cpus, gpus = self.core.guarantees.get(job.team, (0.0, 0.0))
+        return (gpus > 0 and job.gpus > 0) or (cpus > 0 and job.gpus == 0)
+
+    async def _claim(self, job: Job, machines: list[str]) -> None:
+        """Give a team its guarantee from what other teams run beyond theirs.
+
+        Only teams with limits have their use counted; the others can't be shown
+        to borrow, and their work is left alone.
+        """
+        core = self.core
+        try:
+            entries, _ = await core.store.scan("quota/")
+        except (Unavailable, Unknown):
+            return
+        used = {e.key.partition("/")[2]: quota_of(e.value) for e in entries}
+        own, have = core.guarantees[job.team], used.get(job.team, (0.0, 0.0))
+        need = amounts(job, 1 if job.kind != GANG else job.tasks)
+        which = 1 if job.gpus > 0 else 0
+        if have[which] + need[which] > own[which] + 1e-6:
+            return
+        over = [team for team, use in used.items() if team != job.team
+                and use[which] > core.guarantees.get(team, (0.0, 0.0))[which] + 1e-6]
+        for machine in machines if over else ():
+            if await self._preempt(machine, job, math.inf, over):
+                return
+
     def _fetch_s(self, job: Job, room: Room) -> float:
         """How long the image takes to be there; rates differ by up to a third."""
         kind = self.core.owner.types.get(room.type)
@@ -282,18 +315,20 @@
             return 0.0
         return job.image_gb / kind.fetch_gb_per_s * 4 / 3
 
-    async def _preempt(self, machine: str, job: Job, grace_s: float) -> None:
+    async def _preempt(self, machine: str, job: Job, grace_s: float,
+                       over: Iterable[str] = ()) -> bool:
+        """Ask a machine's owner to make room for one task of the job."""
         core = self.core
         owner = core.generation.place(machine)
         if owner == core.label:
-            core.owner.preempt(job, machine, grace_s, time.monotonic())
+            done = core.owner.preempt(job, machine, grace_s, time.monotonic(), over)
             core.fleet.poke(machine)
-            return
+            return done
         try:
-            await core.peers[owner].call(peerwire.PREEMPT,
-                                         (core.generation.number, machine, job.id, grace_s))
+            return bool((await core.peers[owner].call(peerwire.PREEMPT, (
+                core.generation.number, machine, job.id, grace_s, [(t,) for t in over])))[0])
         except (PeerError, KeyError):
-            pass
+            return False
 
     def spread(self, hj: HomeJob) -> Spread:
         zones = []
@@ -437,7 +472,8 @@
         gen = core.generation
         if await self._charge(job, 1 if job.kind != GANG else len(starts)) is None:
             return
-        hj.attempt += 1
+        if not hj.filling:
+            hj.attempt += 1
         attempt = hj.attempt
         granted = await self._reserve(hj, starts, attempt)
         if core.generation is not gen:
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -264,11 +264,14 @@
         many as the guest of its GPUs needs to fit again."""
         core = self.core
         m = core.owner.machines.get(name)
-        if m is None or m.evacuating or not core.owner.open(m) or not core.owner.replicas(m):
+        now = time.monotonic()
+        if m is None or m.evacuating or not core.owner.replicas(m) \
+                or now - m.evacuated_at < core.settings.cluster.workers.lease_s / 2 \
+                or not (core.owner.open(m) or core.owner.sick(m)):
             return False
         log.info("machine=%s event=evacuate replicas=%d drain=%s", name,
                  len(core.owner.replicas(m)), drain)
-        m.evacuating = True
+        m.evacuating, m.evacuated_at = True, now
         m.draining = drain
         core.owner.room_rev += 1
         core.spawn(self._evacuate(m, drain))
@@ -328,6 +331,9 @@
             if core.away or core.state_lost(now):
                 continue  # possibly evicted: see Provisioner.run
             mine = list(core.owner.machines.values())
+            for m in mine:
+                if core.owner.sick(m) and m.known:
+                    self.evacuate(m.name, True)
             silent = [m for m in mine if now - m.heard > self.silent_s and not m.fencing
                       and (m.known or m.want)]
             # When most are silent at once it is we who are cut off, or a whole
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -62,6 +62,7 @@
         self.errors: dict[str, int] = {}  # machine: failures of this job there
         self.kill_at = 0.0
         self.breaking = False  # a gang that lost a task and is being stopped
+        self.left: set[str] = set()  # machines that a gang's present attempt has lost
         self.closed = False
 
     def load(self, chunks: dict[int, Chunk]) -> None:
@@ -95,10 +96,18 @@
         """Tasks waiting for a machine; a gang's wait until the last old one is gone."""
         if self.ended:
             return 0
-        if self.job.kind == GANG and self.assigned:
+        if self.job.kind == GANG and self.assigned and not self.filling:
             return 0
         return self.job.tasks - self.done - self.assigned - len(self.placing)
 
+    @property
+    def filling(self) -> bool:
+        """A gang that has not started and lacks tasks: replacements with the same
+        attempt number complete it, so nothing has to be fetched or waited for anew."""
+        return self.job.kind == GANG and not self.breaking and not self.done and bool(
+            self.assigned) and not self.outcomes and all(
+            s in ("pulling", "waiting") for s, _ in self.states.values())
+
     @property
     def running(self) -> int:
         return sum(1 for s, _ in self.states.values() if s == "running")
@@ -138,7 +147,14 @@
         if number in self.outcomes:
             return OK
         if state == GONE or state == "exited":
+            started = any(s in ("running", "saving") for s, _ in self.states.values())
             self.outcomes[number] = (attempt, cause == "done")
+            if self.job.kind == GANG and cause != "done":
+                self.left.add(machine)
+                # Once it has started, or when the others have waited too long, the
+                # attempt is over and all its tasks have to go before the next.
+                if started or cause in ("mates_gone", "alone", "error"):
+                    self.breaking = True
             if cause == "error":
                 self._failed(machine, now)
             elif cause == "done":
@@ -158,7 +174,7 @@
         changed = False
         for number, attempt, machine in self.assignments():
             if machine in machines and number not in self.outcomes:
-                self.outcomes[number] = (attempt, False)
+                self.event(machine, number, attempt, GONE, "", 0.0)
                 changed = True
         return changed
 
@@ -166,10 +182,8 @@
         """The rest of a gang that has lost a task: to be stopped before the next attempt."""
         if self.job.kind != GANG or self.ended:
             return []
-        lost = any(not done for _, done in self.outcomes.values()) or self.breaking
-        if not lost:
+        if not self.breaking:
             return []
-        self.breaking = True
         return [(n, a, m) for n, a, m in self.assignments() if n not in self.outcomes]
 
     # -- transactions ----------------------------------------------------
@@ -236,6 +250,7 @@
         self.assigned = sum(len(c.assigned) for c in self.chunks.values())
         if not self.assigned:
             self.breaking = False
+            self.left.clear()
 
     def covered(self, numbers: Iterable[int]) -> list[tuple[int, int]]:
         """Forget committed outcomes; tasks that are not done wait again."""
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -65,6 +65,7 @@
                             if a.kind == "wait" and a.job_class and a.within_s}
         self.urgent = set(self.wait_limits)
         self.arrivals = Arrivals(30 * c.workers.lease_s, time.monotonic())
+        self.guarantees = {t.name: (t.cpus, t.gpus) for t in c.teams}
         self.limits = {t.name: (t.cpus_max, t.gpus_max) for t in c.teams}
         # Sockets: a quarter for the workers' own addresses, the rest but a
         # reserve (peers, state, cloud) for those who connect to us.
@@ -539,9 +540,10 @@
             self.owner.adopt(values[1], now)
         elif kind == peerwire.PREEMPT:
             wanting = self.job_of(values[2])
-            if wanting is not None:
-                self.owner.preempt(wanting, values[1], values[3], now)
-                self.fleet.poke(values[1])
+            done = wanting is not None and self.owner.preempt(
+                wanting, values[1], values[3], now, [t for (t,) in values[4]])
+            self.fleet.poke(values[1])
+            return peerwire.ACK, (done,)
         elif kind == peerwire.EVACUATE:
             return peerwire.ACK, (self.fleet.evacuate(values[1], values[2]),)
         elif kind == peerwire.MOVE:
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -50,6 +50,7 @@
         self.notice_at: float | None = None
         self.draining = False
         self.evacuating = False
+        self.evacuated_at = -1e9
         self.listed: dict[Key, tuple[str, str, bool]] = {}
         self.told: dict[Key, tuple[str, str, bool]] = {}
         self.want: dict[Key, Want] = {}
@@ -294,39 +295,45 @@
                     want.phase = LIVE
                 m.kills[key] = min(grace, m.kills.get(key, grace))
 
-    def preempt(self, job: Job, name: str, grace_s: float, now: float) -> float:
-        """Stop work of lower rank until a task of `job` fits; how long that takes.
+    def preempt(self, job: Job, name: str, grace_s: float, now: float,
+                over: Iterable[str] = ()) -> bool:
+        """Stop work of lower rank until a task of `job` fits; whether it will.
 
         Of the lowest rank first, and what can save its progress before what can't.
         What would save for longer than `grace_s` goes back to its last checkpoint.
+        Teams in `over` have borrowed what is now claimed: their work goes whatever
+        its rank, but for replicas.
         """
         m = self.machines.get(name)
         if m is None or not self.open(m) or now < m.hold_until:
-            return 0.0
+            return False
         room = self.room(m)
         # Work that is being stopped already is on its way out.
         victims = []
         for key, status in m.listed.items():
             victim = self.job_of(key[0].partition("/")[0])
-            if victim is None or status[0] == "exited" or victim.rank >= job.rank:
+            if victim is None or status[0] == "exited":
                 continue
             if key in m.kills or status[0] == "saving":
                 room.take(victim, -1)
-            else:
+            elif victim.rank < job.rank or (victim.team in over and victim.kind != SERVICE):
                 victims.append((victim.rank, victim.checkpoint_s == 0, key, victim))
-        longest = 0.0
+        chosen: list[tuple[Key, Job]] = []
         for _, _, key, victim in sorted(victims, key=lambda v: v[:3]):
             if room.fits(job):
                 break
+            room.take(victim, -1)
+            chosen.append((key, victim))
+        if not room.fits(job):
+            return False  # not worth stopping anything
+        longest = 0.0
+        for key, victim in chosen:
             grace = victim.save_s if victim.checkpoint_s > 0 and victim.save_s <= grace_s else 0.0
             m.kills[key] = grace
             longest = max(longest, grace)
-            room.take(victim, -1)
-        if not room.fits(job):
-            return 0.0
         m.hold_job, m.hold_until = job.id, now + longest + self.direct_pause_s
-        log.info("machine=%s job=%s event=preempt tasks=%d", name, job.id, len(m.kills))
-        return longest + self.direct_pause_s
+        log.info("machine=%s job=%s event=preempt tasks=%d", name, job.id, len(chosen))
+        return True
 
     def adopt(self, items: Iterable[tuple[str, str, int]], now: float) -> None:
         """Assignments that a home found committed: to be judged by fenced reports."""
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -96,6 +96,8 @@
 
 def test_gang_waits_for_its_last_old_task() -> None:
     hj = started(home(shape="ensemble"))
+    for number in range(3):
+        hj.event("m1", number, 1, "running", "", 1.0)
     hj.event("m1", 0, 1, "exited", "mates_gone", 1.0)
     assert [n for n, _, _ in hj.broken()] == [1, 2]
     _, chunks, covered, _ = hj.outcome_txn(7, 9)
@@ -110,6 +112,24 @@
     assert hj.pending == 3 and hj.broken() == []
 
 
+@pytest.mark.parametrize("state, cause, filled", [
+    ("waiting", "", True), ("pulling", "", True),
+    ("running", "", False),            # started: the attempt is over
+    ("waiting", "alone", False),       # the others have given up waiting
+])
+def test_gang_that_has_not_started_is_completed(state: str, cause: str, filled: bool) -> None:
+    hj = started(home(shape="ensemble"))
+    for number in (1, 2):
+        hj.event("m1", number, 1, state, "", 1.0)
+    hj.event("m1", 0, 1, "exited" if cause else GONE, cause, 2.0)
+    _, chunks, covered, _ = hj.outcome_txn(7, 9)
+    hj.committed(chunks, 11)
+    hj.covered(covered)
+    assert (hj.filling, hj.pending) == (filled, 1 if filled else 0)
+    assert bool(hj.broken()) != filled
+    assert hj.left == {"m1"}           # the replacement goes elsewhere
+
+
 def test_attempts_never_repeat_over_a_takeover() -> None:
     hj = started(home())
     successor = home()
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -209,6 +209,16 @@
         assert b.owner.reserve(msgspec.convert(wire_job(3), Job), [("m1", 0)], 1, 1.5) == [False]
 
 
+@pytest.mark.parametrize("over, stopped", [([], False), (["free"], True), (["tight"], False)])
+def test_guarantee_is_claimed_from_those_who_borrowed(over: list[str], stopped: bool) -> None:
+    b = Bench()
+    b.report()
+    b.report(*(((f"j-000001/{n}", 1), "running", "") for n in range(4)))
+    claim = msgspec.convert(wire_job(2, owner="tight"), Job)
+    assert b.owner.preempt(claim, "m1", 9.0, 1.0, over) == stopped
+    assert len(b.machine.kills) == stopped
+
+
 # -- generations ---------------------------------------------------------
 
 
