--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -28,7 +28,7 @@
 from .model import GANG, SERVICE, Chunk, Job, split_task
 from .peers import PeerError
 from .placement import Policy, Room, Spread, place, preempt
-from .provisioning import Need, slack
+from .provisioning import Need, remaining, slack
 from .refresh import Asc
 from .statestore import Conflict, Txn, Unavailable, Unknown
 from .workers import GONE
@@ -200,7 +200,7 @@
             self.starved = False
             return
         rooms = self.picture()
-        waiting.sort(key=lambda hj: (-hj.job.rank, hj.live_rev))
+        waiting.sort(key=lambda hj: self._order(hj, now))
         starved = False
         policy = self.policy()
         full: set[tuple[Any, ...]] = set()
@@ -264,6 +264,15 @@
             core.signal("demand")
         self.starved = starved
 
+    def _order(self, hj: HomeJob, now: float) -> tuple[float, ...]:
+        """By rank; then what can still be in time before what can't, so that not all
+        is late when there is too much; then what has the least time left."""
+        job = hj.job
+        left = remaining(job, now - hj.since, self.core.finish_limits)
+        if left == math.inf:
+            return (-job.rank, 0.0, 0.0, hj.live_rev)
+        return (-job.rank, float(left < 0), left, hj.live_rev)
+
     def policy(self) -> Policy:
         """What keeps work off machines, from all jobs known, those just ended included."""
         core = self.core
