Requests to make room reach other owners; GPU classes are remembered

Such an error is now logged as one, and the model test fails on any. Also: after a restart no GPU job may be known, so a GPU machine was emptied and closed as too dear, and then kept, closed and idle. Ruled out: the team's limit, a lost watch, a stuck routine.

--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -25,7 +25,7 @@
     quota_key,
     quota_of,
 )
-from .model import GANG, SERVICE, Chunk, Job, split_task
+from .model import GANG, RANKS, SERVICE, Chunk, Job, split_task
 from .peers import PeerError
 from .placement import Policy, Room, Spread, place, preempt
 from .provisioning import Need, remaining, slack
@@ -232,7 +232,8 @@
                 if len(chosen) < wanted and job.rank > 0:
                     if now < hj.preempt_at:
                         wanted = len(chosen)
-                    elif not hj.preempted and self._make_room(hj, quick, spread, policy, 0.0, now):
+                    elif not hj.preempted and self._make_room(
+                            hj, quick, spread, policy, 0.0, now, RANKS["best_effort"]):
                         hj.preempted = True
                         wanted = len(chosen)
             if len(chosen) < wanted:
@@ -276,12 +277,13 @@
     def policy(self) -> Policy:
         """What keeps work off machines, from all jobs known, those just ended included."""
         core = self.core
-        return Policy([*(j for j, _ in core.live.values()), *core.descs.values()], core.types)
+        return Policy([*(j for j, _ in core.live.values()), *core.descs.values(),
+                       *core.classes.values()], core.types)
 
     def _make_room(self, hj: HomeJob, pool: list[Room], spread: Spread, policy: Policy,
-                   grace_s: float, now: float) -> bool:
+                   grace_s: float, now: float, most: int | None = None) -> bool:
         """Have work of lower rank stopped for one task of the job, if that helps."""
-        room = preempt(hj.job, pool, spread, policy)
+        room = preempt(hj.job, pool, spread, policy, most)
         if room is None:
             return False
         # One at a time: what it frees shows before the next.
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -586,9 +586,10 @@
         idle = [r for r in rooms if r.tasks == 0 and r.type in types
                 and r.machine not in self.returned
                 and (not r.open or r.idle_s > 0.5 * types[r.type].boot_s)]
-        idle.sort(key=lambda r: -types[r.type].price if not r.spot else 0.0)
+        # Closed ones first: nothing will ever start there again.
+        idle.sort(key=lambda r: (r.open, r.spot, -types[r.type].price))
         for room in idle[:4]:
-            if keep > 0 and not any(policy.dear(job, room) for job in policy.services):
+            if keep > 0 and room.open and not any(policy.dear(job, room) for job in policy.services):
                 keep -= room.cpus
                 continue
             rest = [r.copy() for r in core.dispatch.picture().values()
--- a/clayport/peers.py
+++ b/clayport/peers.py
@@ -61,6 +61,12 @@
         self.number = number = (self.number + 1) & 0xFFFFFFFF
         try:
             frame = wire.encode(kind, number, values)
+        except wire.FrameError as exc:
+            # Our own mistake, not the peer's. Taken for silence, one once kept GPU
+            # machines of other owners from ever being cleared.
+            log.error("request kind=%d can't be packed: %s", kind, exc)
+            raise PeerError(f"{self.label}: {exc}") from None
+        try:
             async with curio.timeout_after(timeout_s or self.timeout_s):
                 async with self.lock:
                     if self.sock is None:
@@ -68,7 +74,7 @@
                     self.waiting[number] = (event, box)
                     await self.sock.sendall(frame)
                 await event.wait()
-        except (OSError, curio.TaskTimeout, wire.FrameError) as exc:
+        except (OSError, curio.TaskTimeout) as exc:
             # A connection that swallows requests (held packets) is given up, so
             # that the next request tries a fresh one.
             await self._drop()
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -65,12 +65,13 @@
     DRAIN: ("Q", "s"),
     GONE: ("Q", ("s",)),
     INSPECT: ("s", "s"),
-    # generation, machine, job
     # generation, job, task number, machine, to drain it: has the replica another place
     MOVE: ("Q", "s", "I", "s", "?"),
     # generation, machine, whether to drain it
     EVACUATE: ("Q", "s", "?"),
-    PREEMPT: ("Q", "s", "s"),
+    # generation, machine, job, longest time its victims may take to save, teams that
+    # have borrowed and whose work of any rank may be stopped
+    PREEMPT: ("Q", "s", "s", "d", ("s",)),
 }
 
 
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -71,17 +71,20 @@
                 memory_gb += m
         return cpus + EPSILON >= guest.cpus and memory_gb + EPSILON >= guest.memory_gb
 
-    def after_preemption(self, job: Job) -> float | None:
-        """The CPUs that preempting lower ranks for one task would take; None: no use."""
+    def after_preemption(self, job: Job) -> tuple[int, float] | None:
+        """The highest rank that would have to be stopped for one task of the job, and
+        how much is missing; None: stopping work of lower rank is of no use."""
         free = [self.cpus, self.gpus, self.memory_gb]
-        lower = sorted((k, v) for k, v in self.used.items() if k[0] < job.rank)
-        for _, taken in lower:
+        need = (job.cpus, job.gpus, job.memory_gb)
+        for (rank, _), taken in sorted(self.used.items()):
+            if rank >= job.rank:
+                break
             for i in range(3):
                 free[i] += taken[i]
-        need = (job.cpus, job.gpus, job.memory_gb)
-        if not lower or any(have + EPSILON < n for have, n in zip(free, need)):
-            return None
-        return max(0.0, job.cpus - self.cpus) + max(0.0, job.memory_gb - self.memory_gb)
+            if all(have + EPSILON >= n for have, n in zip(free, need)):
+                return rank, max(0.0, job.cpus - self.cpus) + max(
+                    0.0, job.memory_gb - self.memory_gb)
+        return None
 
 
 class Spread:
@@ -258,15 +261,18 @@
 OPEN = Policy((), ())
 
 
-def preempt(job: Job, rooms: Iterable[Room], spread: Spread, policy: Policy) -> Room | None:
-    """The machine where stopping work of lower rank for one task costs least."""
-    best: tuple[float, str] | None = None
+def preempt(job: Job, rooms: Iterable[Room], spread: Spread, policy: Policy,
+            most: int | None = None) -> Room | None:
+    """The machine where stopping work of lower rank for one task costs least; `most` is
+    the highest rank to be stopped."""
+    best: tuple[int, float, str] | None = None
     chosen = None
     for room in rooms:
         if not room.open or not room.allows(job) or not spread.allows(room.zone) \
                 or policy.kept(job, room):
             continue
         cost = room.after_preemption(job)
-        if cost is not None and (best is None or (cost, room.machine) < best):
-            best, chosen = (cost, room.machine), room
+        if cost is not None and (most is None or cost[0] <= most) \
+                and (best is None or (*cost, room.machine) < best):
+            best, chosen = (*cost, room.machine), room
     return chosen
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -17,6 +17,8 @@
 # The share of a service class's replicas for which room is kept: about those of
 # a lost machine.
 SPARE = 0.1
+# Standard deviations by which a random count stays below nine times in ten.
+NINE_IN_TEN = 1.28
 # Estimates are often wrong by half: a line is taken to last this much longer,
 # and this share of the time allowed is planned with.
 LINE, MARGIN = 1.5, 0.8
@@ -89,7 +91,8 @@
     """Room kept for work that must start sooner than a machine boots.
 
     For each class whose start is an aim, what is to be expected while a machine
-    boots; for services at least what a lost machine would need again.
+    boots and fetches the image (nine times in ten: arrivals come at random); for
+    services at least what a lost machine would need again.
     """
     examples: dict[str, Job] = {}
     tasks: dict[str, int] = {}
@@ -104,8 +107,10 @@
             examples[name] = arrivals.seen[name][-1][1]
     found = []
     for name, job in sorted(examples.items()):
-        boots = [t.boot_s for t in types if fits(job, t)]
-        expected = arrivals.expected(name, min(boots, default=0.0), now)
+        boots = [t.boot_s + job.image_gb / max(t.fetch_gb_per_s, 1e-3)
+                 for t in types if fits(job, t)]
+        mean = arrivals.expected(name, min(boots, default=0.0), now)
+        expected = mean + NINE_IN_TEN * math.sqrt(mean)
         lost = SPARE * tasks.get(name, 0) if job.kind == SERVICE else 0.0
         found.append(Need(job, max(1, math.ceil(max(expected, lost)))))
     return found
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -29,9 +29,10 @@
 
 log = logging.getLogger("clayport.server")
 
-NODE_PREFIX, LIVE_PREFIX = "c/node/", "c/live/"
+NODE_PREFIX, LIVE_PREFIX, CLASS_PREFIX = "c/node/", "c/live/", "c/class/"
 # Ended jobs kept in memory so that polls for them need no read.
 ENDED_MOST = 20_000
+CLASSES_MOST = 100
 
 
 class Controller:
@@ -74,6 +75,9 @@
         self.live: dict[str, tuple[Job, int]] = {}
         self.descs: dict[str, Job] = {}  # ended jobs that may still be on machines
         self.ended: OrderedDict[str, str] = OrderedDict()
+        # One job of each class that needs GPUs, remembered over restarts: a machine
+        # must not be filled, or emptied, because none of them runs at the moment.
+        self.classes: dict[str, Job] = {}
         self.nodes: dict[str, str] = {}
         self.rooms: dict[str, Room] = {}
         self.zones: dict[str, str] = {}
@@ -257,6 +261,9 @@
             elif key.startswith(NODE_PREFIX):
                 self.nodes[key[len(NODE_PREFIX):]] = str(value["inc"])
                 self.signal("members")
+            elif key.startswith(CLASS_PREFIX):
+                known = msgspec.convert(value["j"], Job)
+                self.classes[known.job_class] = known
             elif key.startswith(LIVE_PREFIX):
                 self.note_live(msgspec.convert(value["j"], Job), rev)
         except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
@@ -269,11 +276,24 @@
         self.live[job.id] = (job, rev)
         if self.state_known:
             self.arrivals.note(job, time.monotonic())
+        if job.gpus > 0 and job.job_class not in self.classes \
+                and len(self.classes) < CLASSES_MOST and job.job_class.isascii() \
+                and job.job_class.replace("-", "").replace("_", "").isalnum():
+            self.classes[job.job_class] = job
+            self.spawn(self._remember(job))
         if self.serving and self.generation.place(job.id) == self.label \
                 and job.id not in self.dispatch.homes:
             self._home(job, rev, {}, "")
             self.signal("place")
 
+    async def _remember(self, job: Job) -> None:
+        key = CLASS_PREFIX + job.job_class
+        try:
+            await self.store.commit(Txn().require(key, 0).put(
+                key, {"j": msgspec.to_builtins(job)}))
+        except (Conflict, Unavailable, Unknown):
+            pass  # a hint only
+
     def _gone_live(self, job: str) -> None:
         if job in self.live and job not in self.ended:
             self.spawn(self._learn(job))
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -113,9 +113,12 @@
 
 
 @pytest.mark.parametrize("seed, troubled", [(1, False), *((s, True) for s in range(2, 10))])
-def test_rules_hold(monkeypatch: pytest.MonkeyPatch, seed: int, troubled: bool) -> None:
+def test_rules_hold(monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture,
+                    seed: int, troubled: bool) -> None:
     world = simulate(monkeypatch, lambda clock: day(clock, seed, troubled))
     assert world.broken == []
+    # A request that can't be packed, or a routine that fails, is only logged.
+    assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
     assert len(world.accepted) == JOBS_A_DAY
     assert world.launches > 0
     waiting = {i: world.told.get(i) for i in world.accepted
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -154,7 +154,7 @@
     for at in range(0, 300, 10):
         arrivals.note(web, float(at))
     found = spare_room([web], arrivals, KINDS, {"web"}, 300.0)
-    assert [(n.job.job_class, n.tasks) for n in found] == [("web", 2)]
+    assert [(n.job.job_class, n.tasks) for n in found] == [("web", 4)]
     assert spare_room([], Arrivals(300.0, 0.0), KINDS, {"web"}, 10.0) == []
 
 
