--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -589,7 +589,8 @@
         # Closed ones first: nothing will ever start there again.
         idle.sort(key=lambda r: (r.open, r.spot, -types[r.type].price))
         for room in idle[:4]:
-            if keep > 0 and room.open and not any(policy.dear(job, room) for job in policy.services):
+            cheap = not any(policy.dear(job, room) for job in policy.services)
+            if keep > 0 and room.open and cheap:
                 keep -= room.cpus
                 continue
             rest = [r.copy() for r in core.dispatch.picture().values()
