--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -459,23 +459,26 @@
         policy = core.dispatch.policy()
         spare = spare_room([j for j, _ in core.live.values()], core.arrivals, core.types,
                            core.urgent, now)
-        cpus = sum(types[r.type].cpus for r in supply if r.type in types)
+        cpus = sum(types[r.type].cpus - r.used.get((RANKS["production"], True), [0.0])[0]
+                   for r in supply if r.type in types)
         needs = pressing(demand, core.finish_limits, cpus)
         cheap = [r.copy() for r in supply]
-        missing = short(supply, needs + spare, policy)
+        missing = short(supply, needs, policy)
+        # Room that is only kept, and room for replicas on dear machines, has to be
+        # where it is cheap: else it would keep dear machines rented.
         moving = self._on_dear(rooms, policy)
-        for need in moving:
-            cheap = [r for r in cheap if not policy.dear(need.job, r)]
-        stuck = short(cheap, moving, policy)
+        kept: list[Need] = []
+        for need in (*spare, *moving):
+            rest = cheap if need in moving else supply
+            kept += short([r for r in rest if not policy.dear(need.job, r)], [need], policy)
         self.refused = {k: t for k, t in self.refused.items() if t > now}
-        if now >= self.ready_at and (missing or stuck):
+        if now >= self.ready_at and (missing or kept):
             left = {n.job.id: remaining(n.job, n.age_s, core.finish_limits) for n in demand}
             wanted = shopping(core.types, missing, set(self.refused), busy, policy, left)
-            # Room for replicas on dear machines, where it is cheaper.
-            wanted += shopping(core.types, stuck, set(self.refused), busy, policy,
-                               {n.job.id: -math.inf for n in stuck})
+            wanted += shopping(core.types, kept, set(self.refused), busy, policy,
+                               {n.job.id: -math.inf for n in kept})
             await self._rent(wanted, types, now)
-        await self._return_idle(rooms, types, demand + spare, policy, now)
+        await self._return_idle(rooms, types, demand, spare, policy, now)
         if now - self.evacuated_at > core.settings.cluster.workers.lease_s / 2:
             for room in list(core.dispatch.picture().values()):
                 kind = types.get(room.type)
@@ -576,11 +579,12 @@
                 self.boots[machine] = Boot(machine, kind, now)
 
     async def _return_idle(self, rooms: list[Room], types: dict[str, MachineType],
-                           needs: list[Need], policy: Policy,
+                           demand: list[Need], spare: list[Need], policy: Policy,
                            now: float) -> None:
         """Return machines idle for a while that are not needed as spare room."""
         core = self.core
         names = []
+        needs = demand + spare
         # Cheap room that replicas on dear machines can still move to is kept.
         keep = sum(n.job.cpus * n.tasks for n in self._on_dear(rooms, policy))
         idle = [r for r in rooms if r.tasks == 0 and r.type in types
@@ -589,13 +593,14 @@
         # Closed ones first: nothing will ever start there again.
         idle.sort(key=lambda r: (r.open, r.spot, -types[r.type].price))
         for room in idle[:4]:
+            # A dear machine is not kept for what may come.
             cheap = not any(policy.dear(job, room) for job in policy.services)
             if keep > 0 and room.open and cheap:
                 keep -= room.cpus
                 continue
             rest = [r.copy() for r in core.dispatch.picture().values()
                     if r.open and r.machine != room.machine and r.machine not in names]
-            if room.open and self._worse(rest, room, needs, policy):
+            if room.open and self._worse(rest, room, needs if cheap else demand, policy):
                 continue
             if await core.ask_owner(peerwire.DRAIN, room.machine):
                 names.append(room.machine)
@@ -638,7 +643,7 @@
             free = sum(r.cpus for r in rest)
             # Enough stays free that the next job doesn't buy it back.
             if free < (2 * kind.cpus if dear else max(2 * kind.cpus, SLACK * total)) \
-                    or self._worse(rest, room, spare, policy):
+                    or not dear and self._worse(rest, room, spare, policy):
                 continue
             # The dear ones first, then those with the fewest replicas to move.
             if best is None or (dear, -lasting, room.machine) > best:
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -132,7 +132,10 @@
     """The demand that would be late if it waited for room to become free.
 
     Work of a class that is to be finished within a time may wait in line as
-    long as the line, served by the fleet as it is, lets it finish in time.
+    long as the line, served by the fleet as it is (`fleet_cpus` without what
+    replicas hold), lets it finish in time. (Also not to rent while the line moves
+    faster than a machine boots was tried: work that fits no machine there is
+    waited for ever, and jobs were late more often.)
     """
     ahead = 0.0
     found = []
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -65,7 +65,7 @@
         self.wait_limits = {a.job_class: a.within_s for a in c.objectives
                             if a.kind == "wait" and a.job_class and a.within_s}
         self.urgent = set(self.wait_limits)
-        self.arrivals = Arrivals(30 * c.workers.lease_s, time.monotonic())
+        self.arrivals = Arrivals(20 * c.workers.lease_s, time.monotonic())
         self.guarantees = {t.name: (t.cpus, t.gpus) for t in c.teams}
         self.limits = {t.name: (t.cpus_max, t.gpus_max) for t in c.teams}
         # Sockets: a quarter for the workers' own addresses, the rest but a
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -145,7 +145,8 @@
 def test_work_with_time_waits_for_room() -> None:
     early, late = Need(make(1), 3, 5.0), Need(make(2), 3, 80.0)
     assert pressing([early, late], {"batch": 90.0}, 64.0) == [late]
-    assert pressing([early], {}, 64.0) == [early]           # nothing is said: at once
+    assert pressing([early], {}, 64.0) == [early]                    # nothing is said: at once
+    assert pressing([early], {"batch": 90.0}, 0.0) == [early]        # nothing is there yet
 
 
 def test_spare_room_is_what_arrives_while_a_machine_boots() -> None:
