--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -632,8 +632,11 @@
         total = sum(types[r.type].cpus for r in rooms.values() if r.type in types)
         for room in list(rooms.values()):
             kind = types.get(room.type)
-            if kind is None or not room.open or room.tasks == 0 or room.type in policy.guests:
+            if kind is None or not room.open or room.tasks == 0:
                 continue
+            guests = room.type in policy.guests
+            if guests and room.gpus < kind.gpus:
+                continue  # its GPUs are in use
             lasting = room.used.get((RANKS["production"], True), [0.0, 0.0, 0.0])[0]
             if lasting <= 0:
                 continue  # empties by itself
@@ -646,8 +649,8 @@
                     or not dear and self._worse(rest, room, spare, policy):
                 continue
             # The dear ones first, then those with the fewest replicas to move.
-            if best is None or (dear, -lasting, room.machine) > best:
-                best = (dear, -lasting, room.machine)
+            if best is None or (dear or guests, -lasting, room.machine) > best:
+                best = (dear or guests, -lasting, room.machine)
         if best is not None:
             self.evacuated_at = now
             await core.ask_owner(peerwire.EVACUATE, best[2], True)
