--- a/clayport/refresh.py
+++ b/clayport/refresh.py
@@ -2,10 +2,10 @@
 
 After "Accelerating VM Placement with Adaptive Caching", Fig. 4: above the upper
 threshold of declined starts the interval halves, below the lower one it grows
-1.1 times. Two of its weak spots are covered here: a window with too few
-attempts is carried into the next one instead of being judged on one refusal,
-and declines that no refresh could have avoided (there is no room anywhere)
-are not counted.
+1.1 times. Of its weak spots, sparse intervals are covered here: a window with
+too few attempts is carried into the next one instead of being judged on one
+refusal. True shortage never comes here: what fits nowhere in the picture is not
+attempted.
 """
 
 from __future__ import annotations
@@ -25,11 +25,10 @@
         self.placed = self.declined = 0
         self.ratio = 0.0
 
-    def count(self, placed: int, declined: int, shortage: bool = False) -> None:
-        """Tasks placed and declined; `shortage`: no refresh would have helped."""
+    def count(self, placed: int, declined: int) -> None:
+        """Tasks that a machine's owner took and declined."""
         self.placed += placed
-        if not shortage:
-            self.declined += declined
+        self.declined += declined
 
     def step(self) -> float:
         """The end of an interval: judge the window and answer the next interval."""
