--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -73,6 +73,8 @@
         now = time.monotonic()
         gen = core.generation
         owner = gen.place(report.machine)
+        if core.superseded(now) and core.state_lost(now):
+            return 421, {}
         if owner == core.label and core.serving:
             return self.own_report(report, now, True)
         if owner and owner != core.label and core.state_known:
@@ -349,12 +351,22 @@
         core = self.core
         gen = core.generation
         try:
-            if m.address and await self.inspect(m.name, m.address):
+            # An owner that has not heard the machine yet knows its address from the
+            # picture or the list; with none, silence alone is no ground to return a
+            # machine that may well work (fifteen were, when one controller lost the
+            # state service).
+            room, listed = core.rooms.get(m.name), core.provisioner.listed.get(m.name)
+            address = m.address or (room.address if room else "") or (
+                listed.address if listed else "")
+            if not address and time.monotonic() - m.heard < \
+                    core.settings.cluster.workers.cancel_s / 2:
+                return
+            if address and await self.inspect(m.name, address):
                 return
             for label, peer in core.peers.items():
-                if m.address and label in gen.members:
+                if address and label in gen.members:
                     try:
-                        if (await peer.call(peerwire.INSPECT, (m.name, m.address),
+                        if (await peer.call(peerwire.INSPECT, (m.name, address),
                                             self.command_s * 1.5))[0]:
                             return
                         break
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -175,6 +175,15 @@
             return not any(p.state_ok and now - p.heard < self.ttl_s for p in self.peers.values())
         return True
 
+    def superseded(self, now: float) -> bool:
+        """Whether a peer that reaches the state service acts under a newer generation.
+
+        A controller that lost the state service alone does not see its own eviction
+        in the watch; if it kept its workers, their new owners would never hear them.
+        """
+        return any(p.state_ok and p.generation > self.generation.number
+                   and now - p.heard < self.ttl_s for p in self.peers.values())
+
     def may_renew(self, now: float) -> bool:
         """Whether reports may be answered with their own token.
 
@@ -187,7 +196,7 @@
         if self.serving and not self.state_lost(now):
             return True
         heard = [p for p in self.peers.values() if now - p.heard < self.ttl_s]
-        if any(p.state_ok and p.generation > self.generation.number for p in heard):
+        if self.superseded(now):
             return False
         if self.state_known and len(heard) == len(self.peers) \
                 and not any(p.state_ok for p in heard):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -243,3 +243,31 @@
                                                   json.dumps(job(1)).encode())
         assert status == 503 and dict(headers)["Retry-After"] == "1"
     curio.run(main)
+
+
+def test_controller_without_the_state_service_lets_its_workers_go() -> None:
+    """Peers act under a newer generation that it can't see: kept workers would be
+    silent to their new owners, who would have them returned."""
+    from clayport.membership import Generation
+    handler, c = api()
+    c._begin(Generation(3, {"c0": c.incarnation}, 7))
+    c.serving, c.state_known = True, True
+    report = {"host": "m1", "address": "m1:1", "flavor": "plain", "site": "north",
+              "loaners": False, "tenure": 1, "counter": 1, "epoch": 0, "reclaim_in_s": None,
+              "pieces": []}
+
+    def ask() -> int:
+        report["counter"] += 1
+        return c.fleet_report_status(json.dumps(report).encode())
+    c.fleet_report_status = lambda raw: curio.run(  # type: ignore[attr-defined]
+        handler.handle, "POST", "/v1/report", raw)[0]
+    import time
+    now = time.monotonic()
+    assert ask() == 200
+    peer = c.peers["c1"]
+    peer.heard, peer.generation, peer.state_ok = now, 4, True
+    assert ask() == 200                     # we have the state service: our watch will tell
+    c.store.last_bad, c.store.last_ok = now + 1, now - 100
+    assert ask() == 421
+    peer.state_ok = False                   # nobody has it: the leases are kept
+    assert ask() == 200
