--- a/clayport/api.py
+++ b/clayport/api.py
@@ -37,6 +37,10 @@
         except (Unavailable, Unknown) as exc:
             log.debug("path=%s event=unavailable cause=%s", path, exc)
             status, value = 503, {"error": "state service unavailable"}
+        except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
+            # A malformed value or answer costs this request, not the process.
+            log.error("path=%s event=malformed cause=%r", path, exc)
+            status, value = 503, {"error": "malformed data"}
         await self.core.flush()
         headers: Headers = []
         if status == 503 and path.startswith("/api/"):
--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 import curio
+import msgspec
 
 from . import peerwire
 from .jobs import (
@@ -412,6 +413,12 @@
                     log.debug("job=%s event=waiting cause=%s", hj.job.id, exc)
                     await curio.sleep(core.jitter(core.ttl_s / 6))
                     continue
+                except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
+                    # A malformed value of the state service: the job waits, and tries
+                    # again, instead of losing its routine for this generation.
+                    log.error("job=%s event=malformed cause=%r", hj.job.id, exc)
+                    await curio.sleep(core.jitter(core.ttl_s))
+                    continue
                 if hj.closed:
                     self.homes.pop(hj.job.id, None)
                     core.descs.pop(hj.job.id, None)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -271,3 +271,25 @@
     assert ask() == 421
     peer.state_ok = False                   # nobody has it: the leases are kept
     assert ask() == 200
+
+
+def test_malformed_value_costs_the_request_only() -> None:
+    async def main() -> None:
+        handler, c = api()
+
+        async def odd(method: str, path: str, *_: Any) -> Any:
+            if "/end/" in path:
+                return 200, b'{"key":"end/j-000001","data":[1],"key_rev":3}'
+            return 404, b'{"store_rev":3}'
+        c.store.client.request = odd  # type: ignore[method-assign]
+        assert (await handler.handle("GET", "/api/jobs/j-000001", b""))[0] == 503
+    curio.run(main)
+
+
+def test_largest_job_is_accepted_and_answered() -> None:
+    async def main() -> None:
+        handler, _ = api()
+        raw = json.dumps(job(1, pieces=100_000)).encode()
+        assert (await handler.handle("POST", "/api/jobs", raw))[0] == 201
+        assert (await handler.handle("GET", "/api/jobs/j-000001", b""))[0] == 200
+    curio.run(main)
