Renewal without the state service and peers is bounded for a serving controller too

Cause: found on rereading: only controllers that were not serving yet were held to the bound, so one cut off together with its workers kept cancelled tasks alive until their machines were returned. Test: test_controller_without_the_state_service.

--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -75,6 +75,10 @@
         owner = gen.place(report.machine)
         if core.superseded(now) and core.state_lost(now):
             return 421, {}
+        if core.state_lost(now) and not core.may_renew(now):
+            # Cut off from the state service and from somebody who may go on without
+            # us: a cancelled task must not live on here past its deadline.
+            return 503, {}
         if owner == core.label and core.serving:
             return self.own_report(report, now, True)
         if owner and owner != core.label and core.state_known:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -271,6 +271,11 @@
     assert ask() == 421
     peer.state_ok = False                   # nobody has it: the leases are kept
     assert ask() == 200
+    peer.heard = now - 100                  # cut off from the peer as well: for a while
+    c.clear_at = now - 5
+    assert ask() == 200
+    c.clear_at = now - 20                   # ... but not up to a cancellation's deadline
+    assert ask() == 503
 
 
 def test_malformed_value_costs_the_request_only() -> None:
