--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -19,6 +19,9 @@
 SPARE = 0.1
 # Standard deviations by which a random count stays below nine times in ten.
 NINE_IN_TEN = 1.28
+# The share of the span over which arrivals are counted that has to pass before
+# they are: also the least time that a rate is taken from.
+SETTLE = 0.1
 # Estimates are often wrong by half: a line is taken to last this much longer,
 # and this share of the time allowed is planned with.
 LINE, MARGIN = 1.5, 0.8
@@ -71,10 +74,15 @@
     """How often tasks of a class arrive, from what was seen over a sliding span."""
 
     def __init__(self, span_s: float, now: float) -> None:
-        self.span_s, self.began = span_s, now
+        # What waited for the service to come up arrives in its first moments and
+        # says nothing of how often jobs come: taken for a rate, the services of
+        # the first ten seconds once had every machine rented that there was.
+        self.span_s, self.began = span_s, now + SETTLE * span_s
         self.seen: dict[str, deque[tuple[float, Job]]] = {}
 
     def note(self, job: Job, now: float) -> None:
+        if now < self.began:
+            return
         self.seen.setdefault(job.job_class, deque(maxlen=200)).append((now, job))
 
     def expected(self, job_class: str, within_s: float, now: float) -> float:
@@ -82,7 +90,7 @@
         seen = self.seen.get(job_class)
         while seen and now - seen[0][0] > self.span_s:
             seen.popleft()
-        span = max(min(self.span_s, now - self.began), self.span_s / 10)
+        span = max(min(self.span_s, now - self.began), SETTLE * self.span_s)
         return sum(j.tasks for _, j in seen) / span * within_s if seen else 0.0
 
 
