--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -29,7 +29,7 @@
 from .model import GANG, RANKS, SERVICE, Chunk, Job, split_task
 from .peers import PeerError
 from .placement import Policy, Room, Spread, place, preempt
-from .provisioning import Need, remaining, slack
+from .provisioning import Need, remaining
 from .refresh import Asc
 from .statestore import Conflict, Txn, Unavailable, Unknown
 from .workers import GONE
@@ -220,8 +220,7 @@
             pool = [r for r in rooms.values() if r.machine not in hj.errors
                     and r.machine not in hj.left] if hj.errors or hj.left else list(rooms.values())
             age = now - hj.since
-            patient = job.kind != SERVICE \
-                and slack(job, age, core.finish_limits) > core.patience_s
+            patient = core.patient(job, age)
             spread = self.spread(hj)
             limit = core.wait_limits.get(job.job_class)
             chosen: list[Room] = []
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -489,7 +489,8 @@
             kept += short([r for r in rest if not policy.dear(need.job, r)], [need], policy)
         self.refused = {k: t for k, t in self.refused.items() if t > now}
         if now >= self.ready_at and (missing or kept):
-            left = {n.job.id: remaining(n.job, n.age_s, core.finish_limits) for n in demand}
+            left = {n.job.id: -math.inf if core.aimless(n.job)
+                    else remaining(n.job, n.age_s, core.finish_limits) for n in demand}
             wanted = shopping(core.types, missing, set(self.refused), busy, policy, left)
             wanted += shopping(core.types, kept, set(self.refused), busy, policy,
                                {n.job.id: -math.inf for n in kept})
@@ -603,20 +604,21 @@
         needs = demand + spare
         # Cheap room that replicas on dear machines can still move to is kept.
         keep = sum(n.job.cpus * n.tasks for n in self._on_dear(rooms, policy))
+        hurried = [n for n in demand if not core.patient(n.job, n.age_s)]
         idle = [r for r in rooms if r.tasks == 0 and r.type in types
                 and r.machine not in self.returned
                 and (not r.open or r.idle_s > 0.5 * types[r.type].boot_s)]
         # Closed ones first: nothing will ever start there again.
         idle.sort(key=lambda r: (r.open, r.spot, -types[r.type].price))
         for room in idle[:4]:
-            # A dear machine is not kept for what may come.
+            # A dear machine is not kept for what may come, or for what can wait.
             cheap = not any(policy.dear(job, room) for job in policy.services)
             if keep > 0 and room.open and cheap:
                 keep -= room.cpus
                 continue
             rest = [r.copy() for r in core.dispatch.picture().values()
                     if r.open and r.machine != room.machine and r.machine not in names]
-            if room.open and self._worse(rest, room, needs if cheap else demand, policy):
+            if room.open and self._worse(rest, room, needs if cheap else hurried, policy):
                 continue
             if await core.ask_owner(peerwire.DRAIN, room.machine):
                 names.append(room.machine)
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -54,6 +54,11 @@
                 (), 0.0, 0.0, "")
 
 
+def ready_s(job: Job, kind: MachineType) -> float:
+    """How long it takes until a machine rented now can run a task of the job."""
+    return kind.boot_s + job.image_gb / max(kind.fetch_gb_per_s, 1e-3)
+
+
 def price_of(kind: MachineType, spot: bool) -> float:
     return kind.spot_price if spot else kind.price
 
@@ -115,8 +120,7 @@
             examples[name] = arrivals.seen[name][-1][1]
     found = []
     for name, job in sorted(examples.items()):
-        boots = [t.boot_s + job.image_gb / max(t.fetch_gb_per_s, 1e-3)
-                 for t in types if fits(job, t)]
+        boots = [ready_s(job, t) for t in types if fits(job, t)]
         mean = arrivals.expected(name, min(boots, default=0.0), now)
         expected = mean + NINE_IN_TEN * math.sqrt(mean)
         lost = SPARE * tasks.get(name, 0) if job.kind == SERVICE else 0.0
@@ -180,7 +184,7 @@
         while wanted > 0:
             best: tuple[float, int, str, MachineType, bool] | None = None
             for kind in types:
-                if not fits(job, kind) or (kind.name in dear and time_left < kind.boot_s):
+                if not fits(job, kind) or (kind.name in dear and time_left < ready_s(job, kind)):
                     continue
                 for zone in kind.zones:
                     if job.zone is not None and job.zone != zone or not spread.allows(zone):
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -21,9 +21,9 @@
 from .fleet import Fleet, Provisioner
 from .jobs import GENERATION_KEY, HomeJob, end_key
 from .membership import NOBODY, Generation, should_leave, successor
-from .model import Chunk, Job, MachineType, chunk_size
+from .model import SERVICE, Chunk, Job, MachineType, chunk_size
 from .placement import Room
-from .provisioning import Arrivals
+from .provisioning import Arrivals, slack
 from .statestore import Change, Compacted, Conflict, NoLease, StateStore, Txn, Unavailable, Unknown
 from .workers import Owner
 
@@ -65,6 +65,7 @@
         self.wait_limits = {a.job_class: a.within_s for a in c.objectives
                             if a.kind == "wait" and a.job_class and a.within_s}
         self.urgent = set(self.wait_limits)
+        self.aimed = {a.job_class for a in c.objectives if a.job_class}
         self.arrivals = Arrivals(20 * c.workers.lease_s, time.monotonic())
         self.guarantees = {t.name: (t.cpus, t.gpus) for t in c.teams}
         self.limits = {t.name: (t.cpus_max, t.gpus_max) for t in c.teams}
@@ -153,6 +154,19 @@
                 await event.wait()
         event.clear()
 
+    def aimless(self, job: Job) -> bool:
+        """Whether nobody has said when the job is to be started or finished."""
+        return job.deadline_s is None and job.job_class not in self.aimed
+
+    def patient(self, job: Job, age_s: float) -> bool:
+        """Whether the job can wait for a machine that isn't dear.
+
+        Work without any aim always can: it once had the dearest machines rented, at
+        eighteen times the price, since what has no limit was taken for late.
+        """
+        return job.kind != SERVICE and (self.aimless(job) or slack(
+            job, age_s, self.finish_limits) > self.patience_s)
+
     def room_changed(self) -> None:
         if self.owner.room_rev != self.dispatch.own_rev:
             self.signal("place")
