--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -16,7 +16,7 @@
 from .cloud import CloudError, NoCapacity
 from .config import ConfigError, endpoint
 from .jobs import CLEAR, KILL, LATER
-from .model import RANKS, Job, Listed, MachineType, Report, split_task
+from .model import RANKS, Job, Listed, MachineType, Report, fits, split_task
 from .peers import PeerError
 from .placement import Policy, Room
 from .provisioning import (
@@ -504,8 +504,8 @@
                     # Replicas placed before a job that needs the GPUs was known.
                     self.evacuated_at = now
                     break
-        if not demand and now - self.evacuated_at > core.settings.cluster.workers.lease_s:
-            await self._consolidate(types, spare, policy, now)
+        if now - self.evacuated_at > core.settings.cluster.workers.lease_s:
+            await self._consolidate(types, demand, spare, policy, now)
 
     @staticmethod
     def _on_dear(rooms: list[Room], policy: Policy) -> list[Need]:
@@ -637,12 +637,14 @@
         rest = [*(r.copy() for r in rest), room.copy()]
         return without > sum(n.tasks for n in short(rest, needs, policy))
 
-    async def _consolidate(self, types: dict[str, MachineType], spare: list[Need],
-                           policy: Policy, now: float) -> None:
+    async def _consolidate(self, types: dict[str, MachineType], demand: list[Need],
+                           spare: list[Need], policy: Policy, now: float) -> None:
         """Empty a machine whose work the others have room for, the dearest first.
 
-        Nothing waits at the moment. Replicas last, so without this a machine
-        that has one stays rented, however little else there is for it.
+        Nothing that waits could use it: neither a job that fits no machine of its
+        type nor one that can wait for a cheaper one. (A few waiting gangs once kept
+        nine dear machines with replicas rented all day.) Replicas last, so without
+        this a machine that has one stays rented, however little else there is for it.
         """
         core = self.core
         rooms = core.dispatch.picture()
@@ -659,6 +661,9 @@
             if lasting <= 0:
                 continue  # empties by itself
             dear = any(policy.dear(job, room) for job in policy.services)
+            if any(fits(n.job, kind) and not (dear and core.patient(n.job, n.age_s))
+                   for n in demand):
+                continue
             rest = [r.copy() for r in rooms.values() if r.open and r.machine != room.machine
                     and not (r.spot and not room.spot)]
             free = sum(r.cpus for r in rest)
