--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -233,7 +233,8 @@
                     if now < hj.preempt_at:
                         wanted = len(chosen)
                     elif not hj.preempted and self._make_room(
-                            hj, quick, spread, policy, 0.0, now, RANKS["best_effort"]):
+                            hj, wanted - len(chosen), quick, spread, policy, 0.0, now,
+                            RANKS["best_effort"]):
                         hj.preempted = True
                         wanted = len(chosen)
             if len(chosen) < wanted:
@@ -243,7 +244,8 @@
                 # Victims save, unless it is just that which would make the start late.
                 fetch = max((self._fetch_s(job, r) for r in pool if r.allows(job)), default=0.0)
                 left = math.inf if limit is None else limit - age - fetch
-                self._make_room(hj, pool, spread, policy, left if left > 0 else math.inf, now)
+                self._make_room(hj, wanted - len(chosen), pool, spread, policy,
+                                left if left > 0 else math.inf, now)
             if len(chosen) < wanted and now >= hj.preempt_at and self._guaranteed(job):
                 hj.preempt_at = now + core.ttl_s
                 rooms_for = [r.machine for r in pool if r.open and r.allows(job)
@@ -255,6 +257,10 @@
                     full.add(shape)
             if not chosen:
                 continue
+            for room in chosen:
+                if room.machine in hj.made:
+                    left_, until = hj.made[room.machine]
+                    hj.made[room.machine] = (max(0, left_ - 1), until)
             numbers = hj.take(len(chosen))
             hj.starts = [(n, r.machine) for n, r in zip(numbers, chosen)]
             for number, machine in hj.starts:
@@ -280,16 +286,27 @@
         return Policy([*(j for j, _ in core.live.values()), *core.descs.values(),
                        *core.classes.values()], core.types)
 
-    def _make_room(self, hj: HomeJob, pool: list[Room], spread: Spread, policy: Policy,
-                   grace_s: float, now: float, most: int | None = None) -> bool:
-        """Have work of lower rank stopped for one task of the job, if that helps."""
-        room = preempt(hj.job, pool, spread, policy, most)
-        if room is None:
-            return False
-        # One at a time: what it frees shows before the next.
+    def _make_room(self, hj: HomeJob, wanted: int, pool: list[Room], spread: Spread,
+                   policy: Policy, grace_s: float, now: float, most: int | None = None) -> bool:
+        """Have work of lower rank stopped for tasks of the job, if that helps.
+
+        What is being made already, and doesn't show yet, is not made again elsewhere.
+        """
+        job = hj.job
+        hj.made = {m: (n, until) for m, (n, until) in hj.made.items() if now < until}
+        coming = sum(n for n, _ in hj.made.values())
+        wanted = min(wanted - coming, 1 if job.kind == GANG else wanted)
+        if wanted <= 0:
+            return True
+        found = preempt(job, wanted, [r for r in pool if r.machine not in hj.made],
+                        spread.copy(), policy, most)
+        shows = now + self.core.ttl_s / 3 + (0.0 if grace_s <= 0 else min(
+            grace_s, self.core.settings.cluster.workers.gang_peer_s))
         hj.preempt_at = now + self.core.ttl_s / 6
-        self.core.spawn(self._preempt(room.machine, hj.job, grace_s))
-        return True
+        for room, count in found:
+            hj.made[room.machine] = (count, shows)
+            self.core.spawn(self._preempt(room.machine, job, grace_s, (), count))
+        return bool(found) or coming > 0
 
     def _guaranteed(self, job: Job) -> bool:
         """Whether the job's team has a guarantee that may be claimed for it."""
@@ -327,17 +344,18 @@
         return job.image_gb / kind.fetch_gb_per_s * 4 / 3
 
     async def _preempt(self, machine: str, job: Job, grace_s: float,
-                       over: Iterable[str] = ()) -> bool:
-        """Ask a machine's owner to make room for one task of the job."""
+                       over: Iterable[str] = (), count: int = 1) -> bool:
+        """Ask a machine's owner to make room for tasks of the job."""
         core = self.core
         owner = core.generation.place(machine)
         if owner == core.label:
-            done = core.owner.preempt(job, machine, grace_s, time.monotonic(), over)
+            done = core.owner.preempt(job, machine, grace_s, time.monotonic(), over, count)
             core.fleet.poke(machine)
             return done
         try:
             return bool((await core.peers[owner].call(peerwire.PREEMPT, (
-                core.generation.number, machine, job.id, grace_s, [(t,) for t in over])))[0])
+                core.generation.number, machine, job.id, count, grace_s,
+                [(t,) for t in over])))[0])
         except (PeerError, KeyError):
             return False
 
@@ -367,7 +385,7 @@
                 and self._soon(hj.job, r) and not policy.dear(hj.job, r)]
         spread = Spread(hj.job, zones)
         if not place(hj.job, 1, [r.copy() for r in near], spread, "", policy) and (
-                drain or preempt(hj.job, near, Spread(hj.job, zones), policy) is None):
+                drain or not preempt(hj.job, 1, near, Spread(hj.job, zones), policy)):
             # To free GPUs, work of lower rank may have to make way elsewhere.
             return False
         # Not again soon: a move costs a moment each time.
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 MAGIC = 0xC1A7
-VERSION = 1
+VERSION = 2
 HEADER = struct.Struct("!HBBII")
 MAX_BODY = 4 * 1024 * 1024
 
@@ -69,9 +69,9 @@
     MOVE: ("Q", "s", "I", "s", "?"),
     # generation, machine, whether to drain it
     EVACUATE: ("Q", "s", "?"),
-    # generation, machine, job, longest time its victims may take to save, teams that
-    # have borrowed and whose work of any rank may be stopped
-    PREEMPT: ("Q", "s", "s", "d", ("s",)),
+    # generation, machine, job, its tasks that are to fit, longest time its victims may
+    # take to save, teams that have borrowed and whose work of any rank may be stopped
+    PREEMPT: ("Q", "s", "s", "I", "d", ("s",)),
 }
 
 
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -87,6 +87,17 @@
         return None
 
 
+    def preemptable(self, job: Job, most: int) -> int:
+        """How many tasks of the job fit once work of ranks up to `most` is stopped."""
+        room = self.copy()
+        for (rank, _), (cpus, gpus, memory_gb) in self.used.items():
+            if rank <= most and rank < job.rank:
+                room.cpus += cpus
+                room.gpus += gpus
+                room.memory_gb += memory_gb
+        return capacity(job, room)
+
+
 class Spread:
     """Where a job's other tasks are: what `together` and `scatter` still allow.
 
@@ -101,6 +112,11 @@
         for zone in zones:
             self.add(zone)
 
+    def copy(self) -> Spread:
+        other = Spread(self.job, ())
+        other.unknown, other.counts = self.unknown, dict(self.counts)
+        return other
+
     def add(self, zone: str | None) -> None:
         if zone is None:
             self.unknown += 1
@@ -261,18 +277,33 @@
 OPEN = Policy((), ())
 
 
-def preempt(job: Job, rooms: Iterable[Room], spread: Spread, policy: Policy,
-            most: int | None = None) -> Room | None:
-    """The machine where stopping work of lower rank for one task costs least; `most` is
-    the highest rank to be stopped."""
-    best: tuple[int, float, str] | None = None
-    chosen = None
+def preempt(job: Job, wanted: int, rooms: Iterable[Room], spread: Spread, policy: Policy,
+            most: int | None = None) -> list[tuple[Room, int]]:
+    """Where stopping work of lower rank makes room at the least cost, and for how many of
+    `wanted` tasks each; `most` is the highest rank to be stopped. The spread is charged.
+
+    All of them at once: for an array of hundreds of tasks, one machine after the other
+    took longer than the array had.
+    """
+    offers = []
     for room in rooms:
         if not room.open or not room.allows(job) or not spread.allows(room.zone) \
                 or policy.kept(job, room):
             continue
         cost = room.after_preemption(job)
-        if cost is not None and (most is None or cost[0] <= most) \
-                and (best is None or (*cost, room.machine) < best):
-            best, chosen = (*cost, room.machine), room
-    return chosen
+        if cost is not None and (most is None or cost[0] <= most):
+            offers.append((*cost, room.machine, room))
+    found: list[tuple[Room, int]] = []
+    for rank, _, _, room in sorted(offers, key=lambda o: o[:3]):
+        count = 0
+        for _ in range(min(wanted, room.preemptable(job, rank))):
+            if not spread.allows(room.zone):
+                break
+            spread.add(room.zone)
+            count += 1
+        if count:
+            found.append((room, count))
+            wanted -= count
+        if wanted <= 0:
+            break
+    return found
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -584,7 +584,7 @@
         elif kind == peerwire.PREEMPT:
             wanting = self.job_of(values[2])
             done = wanting is not None and self.owner.preempt(
-                wanting, values[1], values[3], now, [t for (t,) in values[4]])
+                wanting, values[1], values[4], now, [t for (t,) in values[5]], values[3])
             self.fleet.poke(values[1])
             return peerwire.ACK, (done,)
         elif kind == peerwire.EVACUATE:
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -13,7 +13,7 @@
 
 from .membership import Generation
 from .model import SERVICE, Job, MachineType, Report, split_task
-from .placement import Room
+from .placement import Room, capacity
 
 log = logging.getLogger("clayport.workers")
 
@@ -296,8 +296,8 @@
                 m.kills[key] = min(grace, m.kills.get(key, grace))
 
     def preempt(self, job: Job, name: str, grace_s: float, now: float,
-                over: Iterable[str] = ()) -> bool:
-        """Stop work of lower rank until a task of `job` fits; whether it will.
+                over: Iterable[str] = (), count: int = 1) -> bool:
+        """Stop work of lower rank until `count` tasks of `job` fit; whether one will.
 
         Of the lowest rank first, and what can save its progress before what can't.
         What would save for longer than `grace_s` goes back to its last checkpoint.
@@ -320,7 +320,7 @@
                 victims.append((victim.rank, victim.checkpoint_s == 0, key, victim))
         chosen: list[tuple[Key, Job]] = []
         for _, _, key, victim in sorted(victims, key=lambda v: v[:3]):
-            if room.fits(job):
+            if capacity(job, room) >= count:
                 break
             room.take(victim, -1)
             chosen.append((key, victim))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -108,7 +108,19 @@
     full = room()
     full.take(make(2, rank=victim), 4)
     job = make(rank=rank)
-    assert (preempt(job, [full], Spread(job, ()), Policy([], KINDS)) is full) == stopped
+    found = preempt(job, 1, [full], Spread(job, ()), Policy([], KINDS))
+    assert found == ([(full, 1)] if stopped else [])
+
+
+def test_room_for_a_large_array_is_made_on_several_machines_at_once() -> None:
+    rooms = [room(f"m{i}") for i in range(4)]
+    for each in rooms:
+        each.take(make(2, rank="best_effort"), 4)
+    job = make(pieces=10)
+    found = preempt(job, 10, rooms, Spread(job, ()), Policy([], KINDS))
+    assert sorted(n for _, n in found) == [2, 4, 4]
+    job = make(pieces=10, scatter=True)
+    assert sum(n for _, n in preempt(job, 10, rooms, Spread(job, ()), Policy([], KINDS))) == 5
 
 
 def test_short_keeps_zones_of_what_was_placed() -> None:
