--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -26,7 +26,7 @@
     quota_key,
     quota_of,
 )
-from .model import GANG, RANKS, SERVICE, Chunk, Job, split_task
+from .model import GANG, RANKS, SERVICE, Chunk, Job, fits, split_task
 from .peers import PeerError
 from .placement import Policy, Room, Spread, place, preempt
 from .provisioning import Need, remaining
@@ -240,6 +240,8 @@
             if len(chosen) < wanted:
                 chosen += place(job, wanted - len(chosen), pool, spread, core.label, policy,
                                 patient)
+            if job.kind == GANG and job.tasks > 1 and not chosen:
+                pool = self._gather(hj, pool, spread, policy, now)
             if len(chosen) < wanted and job.rank > 0 and now >= hj.preempt_at:
                 # Victims save, unless it is just that which would make the start late.
                 fetch = max((self._fetch_s(job, r) for r in pool if r.allows(job)), default=0.0)
@@ -308,6 +310,64 @@
             self.core.spawn(self._preempt(room.machine, job, grace_s, (), count))
         return bool(found) or coming > 0
 
+    def _gather(self, hj: HomeJob, pool: list[Room], spread: Spread, policy: Policy,
+                now: float) -> list[Room]:
+        """Keep free room together for a gang that nowhere fits whole; the rooms of its zone.
+
+        Without this, whatever becomes free goes to gangs of one and arrays, and those of
+        two wait until nothing else does (one waited for 524 s). Only for the gangs that
+        have waited longest, each in a zone of its own, so that two don't keep half of
+        what they need from each other.
+        """
+        job, core = hj.job, self.core
+        zones = self._zones_for(job, pool, spread)
+        # How many of the rooms are free now, and kept already; then how many there are.
+        order = sorted(((sum(r.hold == job.id for r in rooms), sum(
+            r.fits(job) and not policy.kept(job, r) for r in rooms), len(rooms), zone)
+            for zone, rooms in zones.items()), reverse=True)
+        turns = max(1, len(order) // 2)
+        turn = self._turn(job, pool, turns, now)
+        if turn >= turns or not order:
+            return []
+        held = order[0][0]
+        rooms = zones[order[0 if held else min(turn, len(order) - 1)][3]]
+        if now >= hj.gather_at:
+            hj.gather_at = now + core.ttl_s / 3
+            for room in [r for r in rooms if r.fits(job) and not policy.kept(job, r)][:job.tasks]:
+                room.hold = job.id
+                core.spawn(self._preempt(room.machine, job, 0.0))
+        return rooms
+
+    def _zones_for(self, job: Job, pool: list[Room], spread: Spread) -> dict[str, list[Room]]:
+        """The machines that may hold tasks of a gang, by zone, where they are enough."""
+        zones: dict[str, list[Room]] = {}
+        for room in pool:
+            kind = self.core.owner.types.get(room.type)
+            if room.open and kind is not None and fits(job, kind) and room.allows(job) \
+                    and spread.allows(room.zone):
+                zones.setdefault(room.zone if job.one_zone else "", []).append(room)
+        return {zone: rooms for zone, rooms in zones.items() if len(rooms) >= job.tasks}
+
+    def _turn(self, job: Job, pool: list[Room], turns: int, now: float) -> int:
+        """How many gangs of several tasks, here and at the peers, have waited longer.
+
+        Those that no zone has machines for don't count: they can't be helped by waiting.
+        """
+        ages = []
+        for label, rows in (("", self.demand()), *self.demands.items()):
+            for name, _, age, _ in rows if not label or label in self.core.generation.members \
+                    else ():
+                known = self.core.live.get(name)
+                if known is not None and known[0].kind == GANG and known[0].tasks > 1:
+                    ages.append((-age, name))
+        turn = 0
+        for _, name in sorted(ages):
+            if name == job.id or turn >= turns:
+                break
+            other = self.core.live[name][0]
+            turn += bool(self._zones_for(other, pool, Spread(other, ())))
+        return turn
+
     def _guaranteed(self, job: Job) -> bool:
         """Whether the job's team has a guarantee that may be claimed for it."""
         cpus, gpus = self.core.guarantees.get(job.team, (0.0, 0.0))
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -58,6 +58,7 @@
         self.not_before = 0.0
         self.preempt_at = 0.0
         self.preempted = False
+        self.gather_at = 0.0
         self.made: dict[str, tuple[int, float]] = {}  # machine: tasks room is made for, until
         self.moved_at = now
         self.errors: dict[str, int] = {}  # machine: failures of this job there
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -305,7 +305,7 @@
         its rank, but for replicas.
         """
         m = self.machines.get(name)
-        if m is None or not self.open(m) or now < m.hold_until:
+        if m is None or not self.open(m) or (now < m.hold_until and m.hold_job != job.id):
             return False
         room = self.room(m)
         # Work that is being stopped already is on its way out.
@@ -331,6 +331,8 @@
             grace = victim.save_s if victim.checkpoint_s > 0 and victim.save_s <= grace_s else 0.0
             m.kills[key] = grace
             longest = max(longest, grace)
+        if m.hold_job != job.id:
+            self.room_rev += 1
         m.hold_job, m.hold_until = job.id, now + longest + self.direct_pause_s
         log.info("machine=%s job=%s event=preempt tasks=%d", name, job.id, len(chosen))
         return True
