--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -489,7 +489,8 @@
             kept += short([r for r in rest if not policy.dear(need.job, r)], [need], policy)
         self.refused = {k: t for k, t in self.refused.items() if t > now}
         if now >= self.ready_at and (missing or kept):
-            left = {n.job.id: -math.inf if core.aimless(n.job)
+            late = {n.job.id for n in pressing(demand, core.finish_limits, cpus, 1.0, 1.0)}
+            left = {n.job.id: -math.inf if core.aimless(n.job) or n.job.id not in late
                     else remaining(n.job, n.age_s, core.finish_limits) for n in demand}
             wanted = shopping(core.types, missing, set(self.refused), busy, policy, left)
             wanted += shopping(core.types, kept, set(self.refused), busy, policy,
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -128,10 +128,11 @@
     return found
 
 
-def slack(job: Job, age_s: float, limits: dict[str, float]) -> float:
+def slack(job: Job, age_s: float, limits: dict[str, float], line_factor: float = LINE,
+          margin: float = MARGIN) -> float:
     """How long the job's tasks may still wait: negative when it is late already."""
     limit = job.deadline_s if job.deadline_s is not None else limits.get(job.job_class)
-    return -math.inf if limit is None else MARGIN * limit - age_s - LINE * job.estimate_s
+    return -math.inf if limit is None else margin * limit - age_s - line_factor * job.estimate_s
 
 
 def remaining(job: Job, age_s: float, limits: dict[str, float]) -> float:
@@ -140,9 +141,13 @@
     return math.inf if limit is None else limit - age_s - job.estimate_s
 
 
-def pressing(demand: Iterable[Need], limits: dict[str, float], fleet_cpus: float) -> list[Need]:
+def pressing(demand: Iterable[Need], limits: dict[str, float], fleet_cpus: float,
+             line_factor: float = LINE, margin: float = MARGIN) -> list[Need]:
     """The demand that would be late if it waited for room to become free.
 
+    With factors of 1 it is what will be late if the estimates are right: a dear machine
+    costs too much to be rented for the margin alone.
+
     Work of a class that is to be finished within a time may wait in line as
     long as the line, served by the fleet as it is (`fleet_cpus` without what
     replicas hold), lets it finish in time. (Also not to rent while the line moves
@@ -153,9 +158,9 @@
     found = []
     for need in demand:
         job = need.job
-        line = LINE * ahead / fleet_cpus if fleet_cpus > 0 else math.inf
+        line = line_factor * ahead / fleet_cpus if fleet_cpus > 0 else math.inf
         ahead += need.tasks * job.cpus * max(1.0, job.estimate_s)
-        if line > slack(job, need.age_s, limits):
+        if line > slack(job, need.age_s, limits, line_factor, margin):
             found.append(need)
     return found
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -159,6 +159,9 @@
     assert pressing([early, late], {"batch": 90.0}, 64.0) == [late]
     assert pressing([early], {}, 64.0) == [early]                    # nothing is said: at once
     assert pressing([early], {"batch": 90.0}, 0.0) == [early]        # nothing is there yet
+    near = Need(make(3), 3, 70.0)
+    assert pressing([near], {"batch": 90.0}, 64.0) == [near]         # too near for cheap ones
+    assert pressing([near], {"batch": 90.0}, 64.0, 1.0, 1.0) == []   # but not late yet
 
 
 def test_spare_room_is_what_arrives_while_a_machine_boots() -> None:
