--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -246,8 +246,9 @@
                 # Victims save, unless it is just that which would make the start late.
                 fetch = max((self._fetch_s(job, r) for r in pool if r.allows(job)), default=0.0)
                 left = math.inf if limit is None else limit - age - fetch
-                self._make_room(hj, wanted - len(chosen), pool, spread, policy,
-                                left if left > 0 else math.inf, now)
+                # A replica that is down is missed every second: nothing saves for it.
+                grace = 0.0 if job.kind == SERVICE else left if left > 0 else math.inf
+                self._make_room(hj, wanted - len(chosen), pool, spread, policy, grace, now)
             if len(chosen) < wanted and now >= hj.preempt_at and self._guaranteed(job):
                 hj.preempt_at = now + core.ttl_s
                 rooms_for = [r.machine for r in pool if r.open and r.allows(job)
@@ -445,8 +446,11 @@
                 and self._soon(hj.job, r) and not policy.dear(hj.job, r)]
         spread = Spread(hj.job, zones)
         if not place(hj.job, 1, [r.copy() for r in near], spread, "", policy) and (
-                drain or not preempt(hj.job, 1, near, Spread(hj.job, zones), policy)):
-            # To free GPUs, work of lower rank may have to make way elsewhere.
+                drain and not policy.dear(hj.job, room)
+                or not preempt(hj.job, 1, near, Spread(hj.job, zones), policy,
+                               RANKS["best_effort"] if drain else None)):
+            # To free GPUs, or a dear machine, work of lower rank may have to make way
+            # elsewhere.
             return False
         # Not again soon: a move costs a moment each time.
         hj.moved_at = time.monotonic()
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -668,6 +668,9 @@
             rest = [r.copy() for r in rooms.values() if r.open and r.machine != room.machine
                     and not (r.spot and not room.spot)]
             free = sum(r.cpus for r in rest)
+            if dear:  # its replicas are worth more than the progress of the lowest rank
+                free += sum(used[0] for r in rest for (rank, _), used in r.used.items()
+                            if rank == RANKS["best_effort"])
             # Enough stays free that the next job doesn't buy it back.
             if free < (2 * kind.cpus if dear else max(2 * kind.cpus, SLACK * total)) \
                     or not dear and self._worse(rest, room, spare, policy):
