--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -276,12 +276,24 @@
 
     def _order(self, hj: HomeJob, now: float) -> tuple[float, ...]:
         """By rank; then what can still be in time before what can't, so that not all
-        is late when there is too much; then what has the least time left."""
+        is late when there is too much; then what has the least time left.
+
+        Work that is to start soon comes before what has missed that and may still be
+        finished in time: else a queue once too long makes all that follow miss it too.
+        """
         job = hj.job
-        left = remaining(job, now - hj.since, self.core.finish_limits)
+        age = now - hj.since
+        left = remaining(job, age, self.core.finish_limits)
+        late = 1.0 if left < 0 else 0.0
+        limit = self.core.wait_limits.get(job.job_class)
+        if limit is not None and job.kind != SERVICE and not late:
+            if age < limit and not hj.started:
+                left = min(left, limit - age)
+            else:
+                late = 0.5
         if left == math.inf:
             return (-job.rank, 0.0, 0.0, hj.live_rev)
-        return (-job.rank, float(left < 0), left, hj.live_rev)
+        return (-job.rank, late, left, hj.live_rev)
 
     def policy(self) -> Policy:
         """What keeps work off machines, from all jobs known, those just ended included."""
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -58,6 +58,7 @@
         self.not_before = 0.0
         self.preempt_at = 0.0
         self.preempted = False
+        self.started = False  # a task of it has been seen running
         self.gather_at = 0.0
         self.made: dict[str, tuple[int, float]] = {}  # machine: tasks room is made for, until
         self.moved_at = now
@@ -163,6 +164,7 @@
                 self.errors.pop(machine, None)
         else:
             self.states[number] = (state, cause)
+            self.started = self.started or state == "running"
         return OK
 
     def _failed(self, machine: str, now: float) -> None:
