Peers are sent what changed of the free-room table, not all of it

Every change of one machine rebuilt the whole picture of an owner's machines, and every refresh carried every row. Owners now keep a revision for each machine; rooms that were charged or closed at home are asked for by name. The adaptive rule is as it was.

--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -60,6 +60,9 @@
         self.demands: dict[str, list[tuple[str, int, float, str]]] = {}
         self.pulled: dict[str, int] = {}  # peer: its room revision at the last pull
         self.own_rev = -1
+        # Machines whose rooms were charged or closed here, and so differ from what
+        # their owner says until they are asked for again.
+        self.stale: set[str] = set()
         self.starved = False
         self.value_limit = int(core.settings.cluster.state.txn_ops)
 
@@ -67,68 +70,93 @@
 
     def picture(self) -> dict[str, Room]:
         """The snapshot; our own machines in it are always as their reports say."""
-        core = self.core
-        if core.owner.room_rev != self.own_rev:
-            self.own_rev = core.owner.room_rev
+        core, owner = self.core, self.core.owner
+        ours = {n for n in self.stale if n in owner.machines}
+        if owner.room_rev != self.own_rev or ours:
+            changed = owner.changed(self.own_rev) if self.own_rev >= 0 else None
+            names = set(owner.machines) if changed is None else {*changed, *ours}
+            self.own_rev = owner.room_rev
+            self.stale -= ours
             now = time.monotonic()
-            self._replace(core.label, [core.owner.room(m, core.label, now)
-                                       for m in core.owner.machines.values() if m.known])
+            found = {n: owner.machines[n] for n in names if n in owner.machines}
+            self._show(core.label, [owner.room(m, core.label, now) for m in found.values()
+                                    if m.known], changed is None, names - set(found))
         return core.rooms
 
-    def _replace(self, owner: str, rooms: Iterable[Room]) -> None:
+    def _show(self, owner: str, rooms: Iterable[Room], whole: bool,
+              removed: Iterable[str]) -> None:
+        """Renew one owner's part of the snapshot, or what has changed of it."""
         core = self.core
-        for name in [n for n, r in core.rooms.items() if r.owner == owner]:
-            del core.rooms[name]
+        if whole:
+            removed = [n for n, r in core.rooms.items() if r.owner == owner]
+        for name in removed:
+            if name in core.rooms and core.rooms[name].owner == owner:
+                del core.rooms[name]
+        shown = set()
         for room in rooms:
             core.rooms[room.machine] = room
             core.zones[room.machine] = room.zone  # never changes
+            shown.add(room.machine)
         # What was placed and isn't reserved yet stays subtracted.
         for machine, job in self.inflight.values():
-            room_ = core.rooms.get(machine)
-            if room_ is not None and room_.owner == owner:
-                room_.take(job)
+            if machine in shown:
+                core.rooms[machine].take(job)
 
     async def refresh_peers(self, changed_only: bool) -> None:
-        """Pull the peers' free-room tables; nothing is written to the state service."""
+        """Pull the peers' free-room tables; nothing is written to the state service.
+
+        What is pulled is what has changed since the last time, and the machines whose
+        rooms were charged or closed here meanwhile.
+        """
         core = self.core
         gen = core.generation
         for label in gen.members:
             peer = core.peers.get(label)
             if peer is None or (changed_only and self.pulled.get(label) == peer.room_rev):
                 continue
+            charged = [n for n in self.stale
+                       if n in core.rooms and core.rooms[n].owner == label]
             try:
-                ok, rev, rows, taken = await peer.call(peerwire.ROOM, (gen.number,))
+                ok, rev, whole, removed, rows, taken = await peer.call(peerwire.ROOM, (
+                    gen.number, self.pulled.get(label, 0), [(n,) for n in charged]))
             except PeerError:
                 continue
             if not ok or core.generation is not gen:
                 continue
             self.pulled[label] = rev
+            self.stale.difference_update(charged)
+            now = time.monotonic()
             used: dict[str, list[tuple[int, bool, float, float, float]]] = {}
             for name, *use in taken:
                 used.setdefault(name, []).append((use[0], use[1], use[2], use[3], use[4]))
             rooms = []
-            for m, a, t, z, s, o, c, g, mem, n, images, idle, silent, hold in rows:
+            for m, a, t, z, s, o, c, g, mem, n, images, idle, hold in rows:
                 room = Room(m, a, t, z, s, o, c, g, mem, n,
-                            images.split(" ") if images else (), idle, silent, label,
-                            used.get(m, ()))
+                            images.split(" ") if images else (), now - idle if not n else math.inf,
+                            label, used.get(m, ()))
                 room.hold = hold
                 rooms.append(room)
-            self._replace(label, rooms)
+            self._show(label, rooms, whole, [n for (n,) in removed])
+        self.stale.intersection_update(core.rooms)
 
-    def table(self) -> tuple[Any, ...]:
-        """Our own free-room table, as peers pull it."""
-        core = self.core
+    def table(self, since: int, names: list[str]) -> tuple[Any, ...]:
+        """Our own free-room table, or what has changed of it, as peers pull it."""
+        core, owner = self.core, self.core.owner
         now = time.monotonic()
+        changed = owner.changed(since) if since else None
+        wanted = list(owner.machines) if changed is None else [*dict.fromkeys([*changed, *names])]
         rows: list[tuple[Any, ...]] = []
         taken: list[tuple[Any, ...]] = []
-        for m in core.owner.machines.values():
-            if m.known:
-                r = core.owner.room(m, core.label, now)
+        for name in wanted:
+            m = owner.machines.get(name)
+            if m is not None and m.known:
+                r = owner.room(m, core.label, now)
                 rows.append((r.machine, r.address, r.type, r.zone, r.spot, r.open, r.cpus, r.gpus,
-                             r.memory_gb, r.tasks, " ".join(r.images), r.idle_s, r.silent_s,
-                             r.hold))
+                             r.memory_gb, r.tasks, " ".join(r.images),
+                             0.0 if r.tasks else max(0.0, now - r.idle_since), r.hold))
                 taken += [(r.machine, *key, *used) for key, used in r.used.items()]
-        return (core.serving, core.owner.room_rev, rows, taken)
+        gone = [(n,) for n in wanted if n not in owner.machines]
+        return (core.serving, owner.room_rev, changed is None, gone, rows, taken)
 
     async def refresh(self) -> None:
         """The adaptive refresh; a lasting shortage also looks when a peer's table changed."""
@@ -348,6 +376,7 @@
             hj.gather_at = now + core.ttl_s / 3
             for room in [r for r in rooms if r.fits(job) and not policy.kept(job, r)][:job.tasks]:
                 room.hold = job.id
+                self.stale.add(room.machine)
                 core.spawn(self._preempt(room.machine, job, 0.0))
         return rooms
 
@@ -533,7 +562,7 @@
                 for number, _ in starts:
                     self.inflight.pop((hj.job.id, number), None)
                 hj.give_back([n for n, _ in starts if n in hj.placing])
-                self.own_rev = -1
+                self.stale.update(machine for _, machine in starts)
             self.core.signal("place")
             return True
         if hj.outcomes:
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -279,7 +279,7 @@
                  len(core.owner.replicas(m)), drain)
         m.evacuating, m.evacuated_at = True, now
         m.draining = drain
-        core.owner.room_rev += 1
+        core.owner.touch(name)
         core.spawn(self._evacuate(m, drain))
         return True
 
@@ -304,7 +304,7 @@
                         break
                 else:
                     m.draining = False
-                    core.owner.room_rev += 1
+                    core.owner.touch(m.name)
                     return
                 await curio.sleep(core.settings.cluster.workers.report_s / 2)
         finally:
@@ -349,6 +349,7 @@
                 patience = core.settings.cluster.workers.cancel_s / 2
                 if not cut or now - m.heard > patience:
                     m.fencing = True
+                    core.owner.touch(m.name)
                     core.spawn(self._fence(m))
 
     async def _fence(self, m: Machine) -> None:
@@ -390,6 +391,8 @@
             log.info("machine=%s event=not-fenced cause=%s", m.name, exc)
         finally:
             m.fencing = False
+            if m.name in core.owner.machines:
+                core.owner.touch(m.name)
 
     async def inspect(self, name: str, address: str) -> bool:
         """Whether the worker itself answers; what it says is used where we own it."""
@@ -608,7 +611,7 @@
         hurried = [n for n in demand if not core.patient(n.job, n.age_s)]
         idle = [r for r in rooms if r.tasks == 0 and r.type in types
                 and r.machine not in self.returned
-                and (not r.open or r.idle_s > 0.5 * types[r.type].boot_s)]
+                and (not r.open or now - r.idle_since > 0.5 * types[r.type].boot_s)]
         # Closed ones first: nothing will ever start there again.
         idle.sort(key=lambda r: (r.open, r.spot, -types[r.type].price))
         for room in idle[:4]:
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -49,12 +49,14 @@
     # generation, (machine, task, attempt, state, why, saved)
     STATES: ("Q", ("s", "s", "Q", "s", "s", "?")),
     VERDICTS: ("?", ("B",)),
-    ROOM: ("Q",),
-    # room revision, (machine, address, type, zone, spot, open, cpus, gpus, memory, tasks,
-    # images, idle_s, silent_s, job that its room is kept for)
+    # generation, the table's revision that is known here, machines to be told anyway
+    ROOM: ("Q", "Q", ("s",)),
+    # room revision, whether this is the whole table or what changed since, machines that
+    # are gone; (machine, address, type, zone, spot, open, cpus, gpus, memory, tasks, images,
+    # idle_s, job that its room is kept for)
     # what is taken: (machine, rank, without GPUs, cpus, gpus, memory)
-    TABLE: ("?", "Q", ("s", "s", "s", "s", "?", "?", "d", "d", "d", "I", "s", "d", "d",
-                            "s"),
+    TABLE: ("?", "Q", "?", ("s",),
+            ("s", "s", "s", "s", "?", "?", "d", "d", "d", "I", "s", "d", "s"),
             ("s", "B", "?", "d", "d", "d")),
     ENDED: ("s", "s"),
     COUNTS: ("Q", "s"),
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -19,17 +19,17 @@
     """A machine as the snapshot shows it; placements subtract at once."""
 
     __slots__ = ("machine", "address", "type", "zone", "spot", "open", "cpus", "gpus",
-                 "memory_gb", "tasks", "images", "idle_s", "silent_s", "owner", "used", "hold")
+                 "memory_gb", "tasks", "images", "idle_since", "owner", "used", "hold")
 
     def __init__(self, machine: str, address: str, type: str, zone: str, spot: bool, open: bool,
                  cpus: float, gpus: float, memory_gb: float, tasks: int, images: Iterable[str],
-                 idle_s: float, silent_s: float, owner: str,
+                 idle_since: float, owner: str,
                  used: Iterable[tuple[int, bool, float, float, float]] = ()) -> None:
         self.machine, self.address, self.type, self.zone = machine, address, type, zone
         self.spot, self.open = spot, open
         self.cpus, self.gpus, self.memory_gb = cpus, gpus, memory_gb
         self.tasks, self.images = tasks, set(images)
-        self.idle_s, self.silent_s, self.owner = idle_s, silent_s, owner
+        self.idle_since, self.owner = idle_since, owner  # inf while anything is on it
         self.hold = ""  # the job that room made by preemption is kept for
         # What is taken, by (rank, whether without GPUs): cpus, gpus, memory.
         self.used = {(rank, plain): [c, g, m] for rank, plain, c, g, m in used}
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -51,7 +51,7 @@
 
 def empty_room(kind: MachineType, name: str, zone: str, spot: bool) -> Room:
     return Room(name, "", kind.name, zone, spot, True, kind.cpus, kind.gpus, kind.memory_gb, 0,
-                (), 0.0, 0.0, "")
+                (), math.inf, "")
 
 
 def ready_s(job: Job, kind: MachineType) -> float:
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -377,6 +377,7 @@
         self.dispatch.demands.clear()
         self.dispatch.pulled.clear()
         self.dispatch.own_rev = -1
+        self.dispatch.stale.clear()
         self.fleet.outboxes.clear()
         self.owner.begin(generation, self.label)
         if self.member:
@@ -510,7 +511,7 @@
             try:
                 self.types = await self.cloud.catalogue()
                 self.owner.types = {t.name: t for t in self.types}
-                self.owner.room_rev += 1
+                self.owner.touch_all()
                 await curio.sleep(self.jitter(20 * self.settings.cluster.workers.lease_s))
             except CloudError as exc:
                 log.info("event=no-catalogue cause=%s", exc)
@@ -553,7 +554,8 @@
             counts = self.dispatch.counts(values[1]) if current else None
             return peerwire.COUNTED, (counts is not None, *(counts or (0, 0)))
         if kind == peerwire.ROOM:
-            return peerwire.TABLE, self.dispatch.table() if current else (False, 0, [], [])
+            return peerwire.TABLE, self.dispatch.table(values[1], [n for (n,) in values[2]]) \
+                if current else (False, 0, False, [], [], [])
         if kind == peerwire.RESERVE:
             job = self.job_of(values[1])
             if not current or job is None:
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -23,6 +24,8 @@
 RESERVED, QUEUED, SENT, LIVE = range(4)
 # Commands per request, so that 64 KiB always suffice.
 BATCH = 300
+# Machines no longer here whose end is remembered as a change of the table.
+CHANGES_MOST = 1000
 
 
 class Want:
@@ -90,7 +93,12 @@
         self.machines: dict[str, Machine] = {}
         self.types: dict[str, MachineType] = {}
         self.generation: Generation | None = None
+        # What of the free-room table changed when, so that a picture is renewed by what
+        # changed and not by building every room anew: a revision for each machine, the
+        # latest last, and the revision up to which that is not known.
         self.room_rev = 0
+        self.changes: OrderedDict[str, int] = OrderedDict()
+        self.whole_rev = 0
 
     def begin(self, generation: Generation, me: str) -> None:
         """A new generation: tokens rise and every want is adopted anew.
@@ -107,7 +115,7 @@
             m.by_response = []
             for holder in (m.want, m.told, m.kills, m.clears):
                 holder.clear()
-        self.room_rev += 1
+        self.touch_all()
 
     def machine(self, name: str, now: float) -> Machine:
         assert self.generation is not None
@@ -116,6 +124,32 @@
             found = self.machines[name] = Machine(name, self.generation.base_token + 1, now)
         return found
 
+    # -- what changed ----------------------------------------------------
+
+    def touch(self, name: str) -> None:
+        """The machine's room has changed, or the machine is gone."""
+        self.room_rev += 1
+        self.changes[name] = self.room_rev
+        self.changes.move_to_end(name)
+        while len(self.changes) > CHANGES_MOST + len(self.machines):
+            self.whole_rev = self.changes.popitem(last=False)[1]
+
+    def touch_all(self) -> None:
+        self.room_rev += 1
+        self.whole_rev = self.room_rev
+        self.changes.clear()
+
+    def changed(self, since: int) -> list[str] | None:
+        """Machines that changed after the revision; None: any may have."""
+        if since < self.whole_rev or since > self.room_rev:
+            return None
+        found = []
+        for name in reversed(self.changes):
+            if self.changes[name] <= since:
+                break
+            found.append(name)
+        return found
+
     # -- reports ---------------------------------------------------------
 
     def entitled(self, report: Report) -> bool:
@@ -219,7 +253,7 @@
             want = m.want.get(key)
             if want is not None and want.phase == LIVE:
                 del m.want[key]
-                self.room_rev += 1
+                self.touch(machine)
 
     def _cached(self, m: Machine, key: Key) -> None:
         job = self.job_of(key[0].partition("/")[0])
@@ -233,7 +267,7 @@
             m.images.popitem(last=False)
 
     def _touched(self, m: Machine, now: float) -> None:
-        self.room_rev += 1
+        self.touch(m.name)
         if m.want or any(s[0] != "exited" for s in m.listed.values()):
             m.idle_since = now
 
@@ -250,7 +284,7 @@
             if ok and m is not None:
                 m.want[(f"{job.id}/{number}", attempt)] = Want(RESERVED, now)
                 m.idle_since = now
-                self.room_rev += 1
+                self.touch(name)
             granted.append(ok)
         return granted
 
@@ -281,11 +315,11 @@
             if want is not None and want.phase in (RESERVED, QUEUED) and not want.tried:
                 # Never sent: settled at once.
                 del m.want[key]
-                self.room_rev += 1
+                self.touch(name)
                 self.emit(task.partition("/")[0], (name, task, attempt, GONE, "", False))
             elif clear:
                 m.want.pop(key, None)
-                self.room_rev += 1
+                self.touch(name)
                 if m.listed.get(key, ("",))[0] == "exited":
                     m.clears.add(key)
             else:
@@ -332,7 +366,7 @@
             m.kills[key] = grace
             longest = max(longest, grace)
         if m.hold_job != job.id:
-            self.room_rev += 1
+            self.touch(name)
         m.hold_job, m.hold_until = job.id, now + longest + self.direct_pause_s
         log.info("machine=%s job=%s event=preempt tasks=%d", name, job.id, len(chosen))
         return True
@@ -344,7 +378,7 @@
             key = (task, attempt)
             if key not in m.want:
                 m.want[key] = Want(LIVE, now)
-                self.room_rev += 1
+                self.touch(name)
             elif m.want[key].phase == RESERVED:
                 m.want[key].phase = LIVE
             m.told.pop(key, None)
@@ -357,7 +391,7 @@
         """The cloud has confirmed the machines' return."""
         for name in names:
             if self.machines.pop(name, None) is not None:
-                self.room_rev += 1
+                self.touch(name)
 
     def drain(self, name: str) -> bool:
         """Close an idle machine for good; False when something is or may be on it."""
@@ -367,7 +401,7 @@
         if m.want or any(s[0] != "exited" for s in m.listed.values()):
             return False
         m.draining = True
-        self.room_rev += 1
+        self.touch(name)
         return True
 
     def replicas(self, m: Machine) -> list[tuple[Key, Job]]:
@@ -380,12 +414,15 @@
         return found
 
     def expire(self, now: float) -> None:
-        """Drop reservations whose home has not come back for them."""
+        """Drop reservations whose home has not come back for them, and room kept too long."""
         for m in self.machines.values():
+            if m.hold_job and now >= m.hold_until:
+                m.hold_job = ""
+                self.touch(m.name)
             for key in [k for k, w in m.want.items()
                         if w.phase == RESERVED and now - w.since > self.reserve_s]:
                 del m.want[key]
-                self.room_rev += 1
+                self.touch(m.name)
 
     # -- commands --------------------------------------------------------
 
@@ -436,7 +473,7 @@
         kind = self.types.get(m.type)
         room = Room(m.name, m.address, m.type, m.zone, m.spot, self.open(m) and kind is not None,
                     kind.cpus if kind else 0.0, kind.gpus if kind else 0.0,
-                    kind.memory_gb if kind else 0.0, 0, m.images, 0.0, 0.0, owner)
+                    kind.memory_gb if kind else 0.0, 0, m.images, math.inf, owner)
         keys = {k for k, s in m.listed.items() if s[0] != "exited"}
         keys.update(k for k in m.want if m.listed.get(k, ("",))[0] != "exited")
         for key in keys:
@@ -447,8 +484,8 @@
                 room.tasks += 1
         if now is not None:
             room.hold = m.hold_job if now < m.hold_until else ""
-            room.idle_s = 0.0 if room.tasks else max(0.0, now - m.idle_since)
-            room.silent_s = now - m.heard
+            if not room.tasks:
+                room.idle_since = m.idle_since
         return room
 
     def jobs_on(self, name: str) -> set[str]:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -25,7 +25,7 @@
 def room(name: str = "m1", kind: MachineType = PLAIN, zone: str = "north", spot: bool = False,
          images: tuple[str, ...] = (), **fields: Any) -> Room:
     found = Room(name, "", kind.name, zone, spot, True, kind.cpus, kind.gpus, kind.memory_gb, 0,
-                 images, 0.0, 0.0, "c0")
+                 images, 0.0, "c0")
     for key, value in fields.items():
         setattr(found, key, value)
     return found
