--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -269,7 +269,7 @@
                 chosen += place(job, wanted - len(chosen), pool, spread, core.label, policy,
                                 patient)
             if job.kind == GANG and job.tasks > 1 and not chosen:
-                pool = self._gather(hj, pool, spread, policy, now)
+                pool = self._gather(hj, pool, spread, now)
             if len(chosen) < wanted and job.rank > 0 and now >= hj.preempt_at:
                 # Victims save, unless it is just that which would make the start late.
                 fetch = max((self._fetch_s(job, r) for r in pool if r.allows(job)), default=0.0)
@@ -292,6 +292,10 @@
                 if room.machine in hj.made:
                     left_, until = hj.made[room.machine]
                     hj.made[room.machine] = (max(0, left_ - 1), until)
+            if hj.kept:
+                rest = set(hj.kept) - {r.machine for r in chosen}
+                core.spawn(self._keep(sorted(rest), job, False))
+                hj.kept = []
             numbers = hj.take(len(chosen))
             hj.starts = [(n, r.machine) for n, r in zip(numbers, chosen)]
             for number, machine in hj.starts:
@@ -351,34 +355,47 @@
             self.core.spawn(self._preempt(room.machine, job, grace_s, (), count))
         return bool(found) or coming > 0
 
-    def _gather(self, hj: HomeJob, pool: list[Room], spread: Spread, policy: Policy,
-                now: float) -> list[Room]:
-        """Keep free room together for a gang that nowhere fits whole; the rooms of its zone.
+    def _gather(self, hj: HomeJob, pool: list[Room], spread: Spread, now: float) -> list[Room]:
+        """Keep machines for a gang that nowhere fits whole; where to make room for it.
 
-        Without this, whatever becomes free goes to gangs of one and arrays, and those of
-        two wait until nothing else does (one waited for 524 s). Only for the gangs that
-        have waited longest, each in a zone of its own, so that two don't keep half of
-        what they need from each other.
+        Without this whatever becomes free goes to gangs of one and arrays, and those of
+        two wait until nothing else does (one waited for 524 s). Machines are kept while
+        they are still busy: the home that hears first would take what is free at once.
+        A gang that can still start in time keeps them wherever it fits, since some zone
+        has room for all of it soonest then; one that can't, only in its best zone.
         """
         job, core = hj.job, self.core
         zones = self._zones_for(job, pool, spread)
-        # How many of the rooms are free now, and kept already; then how many there are.
-        order = sorted(((sum(r.hold == job.id for r in rooms), sum(
-            r.fits(job) and not policy.kept(job, r) for r in rooms), len(rooms), zone)
-            for zone, rooms in zones.items()), reverse=True)
-        turns = max(1, len(order) // 2)
-        turn = self._turn(job, pool, turns, now)
-        if turn >= turns or not order:
+        if not zones or not self._first_gang(job, {r.machine for z in zones.values() for r in z},
+                                             pool, now):
             return []
-        held = order[0][0]
-        rooms = zones[order[0 if held else min(turn, len(order) - 1)][3]]
+        best = max(zones.items(), key=lambda z: (sum(r.fits(job) for r in z[1]),
+                                                 sum(r.hold == job.id for r in z[1]),
+                                                 len(z[1]), z[0]))[1]
         if now >= hj.gather_at:
             hj.gather_at = now + core.ttl_s / 3
-            for room in [r for r in rooms if r.fits(job) and not policy.kept(job, r)][:job.tasks]:
+            kept = best if self._missed(job, now - hj.since) \
+                else [r for z in zones.values() for r in z]
+            kept = [r for r in kept if r.hold in ("", job.id)]
+            for room in kept:
                 room.hold = job.id
                 self.stale.add(room.machine)
-                core.spawn(self._preempt(room.machine, job, 0.0))
-        return rooms
+            hj.kept = [r.machine for r in kept]
+            core.spawn(self._keep(hj.kept, job, True))
+        return best
+
+    async def _keep(self, machines: list[str], job: Job, keep: bool) -> None:
+        """Have owners keep machines for a gang, for a while, or have them let go."""
+        core = self.core
+        for owner, part in self._by_owner((m,) for m in machines).items():
+            if owner == core.label:
+                core.owner.keep(job, [m for (m,) in part], keep, time.monotonic())
+                continue
+            try:
+                await core.peers[owner].call(peerwire.KEEP, (
+                    core.generation.number, job.id, keep, part))
+            except (PeerError, KeyError):
+                pass  # asked again, or it lapses
 
     def _zones_for(self, job: Job, pool: list[Room], spread: Spread) -> dict[str, list[Room]]:
         """The machines that may hold tasks of a gang, by zone, where they are enough."""
@@ -390,25 +407,28 @@
                 zones.setdefault(room.zone if job.one_zone else "", []).append(room)
         return {zone: rooms for zone, rooms in zones.items() if len(rooms) >= job.tasks}
 
-    def _turn(self, job: Job, pool: list[Room], turns: int, now: float) -> int:
-        """How many gangs of several tasks, here and at the peers, have waited longer.
+    def _missed(self, job: Job, age_s: float) -> bool:
+        """Whether it is too late for the job to start in time."""
+        return age_s >= self.core.wait_limits.get(job.job_class, math.inf)
 
-        Those that no zone has machines for don't count: they can't be helped by waiting.
-        """
-        ages = []
+    def _first_gang(self, job: Job, machines: set[str], pool: list[Room], now: float) -> bool:
+        """Whether no gang of several tasks, here or at a peer, comes before this one on
+        these machines. Two at a time would keep from each other what both need."""
+        gangs = []
         for label, rows in (("", self.demand()), *self.demands.items()):
             for name, _, age, _ in rows if not label or label in self.core.generation.members \
                     else ():
                 known = self.core.live.get(name)
                 if known is not None and known[0].kind == GANG and known[0].tasks > 1:
-                    ages.append((-age, name))
-        turn = 0
-        for _, name in sorted(ages):
-            if name == job.id or turn >= turns:
-                break
+                    gangs.append((self._missed(known[0], age), -age, name))
+        for _, _, name in sorted(gangs):
+            if name == job.id:
+                return True
             other = self.core.live[name][0]
-            turn += bool(self._zones_for(other, pool, Spread(other, ())))
-        return turn
+            if any(r.machine in machines for rooms in self._zones_for(
+                    other, pool, Spread(other, ())).values() for r in rooms):
+                return False
+        return True
 
     def _guaranteed(self, job: Job) -> bool:
         """Whether the job's team has a guarantee that may be claimed for it."""
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -287,8 +287,8 @@
     """
     offers = []
     for room in rooms:
-        if not room.open or not room.allows(job) or not spread.allows(room.zone) \
-                or policy.kept(job, room):
+        if not room.open or room.hold not in ("", job.id) or not room.allows(job) \
+                or not spread.allows(room.zone) or policy.kept(job, room):
             continue
         cost = room.after_preemption(job)
         if cost is not None and (most is None or cost[0] <= most):
