--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -63,6 +63,7 @@
         # Machines whose rooms were charged or closed here, and so differ from what
         # their owner says until they are asked for again.
         self.stale: set[str] = set()
+        self.pulling: set[str] = set()
         self.starved = False
         self.value_limit = int(core.settings.cluster.state.txn_ops)
 
@@ -103,41 +104,60 @@
                 core.rooms[machine].take(job)
 
     async def refresh_peers(self, changed_only: bool) -> None:
-        """Pull the peers' free-room tables; nothing is written to the state service.
-
-        What is pulled is what has changed since the last time, and the machines whose
-        rooms were charged or closed here meanwhile.
-        """
+        """Pull the peers' free-room tables; nothing is written to the state service."""
+        gen = self.core.generation
+        for label in gen.members:
+            peer = self.core.peers.get(label)
+            if peer is not None and self.core.generation is gen and not (
+                    changed_only and self.pulled.get(label) == peer.room_rev):
+                await self._pull(label)
+        self.stale.intersection_update(self.core.rooms)
+
+    async def _pull(self, label: str) -> None:
+        """What has changed of a peer's table since the last time, and the machines whose
+        rooms were charged or closed here meanwhile."""
         core = self.core
         gen = core.generation
-        for label in gen.members:
-            peer = core.peers.get(label)
-            if peer is None or (changed_only and self.pulled.get(label) == peer.room_rev):
-                continue
-            charged = [n for n in self.stale
-                       if n in core.rooms and core.rooms[n].owner == label]
-            try:
-                ok, rev, whole, removed, rows, taken = await peer.call(peerwire.ROOM, (
-                    gen.number, self.pulled.get(label, 0), [(n,) for n in charged]))
-            except PeerError:
-                continue
-            if not ok or core.generation is not gen:
-                continue
-            self.pulled[label] = rev
-            self.stale.difference_update(charged)
-            now = time.monotonic()
-            used: dict[str, list[tuple[int, bool, float, float, float]]] = {}
-            for name, *use in taken:
-                used.setdefault(name, []).append((use[0], use[1], use[2], use[3], use[4]))
-            rooms = []
-            for m, a, t, z, s, o, c, g, mem, n, images, idle, hold in rows:
-                room = Room(m, a, t, z, s, o, c, g, mem, n,
-                            images.split(" ") if images else (), now - idle if not n else math.inf,
-                            label, used.get(m, ()))
-                room.hold = hold
-                rooms.append(room)
-            self._show(label, rooms, whole, [n for (n,) in removed])
-        self.stale.intersection_update(core.rooms)
+        charged = [n for n in self.stale if n in core.rooms and core.rooms[n].owner == label]
+        try:
+            ok, rev, whole, removed, rows, taken = await core.peers[label].call(peerwire.ROOM, (
+                gen.number, self.pulled.get(label, 0), [(n,) for n in charged]))
+        except (PeerError, KeyError):
+            return
+        if not ok or core.generation is not gen or rev < self.pulled.get(label, 0):
+            return
+        self.pulled[label] = rev
+        self.stale.difference_update(charged)
+        now = time.monotonic()
+        used: dict[str, list[tuple[int, bool, float, float, float]]] = {}
+        for name, *use in taken:
+            used.setdefault(name, []).append((use[0], use[1], use[2], use[3], use[4]))
+        rooms = []
+        for m, a, t, z, s, o, c, g, mem, n, images, idle, hold in rows:
+            room = Room(m, a, t, z, s, o, c, g, mem, n,
+                        images.split(" ") if images else (), now - idle if not n else math.inf,
+                        label, used.get(m, ()))
+            room.hold = hold
+            rooms.append(room)
+        self._show(label, rooms, whole, [n for (n,) in removed])
+
+    async def _pull_soon(self, label: str) -> None:
+        """Look at a peer's table once what it was asked to stop has ended.
+
+        It would show with the next heartbeat only, and a start that is to happen within
+        two seconds has no time for that.
+        """
+        if label in self.pulling:
+            return
+        self.pulling.add(label)
+        try:
+            for _ in range(2):
+                await curio.sleep(self.core.settings.cluster.workers.report_s / 8)
+                await self._pull(label)
+                self.core.signal("place")
+                await self.core.flush()
+        finally:
+            self.pulling.discard(label)
 
     def table(self, since: int, names: list[str]) -> tuple[Any, ...]:
         """Our own free-room table, or what has changed of it, as peers pull it."""
@@ -475,11 +495,14 @@
             core.fleet.poke(machine)
             return done
         try:
-            return bool((await core.peers[owner].call(peerwire.PREEMPT, (
+            done = bool((await core.peers[owner].call(peerwire.PREEMPT, (
                 core.generation.number, machine, job.id, count, grace_s,
                 [(t,) for t in over])))[0])
         except (PeerError, KeyError):
             return False
+        if done and grace_s <= 0:
+            core.spawn(self._pull_soon(owner))
+        return done
 
     def spread(self, hj: HomeJob) -> Spread:
         zones = []
