--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -41,7 +41,7 @@
 
 # The share of the fleet's CPUs that has to be free before replicas are moved to
 # empty a machine.
-SLACK = 0.25
+SLACK = 0.1
 
 Told = tuple[str, str, int, str, str, bool]
 
@@ -422,6 +422,7 @@
         self.boots: dict[str, Boot] = {}
         self.returned: dict[str, float] = {}
         self.refused: dict[Kind, float] = {}
+        self.emptied: dict[str, float] = {}  # when a machine was last to be emptied
         self.listed: dict[str, Listed] = {}
         self.sequence = 0
         self.began: object = None
@@ -508,7 +509,7 @@
                     # Replicas placed before a job that needs the GPUs was known.
                     self.evacuated_at = now
                     break
-        if now - self.evacuated_at > core.settings.cluster.workers.lease_s:
+        if now - self.evacuated_at > 2 * core.settings.cluster.workers.report_s:
             await self._consolidate(types, demand, spare, policy, now)
 
     @staticmethod
@@ -652,6 +653,7 @@
         """
         core = self.core
         rooms = core.dispatch.picture()
+        self.emptied = {n: t for n, t in self.emptied.items() if n in rooms}
         best: tuple[float, float, str] | None = None
         total = sum(types[r.type].cpus for r in rooms.values() if r.type in types)
         for room in list(rooms.values()):
@@ -662,8 +664,9 @@
             if guests and room.gpus < kind.gpus:
                 continue  # its GPUs are in use
             lasting = room.used.get((RANKS["production"], True), [0.0, 0.0, 0.0])[0]
-            if lasting <= 0:
-                continue  # empties by itself
+            if lasting <= 0 or now - self.emptied.get(room.machine, -1e9) < \
+                    2 * core.settings.cluster.workers.lease_s:
+                continue  # empties by itself, or has just been tried
             dear = any(policy.dear(job, room) for job in policy.services)
             if any(fits(n.job, kind) and not (dear and core.patient(n.job, n.age_s))
                    for n in demand):
@@ -682,5 +685,5 @@
             if best is None or (dear or guests, -lasting, room.machine) > best:
                 best = (dear or guests, -lasting, room.machine)
         if best is not None:
-            self.evacuated_at = now
+            self.evacuated_at = self.emptied[best[2]] = now
             await core.ask_owner(peerwire.EVACUATE, best[2], True)
