--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -42,6 +42,8 @@
 # The share of the fleet's CPUs that has to be free before replicas are moved to
 # empty a machine.
 SLACK = 0.1
+# Machines looked at in one round of emptying, each against all others.
+TRIES = 4
 
 Told = tuple[str, str, int, str, str, bool]
 
@@ -654,9 +656,9 @@
         core = self.core
         rooms = core.dispatch.picture()
         self.emptied = {n: t for n, t in self.emptied.items() if n in rooms}
-        best: tuple[float, float, str] | None = None
         total = sum(types[r.type].cpus for r in rooms.values() if r.type in types)
-        for room in list(rooms.values()):
+        offers: list[tuple[bool, float, str]] = []
+        for room in rooms.values():
             kind = types.get(room.type)
             if kind is None or not room.open or room.tasks == 0:
                 continue
@@ -668,6 +670,12 @@
                     2 * core.settings.cluster.workers.lease_s:
                 continue  # empties by itself, or has just been tried
             dear = any(policy.dear(job, room) for job in policy.services)
+            # The dear ones first, then those with the fewest replicas to move.
+            offers.append((not (dear or guests), lasting, room.machine))
+        # A look at all others for each: only the best few are looked at in a round.
+        for _, _, name in sorted(offers)[:TRIES]:
+            room, kind = rooms[name], types[rooms[name].type]
+            dear = any(policy.dear(job, room) for job in policy.services)
             if any(fits(n.job, kind) and not (dear and core.patient(n.job, n.age_s))
                    for n in demand):
                 continue
@@ -681,9 +689,6 @@
             if free < (2 * kind.cpus if dear else max(2 * kind.cpus, SLACK * total)) \
                     or not dear and self._worse(rest, room, spare, policy):
                 continue
-            # The dear ones first, then those with the fewest replicas to move.
-            if best is None or (dear or guests, -lasting, room.machine) > best:
-                best = (dear or guests, -lasting, room.machine)
-        if best is not None:
-            self.evacuated_at = self.emptied[best[2]] = now
-            await core.ask_owner(peerwire.EVACUATE, best[2], True)
+            self.evacuated_at = self.emptied[name] = now
+            await core.ask_owner(peerwire.EVACUATE, name, True)
+            return
