--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,193 @@
+"""A home's placing: gangs that wait, dear machines, and pictures made of changes."""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+
+from clayport.config import parse
+from clayport.jobs import HomeJob
+from clayport.membership import Generation
+from clayport.model import Job, MachineType, Piece, Report
+from clayport.server import Controller
+from clayport.workers import Owner
+
+from .world import TYPES
+from .world import job as wire_job
+
+SMALL, PAIR, LOW = (msgspec.convert(wire_job(n, **fields), Job) for n, fields in (
+    (1, {"cards": 2.0, "pieces": 1, "loaners": False}),
+    (2, {"cards": 2.0, "pieces": 2, "shape": "ensemble", "together": True, "loaners": False}),
+    (3, {"rank": "best_effort", "jobclass": "unnamed", "pieces": 20})))
+
+
+class Home:
+    """One controller that is home and owner of everything, in time that stands still."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        from .test_program import GOOD
+        self.now = 1000.0
+        monkeypatch.setattr(time, "monotonic", lambda: self.now)
+        self.c = Controller(parse(json.dumps(GOOD).encode()))
+        self.c.types = msgspec.convert(TYPES, list[MachineType])
+        self.c.owner.types = {t.name: t for t in self.c.types}
+        self.c.generation = Generation(1, {"c0": "x"}, 1)
+        self.c.owner.begin(self.c.generation, "c0")
+        self.seq = 0
+
+    def wait(self, job: Job) -> HomeJob:
+        self.c.live[job.id] = (job, 1)
+        hj = self.c.dispatch.homes[job.id] = HomeJob(job, 1, 50, self.now)
+        return hj
+
+    def report(self, name: str, zone: str, kind: str, *tasks: str) -> None:
+        self.seq += 1
+        token = self.c.owner.machine(name, self.now).token
+        pieces = [Piece(t, 1, "running") for t in tasks]
+        self.c.owner.take_report(Report(name, "m:1", kind, zone, False, 1, self.seq, token,
+                                        pieces), self.now, True)
+
+    def look(self) -> None:
+        """One pass of the placer and what it asks of the owner; nothing is started."""
+        self.c.dispatch._pass(self.now)
+        coros, self.c.coros = self.c.coros, []
+
+        async def run() -> None:
+            for coro in coros:
+                await coro
+        curio.run(run)
+        self.c.raised.clear()
+
+
+def test_machines_are_kept_for_a_gang_of_two(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Gangs of one took whatever became free, and one of two waited for 524 s."""
+    home = Home(monkeypatch)
+    home.c.live[SMALL.id] = (SMALL, 1)
+    home.report("m1", "north", "accel", "j-000001/0")
+    home.report("m2", "north", "accel", "j-000001/1")
+    pair = home.wait(PAIR)
+    home.look()
+    home.report("m1", "north", "accel")
+    single = home.wait(SMALL)
+    home.look()
+    assert not single.starts and not pair.starts
+    home.report("m2", "north", "accel")
+    home.look()
+    assert sorted(m for _, m in pair.starts) == ["m1", "m2"] and not single.starts
+    home.report("m3", "north", "accel")  # not one of those kept
+    home.look()
+    assert [m for _, m in single.starts] == ["m3"]
+
+
+def test_kept_machines_are_let_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    home = Home(monkeypatch)
+    home.report("m1", "north", "accel")
+    home.report("m2", "north", "accel", "j-000001/1")
+    owner = home.c.owner
+    owner.keep(PAIR, ["m1", "m2", "unknown"], True, home.now)
+    assert owner.reserve(SMALL, [("m1", 0)], 1, home.now) == [False]
+    assert owner.reserve(PAIR, [("m1", 0)], 1, home.now) == [True]
+    owner.keep(SMALL, ["m2"], False, home.now)  # not the one it is kept for
+    assert owner.machines["m2"].hold_job == PAIR.id
+    before = owner.room_rev
+    home.now += 100.0  # its home has gone: it lapses, and that shows in the table
+    owner.expire(home.now)
+    assert owner.machines["m2"].hold_job == "" and owner.changed(before) is not None
+    assert "m2" in (owner.changed(before) or [])
+
+
+def test_a_gang_that_no_zone_has_machines_for_keeps_none(monkeypatch: pytest.MonkeyPatch) -> None:
+    home = Home(monkeypatch)
+    home.report("m1", "north", "accel")
+    home.report("m2", "south", "accel")
+    home.wait(PAIR)
+    single = home.wait(SMALL)
+    home.look()
+    assert len(single.starts) == 1
+
+
+@pytest.mark.parametrize("fields, age, patient", [
+    ({"jobclass": "unnamed"}, 0.0, True),                    # nobody has set it an aim
+    ({"jobclass": "unnamed"}, 900.0, True),
+    ({"jobclass": "unnamed", "due_s": 30.0}, 0.0, False),
+    ({}, 0.0, True),                                         # finished within 90 s is asked
+    ({}, 60.0, False),
+    ({"shape": "daemon", "jobclass": "unnamed"}, 0.0, False),
+])
+def test_who_can_wait_for_a_machine_that_is_not_dear(monkeypatch: pytest.MonkeyPatch,
+                                                     fields: dict[str, Any], age: float,
+                                                     patient: bool) -> None:
+    """Work without an aim was taken for late, and rented machines at 18 times the price."""
+    home = Home(monkeypatch)
+    job = msgspec.convert(wire_job(1, **fields), Job)
+    assert home.c.patient(job, age) == patient
+
+
+def test_what_missed_its_start_comes_after_what_can_make_it(monkeypatch: pytest.MonkeyPatch
+                                                            ) -> None:
+    home = Home(monkeypatch)
+    home.c.wait_limits["batch"] = 30.0
+    late, early = home.wait(PAIR), home.wait(SMALL)
+    late.since -= 40.0
+    assert home.c.dispatch._order(early, home.now) < home.c.dispatch._order(late, home.now)
+    late.since += 20.0
+    assert home.c.dispatch._order(late, home.now) < home.c.dispatch._order(early, home.now)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_table_made_of_changes_is_the_whole_table(monkeypatch: pytest.MonkeyPatch,
+                                                    seed: int) -> None:
+    """Peers pull what changed since their last pull; nothing may be missing from it."""
+    rng = random.Random(seed)
+    owner_side, home = Home(monkeypatch), Home(monkeypatch)
+    owner, dispatch = owner_side.c.owner, home.c.dispatch
+    home.c.live[LOW.id] = owner_side.c.live[LOW.id] = (LOW, 1)
+    home.c.generation = owner_side.c.generation = Generation(1, {"c1": "y"}, 1)
+    owner_side.c.serving = True
+
+    async def call(_: int, values: tuple[Any, ...]) -> tuple[Any, ...]:
+        return owner_side.c.dispatch.table(values[1], [n for (n,) in values[2]])
+    home.c.peers["c1"].call = call  # type: ignore[method-assign,assignment]
+    for step in range(60):
+        owner_side.now = home.now = home.now + 1.0
+        name = f"m{rng.randrange(6)}"
+        what = rng.choice(["report", "report", "reserve", "remove", "drain", "keep", "expire"])
+        if what == "report" or name not in owner.machines:
+            owner_side.report(name, "north", "plain", *(
+                f"{LOW.id}/{rng.randrange(20)}" for _ in range(rng.randrange(3))))
+        elif what == "reserve":
+            owner.reserve(LOW, [(name, step)], 1, home.now)
+        elif what == "remove":
+            owner.removed([name])
+        elif what == "drain":
+            owner.drain(name)
+        elif what == "keep":
+            owner.keep(PAIR, [name], rng.random() < 0.7, home.now)
+        else:
+            owner.expire(home.now)
+        room = home.c.rooms.get(name)
+        if room is not None and rng.random() < 0.3:
+            room.take(LOW)  # charged here, and declined
+            dispatch.stale.add(name)
+        if rng.random() < 0.5:
+            curio.run(dispatch.refresh_peers, False)
+            shown = {n: (r.cpus, r.tasks, r.open, r.idle_since, r.used) for n, r in
+                     home.c.rooms.items()}
+            rooms = [owner.room(m, "c1", home.now) for m in owner.machines.values() if m.known]
+            assert shown == {r.machine: (r.cpus, r.tasks, r.open, r.idle_since, r.used)
+                             for r in rooms}
+
+
+def test_a_table_forgets_old_changes_only_as_a_whole() -> None:
+    owner = Owner(lambda _: None, lambda *_: None, 5.0, 3.0)
+    for number in range(5000):
+        owner.touch(f"m{number}")
+    assert len(owner.changes) <= 1000
+    assert owner.changed(4999) == ["m4999"] and owner.changed(10) is None
+    assert owner.changed(owner.room_rev + 1) is None  # of an owner that was started anew
