--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -343,9 +343,20 @@
                 left = min(left, limit - age)
             else:
                 late = 0.5
+        borrowing = float(not self._in_guarantee(job))
         if left == math.inf:
-            return (-job.rank, 0.0, 0.0, hj.live_rev)
-        return (-job.rank, late, left, hj.live_rev)
+            return (-job.rank, 0.0, borrowing, 0.0, hj.live_rev)
+        return (-job.rank, late, borrowing, left, hj.live_rev)
+
+    def _in_guarantee(self, job: Job) -> bool:
+        """Whether the job's team stays within its guarantee with it, as last read; true
+        where that isn't counted. What is owed to a team comes before what it borrows."""
+        if not self._guaranteed(job):
+            return True
+        which = 1 if job.gpus > 0 else 0
+        used = self.quotas.get(job.team, ((0.0, 0.0), 0, 0.0))[0][which]
+        need = amounts(job, 1 if job.kind != GANG else job.tasks)[which]
+        return used + need <= self.core.guarantees[job.team][which] + 1e-6
 
     def policy(self) -> Policy:
         """What keeps work off machines, from all jobs known, those just ended included."""
