--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -458,11 +458,13 @@
             await self._list(now)
         if fresh:
             # What a predecessor rented may not be listed yet: wait for the list
-            # to be sure before renting again.
+            # to be sure before renting again. Where the service is only just being
+            # started there was none, whatever machines there are already.
             self.began = gen
             self.began_at = now
-            self.ready_at = now + (2 * core.settings.cluster.cloud.list_lag_s
-                                   if self.listed or gen.number > 3 else 0.0)
+            first = gen.number <= core.settings.cluster.size \
+                and now - core.started < core.settings.cluster.workers.lease_s
+            self.ready_at = now + (0.0 if first else 2 * core.settings.cluster.cloud.list_lag_s)
         if core.generation is not gen:
             return
         now = time.monotonic()
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -198,7 +198,7 @@
             # ordered is listed now, or that response was dropped.
             want = m.want.get(key)
             if want is not None and want.phase == SENT:
-                want.phase = QUEUED
+                want.phase = LIVE if key in m.kills else QUEUED
         m.by_response = []
         m.kills = {k: g for k, g in m.kills.items() if k in listed or k in m.want}
         if m.notice_at is not None:
@@ -467,7 +467,9 @@
         for key in launches:
             want = m.want.get(key)
             if want is not None and want.phase == SENT:
-                want.phase = QUEUED
+                # What was killed meanwhile must not be launched again: a job that was
+                # cancelled while its launch was on its way once was.
+                want.phase = LIVE if key in m.kills else QUEUED
         if sent:
             m.token += 1
             m.fenced = False
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -8,6 +8,8 @@
 import curio
 import pytest
 
+from clayport import peerwire
+
 from .world import Clock, World, job, simulate
 
 JOBS: list[tuple[dict[str, Any], float]] = [
@@ -83,8 +85,8 @@
         await world.start(label)
 
 
-async def day(clock: Clock, seed: int, troubled: bool) -> World:
-    world = World(clock, seed)
+async def day(clock: Clock, seed: int, troubled: bool, controllers: int = 3) -> World:
+    world = World(clock, seed, controllers)
     for label in world.labels:
         await world.start(label)
     for routine in (world.spawner, world.poll, world.watch_rules):
@@ -112,10 +114,11 @@
     return world
 
 
-@pytest.mark.parametrize("seed, troubled", [(1, False), *((s, True) for s in range(2, 10))])
+@pytest.mark.parametrize("seed, troubled, controllers", [
+    (1, False, 3), *((s, True, 3) for s in range(2, 8)), (8, True, 5), (9, True, 5)])
 def test_rules_hold(monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture,
-                    seed: int, troubled: bool) -> None:
-    world = simulate(monkeypatch, lambda clock: day(clock, seed, troubled))
+                    seed: int, troubled: bool, controllers: int) -> None:
+    world = simulate(monkeypatch, lambda clock: day(clock, seed, troubled, controllers))
     assert world.broken == []
     # A request that can't be packed, or a routine that fails, is only logged.
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
@@ -125,3 +128,69 @@
                if world.jobs[i]["shape"] != "daemon"
                and world.told.get(i) not in ("done", "cancelled")}
     assert waiting == {}, "all work gets done once things are calm"
+
+
+# Days that are about one safeguard each: with it taken out, the rule it holds is broken.
+# (Random failures alone seldom combine to that.)
+
+
+async def started(clock: Clock, seed: int, *jobs: dict[str, Any]) -> World:
+    world = World(clock, seed)
+    for label in world.labels:
+        await world.start(label)
+    for routine in (world.spawner, world.watch_rules):
+        await curio.spawn(routine, daemon=True)
+    for value in jobs:
+        await world.submit(value, 1e9)
+    return world
+
+
+async def held_launch_of_a_cancelled_job(clock: Clock) -> World:
+    """A launch is on its way to the worker, for longer than a cancellation may take."""
+    world = await started(clock, 1, job(1, pieces=1, loaners=False),
+                          job(2, pieces=3, loaners=False))  # so that the machine stays
+    world.hold_s = (45.0, 45.0)
+    world.held.update(world.labels)
+    while not any(k.startswith("run/j-000001/") for k in world.state.keys):
+        await curio.sleep(0.1)
+    await curio.sleep(0.5)
+    await world.abort("j-000001")
+    await curio.sleep(1.5)
+    world.held.clear()
+    await curio.sleep(60.0)
+    return world
+
+
+async def launch_sent_twice(clock: Clock) -> World:
+    """The second copy of a launch reaches the owner when the replica has moved."""
+    world = await started(clock, 2, job(1, pieces=1, shape="daemon", loaners=False),
+                          job(2, pieces=8, loaners=False))
+    world.hold_s = (30.0, 30.0)
+    world.doubled.add(peerwire.LAUNCH)
+    key = ("j-000001/0", 1)
+
+    def on() -> list[Any]:
+        return [w for w in world.workers.values() if any(k[0] == key[0] for k in w.on())]
+    while not on():
+        await curio.sleep(0.1)
+        for c in world.controllers.values():
+            if c.serving and c.generation.place("j-000001") == c.label:
+                for machine in c.owner.machines.values():
+                    machine.hold_job, machine.hold_until = "other", clock() + 60.0
+    worker = on()[0]
+    owner = next(c for c in world.controllers.values() if worker.name in c.owner.machines).owner
+    machine = owner.machines[worker.name]
+    machine.hold_job, machine.hold_until = "other", clock() + 25.0  # not there again
+    owner.touch(worker.name)
+    owner.stop([(worker.name, *next(k for k in worker.on() if k[0] == key[0]), 0.0, False)])
+    while on() in ([], [worker]):
+        await curio.sleep(0.5)
+    await curio.sleep(35.0)
+    assert len(on()) == 1
+    return world
+
+
+@pytest.mark.parametrize("scene", [held_launch_of_a_cancelled_job, launch_sent_twice])
+def test_late_commands_change_nothing(monkeypatch: pytest.MonkeyPatch, scene: Any) -> None:
+    world = simulate(monkeypatch, scene)
+    assert world.broken == [] and world.accepted
--- a/tests/world.py
+++ b/tests/world.py
@@ -318,6 +318,8 @@
         self.routines: dict[str, curio.Task] = {}
         self.cut: set[str] = set()  # endpoints nothing reaches
         self.held: set[str] = set()  # controllers whose requests are held
+        self.hold_s = (1.0, 40.0)  # how long what is held is on its way
+        self.doubled: set[int] = set()  # kinds of frames that are delivered late once more
         self.loss = 0.0
         self.late: list[Coroutine[Any, Any, Any]] = []
         self.jobs: dict[str, dict[str, Any]] = {}
@@ -338,6 +340,9 @@
         job_id = task.split("/")[0]
         job = self.jobs[job_id]
         self.launches += 1
+        since = self.cancelled.get(job_id)
+        if since is not None and self.clock() - since > 35.0:
+            self.broken.append(f"ran_cancelled {task} starts on {worker.name}")
         for other in self.workers.values():
             if other is not worker and any(k[0] == task for k in other.on()):
                 self.broken.append(f"ran_twice {task} on {worker.name} and {other.name}")
@@ -427,7 +432,7 @@
         return answer
 
     async def _later(self, serve: Callable[[], Any]) -> None:
-        await curio.sleep(self.rng.uniform(1.0, 40.0))
+        await curio.sleep(self.rng.uniform(*self.hold_s))
         try:
             answer = serve()
             if hasattr(answer, "__await__"):
@@ -582,6 +587,9 @@
             try:
                 async with curio.timeout_after(timeout_s or 1.0):
                     answer = await self._exchange(label, peer.label, serve, timeout_s or 1.0, True)
+                if peerwire.decode_header(frame[:peerwire.HEADER.size])[0] in self.doubled:
+                    # Sent twice, since the first was long without an answer.
+                    await curio.spawn(self._later(serve), daemon=True)
             except (http.NoAnswer, curio.TaskTimeout) as exc:
                 raise peers.PeerError(str(exc)) from None
             peer.heard = self.clock()
