--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -462,8 +462,7 @@
             # started there was none, whatever machines there are already.
             self.began = gen
             self.began_at = now
-            first = gen.number <= core.settings.cluster.size \
-                and now - core.started < core.settings.cluster.workers.lease_s
+            first = gen.number == 1 or gen.number <= 3 and not self.listed
             self.ready_at = now + (0.0 if first else 2 * core.settings.cluster.cloud.list_lag_s)
         if core.generation is not gen:
             return
