--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -287,16 +287,22 @@
                         wanted = len(chosen)
             if len(chosen) < wanted:
                 chosen += place(job, wanted - len(chosen), pool, spread, core.label, policy,
-                                patient, fragile)
+                                patient or job.kind != GANG, fragile)
+            if len(chosen) < wanted and not patient and job.kind != GANG:
+                # Dear machines only for what work of lower rank on others can't make
+                # way for: they would be kept rented for what could run cheaply.
+                cheap = [r for r in pool if not policy.dear(job, r)]
+                if job.rank > 0 and now >= hj.preempt_at:
+                    self._make_room(hj, wanted - len(chosen), cheap, spread, policy,
+                                    self._grace(job, cheap, age), now)
+                coming = sum(n for n, until in hj.made.values() if now < until)
+                chosen += place(job, max(0, wanted - len(chosen) - coming), pool, spread,
+                                core.label, policy, False, fragile)
             if job.kind == GANG and job.tasks > 1 and not chosen:
                 pool = self._gather(hj, pool, spread, now)
             if len(chosen) < wanted and job.rank > 0 and now >= hj.preempt_at:
-                # Victims save, unless it is just that which would make the start late.
-                fetch = max((self._fetch_s(job, r) for r in pool if r.allows(job)), default=0.0)
-                left = math.inf if limit is None else limit - age - fetch
-                # A replica that is down is missed every second: nothing saves for it.
-                grace = 0.0 if job.kind == SERVICE else left if left > 0 else math.inf
-                self._make_room(hj, wanted - len(chosen), pool, spread, policy, grace, now)
+                self._make_room(hj, wanted - len(chosen), pool, spread, policy,
+                                self._grace(job, pool, age), now)
             if len(chosen) < wanted and now >= hj.preempt_at and self._guaranteed(job):
                 hj.preempt_at = now + core.ttl_s
                 rooms_for = [r.machine for r in pool if r.open and r.allows(job)
@@ -386,6 +392,18 @@
             self.core.spawn(self._preempt(room.machine, job, grace_s, (), count))
         return bool(found) or coming > 0
 
+    def _grace(self, job: Job, pool: list[Room], age_s: float) -> float:
+        """How long victims may take to save: as they need, unless it is just that which
+        would make the start late. A replica that is down is missed every second."""
+        limit = self.core.wait_limits.get(job.job_class)
+        if job.kind == SERVICE:
+            return 0.0
+        if limit is None:
+            return math.inf
+        left = limit - age_s - max((self._fetch_s(job, r) for r in pool if r.allows(job)),
+                                   default=0.0)
+        return left if left > 0 else math.inf
+
     def _gather(self, hj: HomeJob, pool: list[Room], spread: Spread, now: float) -> list[Room]:
         """Keep machines for a gang that nowhere fits whole; where to make room for it.
 
@@ -533,7 +551,7 @@
         if hj is None or hj.pending or room is None \
                 or (hj.assignment(number) or (0, ""))[1] != machine \
                 or time.monotonic() - hj.moved_at < self.core.settings.cluster.workers.lease_s \
-                * (3.0 if drain else 0.3):
+                * (3.0 if drain and not self.policy().dear(hj.job, room) else 0.3):
             return False
         zones = [self.core.zones.get(m) for n, _, m in hj.assignments() if n != number]
         policy = self.policy()
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -44,6 +44,9 @@
 SLACK = 0.1
 # Machines looked at in one round of emptying, each against all others.
 TRIES = 4
+# The share of all replicas' time that may go to moving them off dear machines; off
+# others, half of it.
+MOVING = 0.001
 
 Told = tuple[str, str, int, str, str, bool]
 
@@ -429,7 +432,7 @@
         self.sequence = 0
         self.began: object = None
         self.ready_at = 0.0
-        self.began_at = self.listed_at = self.evacuated_at = -1e9
+        self.began_at = self.listed_at = self.evacuated_at = self.emptying_at = -1e9
 
     async def run(self) -> None:
         core = self.core
@@ -512,7 +515,7 @@
                     # Replicas placed before a job that needs the GPUs was known.
                     self.evacuated_at = now
                     break
-        if now - self.evacuated_at > 2 * core.settings.cluster.workers.report_s:
+        if now >= self.emptying_at:
             await self._consolidate(types, demand, spare, policy, now)
 
     @staticmethod
@@ -674,7 +677,9 @@
             # The dear ones first, then those with the fewest replicas to move.
             offers.append((not (dear or guests), lasting, room.machine))
         # A look at all others for each: only the best few are looked at in a round.
-        for _, _, name in sorted(offers)[:TRIES]:
+        total_lasting = sum(r.used.get((RANKS["production"], True), [0.0])[0]
+                            for r in rooms.values())
+        for _, lasting, name in sorted(offers)[:TRIES]:
             room, kind = rooms[name], types[rooms[name].type]
             dear = any(policy.dear(job, room) for job in policy.services)
             if any(fits(n.job, kind) and not (dear and core.patient(n.job, n.age_s))
@@ -690,6 +695,10 @@
             if free < (2 * kind.cpus if dear else max(2 * kind.cpus, SLACK * total)) \
                     or not dear and self._worse(rest, room, spare, policy):
                 continue
-            self.evacuated_at = self.emptied[name] = now
-            await core.ask_owner(peerwire.EVACUATE, name, True)
+            self.emptied[name] = now
+            if await core.ask_owner(peerwire.EVACUATE, name, True):
+                # Each replica that moves is missed for about as long as a report takes.
+                share = lasting / max(lasting, total_lasting)
+                self.emptying_at = now + max(2.0, share / (MOVING if dear else MOVING / 2)) \
+                    * core.settings.cluster.workers.report_s
             return
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -129,6 +129,26 @@
     assert home.c.patient(job, age) == patient
 
 
+def test_lower_ranks_give_way_before_a_dear_machine_is_filled(monkeypatch: pytest.MonkeyPatch
+                                                              ) -> None:
+    """Else what is late stays on dear machines while cheap ones run what can wait."""
+    home = Home(monkeypatch)
+    home.c.live[LOW.id] = (LOW, 1)
+    home.report("m1", "north", "plain", *(f"{LOW.id}/{n}" for n in range(4)))
+    home.report("m2", "north", "accel")
+    hurried = home.wait(msgspec.convert(wire_job(4, pieces=3, loaners=False, due_s=12.0), Job))
+    home.look()
+    kills = home.c.owner.machines["m1"].kills
+    assert len(kills) == 3 and not hurried.starts
+    home.now += 30.0  # it didn't help: rather late on a dear machine than not at all
+    home.report("m1", "north", "plain", *(f"{n}/0" for n in ("j-9", "j-8", "j-7", "j-6")))
+    for n in ("j-9", "j-8", "j-7", "j-6"):
+        home.c.live[n] = (msgspec.convert(wire_job(9, rank="normal"), Job), 1)
+    home.report("m2", "north", "accel")
+    home.look()
+    assert [m for _, m in hurried.starts] == ["m2"] * 3
+
+
 def test_what_missed_its_start_comes_after_what_can_make_it(monkeypatch: pytest.MonkeyPatch
                                                             ) -> None:
     home = Home(monkeypatch)
