No machines are kept for gangs of two; nothing saves for what starts soon

Cause of what is left: the lowest rank now runs on GPU machines and saved for six seconds before a gang could fetch its image.

--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -26,7 +26,7 @@
     quota_key,
     quota_of,
 )
-from .model import GANG, RANKS, SERVICE, Chunk, Job, fits, split_task
+from .model import GANG, RANKS, SERVICE, Chunk, Job, split_task
 from .peers import PeerError
 from .placement import Policy, Room, Spread, place, preempt
 from .provisioning import Need, remaining
@@ -294,15 +294,13 @@
                 cheap = [r for r in pool if not policy.dear(job, r)]
                 if job.rank > 0 and now >= hj.preempt_at:
                     self._make_room(hj, wanted - len(chosen), cheap, spread, policy,
-                                    self._grace(job, cheap, age), now)
+                                    self._grace(job, age), now)
                 coming = sum(n for n, until in hj.made.values() if now < until)
                 chosen += place(job, max(0, wanted - len(chosen) - coming), pool, spread,
                                 core.label, policy, False, fragile)
-            if job.kind == GANG and job.tasks > 1 and not chosen:
-                pool = self._gather(hj, pool, spread, now)
             if len(chosen) < wanted and job.rank > 0 and now >= hj.preempt_at:
                 self._make_room(hj, wanted - len(chosen), pool, spread, policy,
-                                self._grace(job, pool, age), now)
+                                self._grace(job, age), now)
             if len(chosen) < wanted and now >= hj.preempt_at and self._guaranteed(job):
                 hj.preempt_at = now + core.ttl_s
                 rooms_for = [r.machine for r in pool if r.open and r.allows(job)
@@ -318,10 +316,6 @@
                 if room.machine in hj.made:
                     left_, until = hj.made[room.machine]
                     hj.made[room.machine] = (max(0, left_ - 1), until)
-            if hj.kept:
-                rest = set(hj.kept) - {r.machine for r in chosen}
-                core.spawn(self._keep(sorted(rest), job, False))
-                hj.kept = []
             numbers = hj.take(len(chosen))
             hj.starts = [(n, r.machine) for n, r in zip(numbers, chosen)]
             for number, machine in hj.starts:
@@ -392,92 +386,12 @@
             self.core.spawn(self._preempt(room.machine, job, grace_s, (), count))
         return bool(found) or coming > 0
 
-    def _grace(self, job: Job, pool: list[Room], age_s: float) -> float:
-        """How long victims may take to save: as they need, unless it is just that which
-        would make the start late. A replica that is down is missed every second."""
+    def _grace(self, job: Job, age_s: float) -> float:
+        """How long victims may take to save: as they need, but not while it may make a
+        start late that is to be soon (six seconds of saving and a fetch did). A replica
+        that is down is missed every second."""
         limit = self.core.wait_limits.get(job.job_class)
-        if job.kind == SERVICE:
-            return 0.0
-        if limit is None:
-            return math.inf
-        left = limit - age_s - max((self._fetch_s(job, r) for r in pool if r.allows(job)),
-                                   default=0.0)
-        return left if left > 0 else math.inf
-
-    def _gather(self, hj: HomeJob, pool: list[Room], spread: Spread, now: float) -> list[Room]:
-        """Keep machines for a gang that nowhere fits whole; where to make room for it.
-
-        Without this whatever becomes free goes to gangs of one and arrays, and those of
-        two wait until nothing else does (one waited for 524 s). Machines are kept while
-        they are still busy: the home that hears first would take what is free at once.
-        A gang that can still start in time keeps them wherever it fits, since some zone
-        has room for all of it soonest then; one that can't, only in its best zone.
-        """
-        job, core = hj.job, self.core
-        zones = self._zones_for(job, pool, spread)
-        if not zones or not self._first_gang(job, {r.machine for z in zones.values() for r in z},
-                                             pool, now):
-            return []
-        best = max(zones.items(), key=lambda z: (sum(r.fits(job) for r in z[1]),
-                                                 sum(r.hold == job.id for r in z[1]),
-                                                 len(z[1]), z[0]))[1]
-        if now >= hj.gather_at:
-            hj.gather_at = now + core.ttl_s / 3
-            kept = best if self._missed(job, now - hj.since) \
-                else [r for z in zones.values() for r in z]
-            kept = [r for r in kept if r.hold in ("", job.id)]
-            for room in kept:
-                room.hold = job.id
-                self.stale.add(room.machine)
-            hj.kept = [r.machine for r in kept]
-            core.spawn(self._keep(hj.kept, job, True))
-        return best
-
-    async def _keep(self, machines: list[str], job: Job, keep: bool) -> None:
-        """Have owners keep machines for a gang, for a while, or have them let go."""
-        core = self.core
-        for owner, part in self._by_owner((m,) for m in machines).items():
-            if owner == core.label:
-                core.owner.keep(job, [m for (m,) in part], keep, time.monotonic())
-                continue
-            try:
-                await core.peers[owner].call(peerwire.KEEP, (
-                    core.generation.number, job.id, keep, part))
-            except (PeerError, KeyError):
-                pass  # asked again, or it lapses
-
-    def _zones_for(self, job: Job, pool: list[Room], spread: Spread) -> dict[str, list[Room]]:
-        """The machines that may hold tasks of a gang, by zone, where they are enough."""
-        zones: dict[str, list[Room]] = {}
-        for room in pool:
-            kind = self.core.owner.types.get(room.type)
-            if room.open and kind is not None and fits(job, kind) and room.allows(job) \
-                    and spread.allows(room.zone):
-                zones.setdefault(room.zone if job.one_zone else "", []).append(room)
-        return {zone: rooms for zone, rooms in zones.items() if len(rooms) >= job.tasks}
-
-    def _missed(self, job: Job, age_s: float) -> bool:
-        """Whether it is too late for the job to start in time."""
-        return age_s >= self.core.wait_limits.get(job.job_class, math.inf)
-
-    def _first_gang(self, job: Job, machines: set[str], pool: list[Room], now: float) -> bool:
-        """Whether no gang of several tasks, here or at a peer, comes before this one on
-        these machines. Two at a time would keep from each other what both need."""
-        gangs = []
-        for label, rows in (("", self.demand()), *self.demands.items()):
-            for name, _, age, _ in rows if not label or label in self.core.generation.members \
-                    else ():
-                known = self.core.live.get(name)
-                if known is not None and known[0].kind == GANG and known[0].tasks > 1:
-                    gangs.append((self._missed(known[0], age), -age, name))
-        for _, _, name in sorted(gangs):
-            if name == job.id:
-                return True
-            other = self.core.live[name][0]
-            if any(r.machine in machines for rooms in self._zones_for(
-                    other, pool, Spread(other, ())).values() for r in rooms):
-                return False
-        return True
+        return 0.0 if job.kind == SERVICE or limit is not None and age_s < limit else math.inf
 
     def _guaranteed(self, job: Job) -> bool:
         """Whether the job's team has a guarantee that may be claimed for it."""
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -59,8 +59,6 @@
         self.preempt_at = 0.0
         self.preempted = False
         self.started = False  # a task of it has been seen running
-        self.gather_at = 0.0
-        self.kept: list[str] = []  # machines kept for a gang that waits
         self.made: dict[str, tuple[int, float]] = {}  # machine: tasks room is made for, until
         self.moved_at = now
         self.errors: dict[str, int] = {}  # machine: failures of this job there
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -28,7 +28,7 @@
 REPORT, REPORTED = 16, 17
 FENCE, DRAIN, GONE = 18, 19, 20
 INSPECT = 21
-PREEMPT, EVACUATE, MOVE, KEEP = 22, 23, 24, 25
+PREEMPT, EVACUATE, MOVE = 22, 23, 24
 
 # generation leads every request that acts on machines or tasks: one from
 # another generation is refused as a whole.
@@ -69,8 +69,6 @@
     INSPECT: ("s", "s"),
     # generation, job, task number, machine, to drain it: has the replica another place
     MOVE: ("Q", "s", "I", "s", "?"),
-    # generation, job, whether to keep or let go, machines
-    KEEP: ("Q", "s", "?", ("s",)),
     # generation, machine, whether to drain it
     EVACUATE: ("Q", "s", "?"),
     # generation, machine, job, its tasks that are to fit, longest time its victims may
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -598,10 +598,6 @@
                 wanting, values[1], values[4], now, [t for (t,) in values[5]], values[3])
             self.fleet.poke(values[1])
             return peerwire.ACK, (done,)
-        elif kind == peerwire.KEEP:
-            keeping = self.job_of(values[1])
-            if keeping is not None:
-                self.owner.keep(keeping, [m for (m,) in values[3]], values[2], now)
         elif kind == peerwire.EVACUATE:
             return peerwire.ACK, (self.fleet.evacuate(values[1], values[2]),)
         elif kind == peerwire.MOVE:
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -371,17 +371,6 @@
         log.info("machine=%s job=%s event=preempt tasks=%d", name, job.id, len(chosen))
         return True
 
-    def keep(self, job: Job, names: Iterable[str], keep: bool, now: float) -> None:
-        """Keep machines for a job, busy ones as well, until it asks no more."""
-        for name in names:
-            m = self.machines.get(name)
-            if m is None or (now < m.hold_until and m.hold_job != job.id):
-                continue
-            if (m.hold_job == job.id) != keep:
-                self.touch(name)
-            m.hold_job = job.id if keep else ""
-            m.hold_until = now + self.direct_pause_s if keep else -1e9
-
     def adopt(self, items: Iterable[tuple[str, str, int]], now: float) -> None:
         """Assignments that a home found committed: to be judged by fenced reports."""
         for name, task, attempt in items:
