--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -46,7 +46,7 @@
 TRIES = 4
 # The share of all replicas' time that may go to moving them off dear machines; off
 # others, half of it.
-MOVING = 0.001
+MOVING = 0.002
 
 Told = tuple[str, str, int, str, str, bool]
 
