--- a/tests/world.py
+++ b/tests/world.py
@@ -232,7 +232,20 @@
                  for f in ("vcpus", "cards", "ram_gb")):
             task.state, task.why = "exited", "no_room"
         else:
-            task.until = now + (0.0 if job["bundle"] in self.images else 1.5)
+            task.until = now + 1.5
+            if job["bundle"] in self.images:
+                self.begin(key, task, now)  # it is on the machine from here on
+
+    def begin(self, key: tuple[str, int], task: Task, now: float) -> None:
+        """The task has its image."""
+        job_id, _, number = key[0].partition("/")
+        job = self.world.jobs[job_id]
+        self.images.add(job["bundle"])
+        task.state = "waiting" if job["shape"] == "ensemble" else "running"
+        task.until = now + self.world.run_s[job_id]
+        self.world.entered(self, key)
+        if int(number) in self.world.results[job_id]:
+            self.finish(key, task)
 
     def step(self) -> None:
         """Fetches end, tasks start and complete, the lease runs out."""
@@ -246,15 +259,10 @@
         if now < self.hung_until:
             return
         for key, task in list(self.tasks.items()):
-            job_id, _, number = key[0].partition("/")
+            job_id = key[0].partition("/")[0]
             job = self.world.jobs[job_id]
             if task.state == "pulling" and now >= task.until:
-                self.images.add(job["bundle"])
-                task.state = "waiting" if job["shape"] == "ensemble" else "running"
-                task.until = now + self.world.run_s[job_id]
-                self.world.entered(self, key)
-                if int(number) in self.world.results[job_id]:
-                    self.finish(key, task)
+                self.begin(key, task, now)
             elif task.state == "waiting":
                 self.world.gang(job_id, key[1], now)
             elif task.state == "running" and job["shape"] != "daemon" and now >= task.until:
