--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -194,12 +194,16 @@
 
 
 def _best_zone(job: Job, wanted: int, candidates: list[Room]) -> list[Room]:
-    """The candidates of the zone with the most room for a job kept in one zone."""
+    """The candidates of the best zone for a job kept in one: one that holds all of it,
+    then with the image cached, then the one with the least room to spare, since larger
+    gangs need what is free to be together."""
     by_zone: dict[str, int] = {}
+    cached: dict[str, int] = {}
     for room in candidates:
         by_zone[room.zone] = by_zone.get(room.zone, 0) + capacity(job, room)
-    zone = max(by_zone, key=lambda z: (by_zone[z] >= wanted, sum(
-        job.image in r.images for r in candidates if r.zone == z), by_zone[z], z))
+        cached[room.zone] = cached.get(room.zone, 0) + (job.image in room.images)
+    zone = max(by_zone, key=lambda z: (by_zone[z] >= wanted, min(wanted, cached[z]),
+                                       -by_zone[z] if by_zone[z] >= wanted else by_zone[z], z))
     return [r for r in candidates if r.zone == zone]
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -100,6 +100,17 @@
     assert len(place(job, 3, [room(kind=ACCEL)], Spread(job, ()), "", policy)) == 3
 
 
+@pytest.mark.parametrize("images, machine", [((), "s1"), (("img-1",), "n1")])
+def test_a_gang_of_one_leaves_pairs_of_machines_together(images: tuple[str, ...], machine: str
+                                                         ) -> None:
+    rooms = [room("n1", images=images), room("n2"), room("s1", zone="south")]
+    job = make(pieces=1, shape="ensemble", together=True, vcpus=8.0)
+    assert [r.machine for r in place(job, 1, rooms, Spread(job, ()), "")] == [machine]
+    job = make(pieces=2, shape="ensemble", together=True, vcpus=8.0)
+    rooms = [room("n1"), room("n2"), room("s1", zone="south", images=("img-1",))]
+    assert {r.zone for r in place(job, 2, rooms, Spread(job, ()), "")} == {"north"}
+
+
 @pytest.mark.parametrize("fragile, first", [(False, "cheap"), (True, "plain")])
 def test_what_would_be_late_if_lost_keeps_off_spot_machines(fragile: bool, first: str) -> None:
     job = make(pieces=5)
