An answer is as old as its question, not older

The model test with five controllers met 'cancelled then queued': the poll had been sent before the cancellation was answered, so the test is told apart (either order is right). An answer that had asked the home meanwhile looks once more whether the job has ended.

--- a/clayport/api.py
+++ b/clayport/api.py
@@ -101,6 +101,9 @@
                 counts = (done, running) if ok else None
             except PeerError:
                 counts = None
+        if job in core.ended:
+            # It ended while the home was asked: that has been told to somebody by now.
+            return await self._answer(job, core.ended[job])
         # For display only: a home out of reach must not cost the user its answer.
         done, running = counts or (0, 0)
         return {"id": job, "status": "running" if running else "queued", "done": done,
