--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -59,6 +59,7 @@
         self.quotas: dict[str, tuple[tuple[float, float], int, float]] = {}
         self.demands: dict[str, list[tuple[str, int, float, str]]] = {}
         self.pulled: dict[str, int] = {}  # peer: its room revision at the last pull
+        self.cut_logged_at = -1e9
         self.own_rev = -1
         # Machines whose rooms were charged or closed here, and so differ from what
         # their owner says until they are asked for again.
@@ -215,6 +216,13 @@
                 if hj.job.spread or hj.job.one_zone:
                     zones = " ".join(self.core.zones.get(m, "") for _, _, m in hj.assignments())
                 found.append((hj.job.id, waiting, now - hj.since, zones))
+        if len(found) > DEMAND_MOST:
+            # What is most urgent is told; the rest is when that has been served.
+            found.sort(key=lambda row: (-self.core.live[row[0]][0].rank
+                                        if row[0] in self.core.live else 0, -row[2]))
+            if now >= self.cut_logged_at:
+                self.cut_logged_at = now + 20 * self.core.ttl_s
+                log.info("event=demand-bounded told=%d jobs=%d", DEMAND_MOST, len(found))
         return found[:DEMAND_MOST]
 
     def all_demand(self) -> list[Need]:
--- /dev/null
+++ b/clayport/renting.py
@@ -0,0 +1,327 @@
+"""Renting and returning machines, on the one member of the generation that does it."""
+
+from __future__ import annotations
+
+import logging
+import math
+import time
+from typing import TYPE_CHECKING
+
+import curio
+
+from . import peerwire
+from .cloud import CloudError, NoCapacity
+from .model import RANKS, Listed, MachineType, fits
+from .placement import Policy, Room
+from .provisioning import (
+    GIVE_UP,
+    LATE,
+    Boot,
+    Kind,
+    Need,
+    empty_room,
+    pressing,
+    remaining,
+    shopping,
+    short,
+    spare_room,
+)
+
+if TYPE_CHECKING:
+    from .server import Controller
+
+log = logging.getLogger("clayport.renting")
+
+# The share of the fleet's CPUs that has to be free before replicas are moved to
+# empty a machine.
+SLACK = 0.1
+# Machines looked at in one round of emptying, each against all others.
+TRIES = 4
+# The share of all replicas' time that may go to moving them off dear machines; off
+# others, half of it.
+MOVING = 0.002
+
+
+class Provisioner:
+    """Renting and returning, on the one member of the generation that does."""
+
+    def __init__(self, core: Controller) -> None:
+        self.core = core
+        self.boots: dict[str, Boot] = {}
+        self.returned: dict[str, float] = {}
+        self.refused: dict[Kind, float] = {}
+        self.emptied: dict[str, float] = {}  # when a machine was last to be emptied
+        self.listed: dict[str, Listed] = {}
+        self.sequence = 0
+        self.began: object = None
+        self.ready_at = 0.0
+        self.began_at = self.listed_at = self.evacuated_at = self.emptying_at = -1e9
+
+    async def run(self) -> None:
+        core = self.core
+        while True:
+            await core.wait("demand", core.ttl_s / 3)
+            await curio.sleep(core.ttl_s / 12)
+            if not core.serving or core.generation.provisioner != core.label or not core.types:
+                continue
+            if core.away or core.state_lost(time.monotonic()):
+                # Possibly evicted: a return sent now may be held in the network
+                # and destroy, minutes later, machines that work.
+                continue
+            try:
+                await self.tick()
+            except CloudError as exc:
+                log.info("event=cloud-trouble cause=%s", exc)
+                await curio.sleep(core.jitter(core.ttl_s / 3))
+
+    async def tick(self) -> None:
+        core = self.core
+        now = time.monotonic()
+        gen = core.generation
+        fresh = self.began is not gen
+        await core.dispatch.refresh_peers(changed_only=not fresh)
+        if fresh or now - self.listed_at > core.settings.cluster.cloud.list_lag_s:
+            await self._list(now)
+        if fresh:
+            # What a predecessor rented may not be listed yet: wait for the list
+            # to be sure before renting again. Where the service is only just being
+            # started there was none, whatever machines there are already.
+            self.began = gen
+            self.began_at = now
+            first = gen.number == 1 or gen.number <= 3 and not self.listed
+            self.ready_at = now + (0.0 if first else 2 * core.settings.cluster.cloud.list_lag_s)
+        if core.generation is not gen:
+            return
+        now = time.monotonic()
+        rooms = list(core.dispatch.picture().values())
+        types = {t.name: t for t in core.types}
+        await self._give_up(now, types)
+        supply = [r.copy() for r in rooms if r.open]
+        busy = sum(types[r.type].cpus - r.cpus for r in rooms if r.type in types)
+        if log.isEnabledFor(logging.DEBUG):
+            self._describe(rooms, types)
+        for boot in self.boots.values():
+            kind = types.get(boot.kind[0])
+            if kind is not None and now - boot.since < LATE * kind.boot_s:
+                supply.append(empty_room(kind, boot.name, boot.kind[1], boot.kind[2]))
+        demand = core.dispatch.all_demand()
+        policy = core.dispatch.policy()
+        spare = spare_room([j for j, _ in core.live.values()], core.arrivals, core.types,
+                           core.urgent, now)
+        cpus = sum(types[r.type].cpus - r.used.get((RANKS["production"], True), [0.0])[0]
+                   for r in supply if r.type in types)
+        needs = pressing(demand, core.finish_limits, cpus)
+        cheap = [r.copy() for r in supply]
+        missing = short(supply, needs, policy)
+        # Room that is only kept, and room for replicas on dear machines, has to be
+        # where it is cheap: else it would keep dear machines rented.
+        moving = self._on_dear(rooms, policy)
+        kept: list[Need] = []
+        for need in (*spare, *moving):
+            rest = cheap if need in moving else supply
+            kept += short([r for r in rest if not policy.dear(need.job, r)], [need], policy)
+        self.refused = {k: t for k, t in self.refused.items() if t > now}
+        if now >= self.ready_at and (missing or kept):
+            late = {n.job.id for n in pressing(demand, core.finish_limits, cpus, 1.0, 1.0)}
+            left = {n.job.id: -math.inf if core.aimless(n.job) or n.job.id not in late
+                    else remaining(n.job, n.age_s, core.finish_limits) for n in demand}
+            wanted = shopping(core.types, missing, set(self.refused), busy, policy, left)
+            wanted += shopping(core.types, kept, set(self.refused), busy, policy,
+                               {n.job.id: -math.inf for n in kept})
+            await self._rent(wanted, types, now)
+        await self._return_idle(rooms, types, demand, spare, policy, now)
+        if now - self.evacuated_at > core.settings.cluster.workers.lease_s / 2:
+            for room in list(core.dispatch.picture().values()):
+                kind = types.get(room.type)
+                if kind is not None and room.open and policy.blocked(room, kind) > 0 \
+                        and await core.ask_owner(peerwire.EVACUATE, room.machine, False):
+                    # Replicas placed before a job that needs the GPUs was known.
+                    self.evacuated_at = now
+                    break
+        if now >= self.emptying_at:
+            await self._consolidate(types, demand, spare, policy, now)
+
+    @staticmethod
+    def _on_dear(rooms: list[Room], policy: Policy) -> list[Need]:
+        """Replicas that run on machines far dearer than they need."""
+        found = []
+        for job in policy.services:
+            cpus = sum(r.used.get((RANKS["production"], True), [0.0])[0] for r in rooms
+                       if policy.dear(job, r))
+            if cpus > 0:
+                found.append(Need(job, math.ceil(cpus / max(job.cpus, 0.1))))
+        return found[:1]
+
+    def _describe(self, rooms: list[Room], types: dict[str, MachineType]) -> None:
+        """How full the fleet is, by kind: machines, CPUs and those busy; and what waits."""
+        kinds: dict[tuple[str, bool], list[float]] = {}
+        for room in rooms:
+            if room.type in types:
+                row = kinds.setdefault((room.type, room.spot), [0, 0, 0])
+                row[0] += 1
+                row[1] += types[room.type].cpus
+                row[2] += types[room.type].cpus - room.cpus
+        waiting: dict[str, int] = {}
+        for need in self.core.dispatch.all_demand():
+            name = need.job.job_class
+            waiting[name] = waiting.get(name, 0) + need.tasks
+        log.debug("event=fleet booting=%d waiting=%s %s", len(self.boots), waiting,
+                  " ".join(f"{t}{'*' if spot else ''}={n:.0f}:{busy:.0f}/{cpus:.0f}"
+                           for (t, spot), (n, cpus, busy) in sorted(kinds.items())))
+
+    async def _list(self, now: float) -> None:
+        core = self.core
+        lag = core.settings.cluster.cloud.list_lag_s
+        found = await core.cloud.machines()
+        self.listed_at = now
+        self.listed = {m.id: m for m in found}
+        self.returned = {n: t for n, t in self.returned.items() if now - t < 4 * lag + core.ttl_s}
+        for m in found:
+            if m.id in self.returned:
+                continue
+            if m.state == "failed":
+                await core.fleet.fence(m.id)
+                self.returned[m.id] = now
+            elif m.id not in core.rooms:
+                self.boots.setdefault(m.id, Boot(m.id, (m.type, m.zone, m.spot), now - m.age_s))
+        for name, boot in list(self.boots.items()):
+            gone = name not in self.listed and now - boot.since > 4 * lag + core.ttl_s
+            if name in core.rooms or name in self.returned or gone:
+                del self.boots[name]
+
+    async def _give_up(self, now: float, types: dict[str, MachineType]) -> None:
+        """Return machines that never came up; they cost as long as they are kept.
+
+        Not right after a takeover: machines that work are unknown then until
+        their reports have found their new owners.
+        """
+        if now - self.began_at < 2 * self.core.settings.cluster.workers.lease_s:
+            return
+        late = [b.name for b in self.boots.values()
+                if b.kind[0] in types and now - b.since > GIVE_UP * types[b.kind[0]].boot_s]
+        if late:
+            log.info("event=never-up machines=%s", late)
+            await self._return(late[:100], now)
+
+    async def _return(self, names: list[str], now: float) -> None:
+        await self.core.cloud.give_back(names)
+        for name in names:
+            self.returned[name] = now
+            self.boots.pop(name, None)
+        await self.core.announce_gone(names)
+
+    async def _rent(self, wanted: list[Kind], types: dict[str, MachineType], now: float) -> None:
+        core = self.core
+        counts: dict[Kind, int] = {}
+        for kind in wanted:
+            counts[kind] = counts.get(kind, 0) + 1
+        for kind, count in counts.items():
+            self.sequence += 1
+            name = f"r-{core.generation.number}-{core.label}-{self.sequence}"
+            try:
+                got = await core.cloud.rent(name, *kind, min(count, 50))
+            except NoCapacity:
+                got = []
+            log.info("event=rented kind=%s wanted=%d got=%d", kind, count, len(got))
+            if len(got) < min(count, 50):
+                self.refused[kind] = now + types[kind[0]].boot_s / 2
+                core.signal("demand")
+            for machine in got:
+                self.boots[machine] = Boot(machine, kind, now)
+
+    async def _return_idle(self, rooms: list[Room], types: dict[str, MachineType],
+                           demand: list[Need], spare: list[Need], policy: Policy,
+                           now: float) -> None:
+        """Return machines idle for a while that are not needed as spare room."""
+        core = self.core
+        names = []
+        needs = demand + spare
+        # Cheap room that replicas on dear machines can still move to is kept.
+        keep = sum(n.job.cpus * n.tasks for n in self._on_dear(rooms, policy))
+        hurried = [n for n in demand if not core.patient(n.job, n.age_s)]
+        idle = [r for r in rooms if r.tasks == 0 and r.type in types
+                and r.machine not in self.returned
+                and (not r.open or now - r.idle_since > 0.5 * types[r.type].boot_s)]
+        # Closed ones first: nothing will ever start there again.
+        idle.sort(key=lambda r: (r.open, r.spot, -types[r.type].price))
+        for room in idle[:4]:
+            # A dear machine is not kept for what may come, or for what can wait.
+            cheap = not any(policy.dear(job, room) for job in policy.services)
+            if keep > 0 and room.open and cheap:
+                keep -= room.cpus
+                continue
+            rest = [r.copy() for r in core.dispatch.picture().values()
+                    if r.open and r.machine != room.machine and r.machine not in names]
+            if room.open and self._worse(rest, room, needs if cheap else hurried, policy):
+                continue
+            if await core.ask_owner(peerwire.DRAIN, room.machine):
+                names.append(room.machine)
+        if names:
+            log.info("event=returned machines=%s cause=idle", names)
+            await self._return(names, now)
+
+    @staticmethod
+    def _worse(rest: list[Room], room: Room, needs: list[Need], policy: Policy) -> bool:
+        """Whether less of what is needed would fit without the machine."""
+        without = sum(n.tasks for n in short([r.copy() for r in rest], needs, policy))
+        if not without:
+            return False
+        rest = [*(r.copy() for r in rest), room.copy()]
+        return without > sum(n.tasks for n in short(rest, needs, policy))
+
+    async def _consolidate(self, types: dict[str, MachineType], demand: list[Need],
+                           spare: list[Need], policy: Policy, now: float) -> None:
+        """Empty a machine whose work the others have room for, the dearest first.
+
+        Nothing that waits could use it: neither a job that fits no machine of its
+        type nor one that can wait for a cheaper one. (A few waiting gangs once kept
+        nine dear machines with replicas rented all day.) Replicas last, so without
+        this a machine that has one stays rented, however little else there is for it.
+        """
+        core = self.core
+        rooms = core.dispatch.picture()
+        self.emptied = {n: t for n, t in self.emptied.items() if n in rooms}
+        total = sum(types[r.type].cpus for r in rooms.values() if r.type in types)
+        offers: list[tuple[bool, float, str]] = []
+        for room in rooms.values():
+            kind = types.get(room.type)
+            if kind is None or not room.open or room.tasks == 0:
+                continue
+            guests = room.type in policy.guests
+            if guests and room.gpus < kind.gpus:
+                continue  # its GPUs are in use
+            lasting = room.used.get((RANKS["production"], True), [0.0, 0.0, 0.0])[0]
+            if lasting <= 0 or now - self.emptied.get(room.machine, -1e9) < \
+                    2 * core.settings.cluster.workers.lease_s:
+                continue  # empties by itself, or has just been tried
+            dear = any(policy.dear(job, room) for job in policy.services)
+            # The dear ones first, then those with the fewest replicas to move.
+            offers.append((not (dear or guests), lasting, room.machine))
+        # A look at all others for each: only the best few are looked at in a round.
+        total_lasting = sum(r.used.get((RANKS["production"], True), [0.0])[0]
+                            for r in rooms.values())
+        for _, lasting, name in sorted(offers)[:TRIES]:
+            room, kind = rooms[name], types[rooms[name].type]
+            dear = any(policy.dear(job, room) for job in policy.services)
+            waiting = [n for n in demand if fits(n.job, kind)
+                       and not (dear and core.patient(n.job, n.age_s))]
+            if waiting and not dear:
+                continue
+            rest = [r.copy() for r in rooms.values() if r.open and r.machine != room.machine
+                    and not (r.spot and not room.spot)]
+            free = sum(r.cpus for r in rest)
+            if dear:  # its replicas are worth more than the progress of the lowest rank
+                free += sum(used[0] for r in rest for (rank, _), used in r.used.items()
+                            if rank == RANKS["best_effort"])
+                free -= sum(n.tasks * n.job.cpus for n in waiting)
+            # Enough stays free that the next job doesn't buy it back.
+            if free < (2 * kind.cpus if dear else max(2 * kind.cpus, SLACK * total)) \
+                    or not dear and self._worse(rest, room, spare, policy):
+                continue
+            self.emptied[name] = now
+            if await core.ask_owner(peerwire.EVACUATE, name, True):
+                # Each replica that moves is missed for about as long as a report takes.
+                share = lasting / max(lasting, total_lasting)
+                self.emptying_at = now + max(2.0, share / (MOVING if dear else MOVING / 2)) \
+                    * core.settings.cluster.workers.report_s
+            return
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -18,12 +18,13 @@
 from .cloud import Cloud, CloudError
 from .config import Settings, endpoint
 from .dispatch import Dispatch
-from .fleet import Fleet, Provisioner
+from .fleet import Fleet
 from .jobs import GENERATION_KEY, HomeJob, end_key
 from .membership import NOBODY, Generation, should_leave, successor
 from .model import SERVICE, Chunk, Job, MachineType, chunk_size
 from .placement import Room
 from .provisioning import LINE, Arrivals, remaining, slack
+from .renting import Provisioner
 from .statestore import Change, Compacted, Conflict, NoLease, StateStore, Txn, Unavailable, Unknown
 from .workers import Owner
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -12,6 +12,7 @@
 import pytest
 
 from clayport.config import parse
+from clayport.dispatch import DEMAND_MOST
 from clayport.jobs import HomeJob
 from clayport.membership import Generation
 from clayport.model import Job, MachineType, Piece, Report
@@ -137,6 +138,20 @@
     assert home.c.dispatch._order(late, home.now) < home.c.dispatch._order(early, home.now)
 
 
+def test_demand_beyond_its_bound_is_told_by_urgency(monkeypatch: pytest.MonkeyPatch,
+                                                    caplog: pytest.LogCaptureFixture) -> None:
+    home = Home(monkeypatch)
+    caplog.set_level("INFO")
+    for number in range(DEMAND_MOST + 50):
+        rank = "production" if number >= DEMAND_MOST else "normal"
+        home.wait(msgspec.convert(wire_job(number, rank=rank), Job))
+    told = {row[0] for row in home.c.dispatch.demand()}
+    assert len(told) == DEMAND_MOST
+    assert {f"j-{n:06d}" for n in range(DEMAND_MOST, DEMAND_MOST + 50)} <= told
+    home.c.dispatch.demand()
+    assert sum("event=demand-bounded" in r.getMessage() for r in caplog.records) == 1
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_a_table_made_of_changes_is_the_whole_table(monkeypatch: pytest.MonkeyPatch,
                                                     seed: int) -> None:
