--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -5,7 +5,7 @@
 import logging
 import math
 import time
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -63,7 +63,7 @@
         self.own_rev = -1
         # Machines whose rooms were charged or closed here, and so differ from what
         # their owner says until they are asked for again.
-        self.stale: set[str] = set()
+        self.stale: dict[str, None] = {}
         self.pulling: set[str] = set()
         self.starved = False
         self.value_limit = int(core.settings.cluster.state.txn_ops)
@@ -73,18 +73,23 @@
     def picture(self) -> dict[str, Room]:
         """The snapshot; our own machines in it are always as their reports say."""
         core, owner = self.core, self.core.owner
-        ours = {n for n in self.stale if n in owner.machines}
+        ours = [n for n in self.stale if n in owner.machines]
         if owner.room_rev != self.own_rev or ours:
             changed = owner.changed(self.own_rev) if self.own_rev >= 0 else None
-            names = set(owner.machines) if changed is None else {*changed, *ours}
+            names = dict.fromkeys(owner.machines if changed is None else [*changed, *ours])
             self.own_rev = owner.room_rev
-            self.stale -= ours
+            self.unstale(ours)
             now = time.monotonic()
             found = {n: owner.machines[n] for n in names if n in owner.machines}
-            self._show(core.label, [owner.room(m, core.label, now) for m in found.values()
-                                    if m.known], changed is None, names - set(found))
+            self._show(core.label,
+                       [owner.room(m, core.label, now) for m in found.values() if m.known],
+                       changed is None, [n for n in names if n not in found])
         return core.rooms
 
+    def unstale(self, names: Iterable[str]) -> None:
+        for name in names:
+            self.stale.pop(name, None)
+
     def _show(self, owner: str, rooms: Iterable[Room], whole: bool,
               removed: Iterable[str]) -> None:
         """Renew one owner's part of the snapshot, or what has changed of it."""
@@ -112,7 +117,7 @@
             if peer is not None and self.core.generation is gen and not (
                     changed_only and self.pulled.get(label) == peer.room_rev):
                 await self._pull(label)
-        self.stale.intersection_update(self.core.rooms)
+        self.unstale([n for n in self.stale if n not in self.core.rooms])
 
     async def _pull(self, label: str) -> None:
         """What has changed of a peer's table since the last time, and the machines whose
@@ -128,7 +133,7 @@
         if not ok or core.generation is not gen or rev < self.pulled.get(label, 0):
             return
         self.pulled[label] = rev
-        self.stale.difference_update(charged)
+        self.unstale(charged)
         now = time.monotonic()
         used: dict[str, list[tuple[int, bool, float, float, float]]] = {}
         for name, *use in taken:
@@ -541,6 +546,11 @@
                     return
                 await core.flush()
                 await core.wait(name, core.ttl_s if hj.ended or hj.breaking else 4 * core.ttl_s)
+                unheard = hj.unheard(time.monotonic(), 4 * core.ttl_s)
+                if unheard:
+                    # Of what nobody says anything, the owner may have lost track.
+                    log.info("job=%s event=unheard tasks=%d", hj.job.id, len(unheard))
+                    await self._adopt(hj, unheard)
         except Evicted:
             pass
         finally:
@@ -556,7 +566,7 @@
                 for number, _ in starts:
                     self.inflight.pop((hj.job.id, number), None)
                 hj.give_back([n for n, _ in starts if n in hj.placing])
-                self.stale.update(machine for _, machine in starts)
+                self.stale.update(dict.fromkeys(machine for _, machine in starts))
             self.core.signal("place")
             return True
         if hj.outcomes:
@@ -719,7 +729,7 @@
                     return
                 if owner == core.label:
                     answers = core.owner.launch(waiting)
-                    for machine in {i[0] for i in waiting}:
+                    for machine in dict.fromkeys(i[0] for i in waiting):
                         core.fleet.poke(machine)
                 else:
                     try:
@@ -751,7 +761,7 @@
         for owner, part in self._by_owner(items).items():
             if owner == core.label:
                 core.owner.stop(part)
-                for machine in {i[0] for i in part}:
+                for machine in dict.fromkeys(i[0] for i in part):
                     core.fleet.poke(machine)
                 continue
             try:
@@ -759,12 +769,13 @@
             except (PeerError, KeyError):
                 pass
 
-    async def _adopt(self, hj: HomeJob) -> None:
-        """Have every committed assignment judged by its owner's reports."""
+    async def _adopt(self, hj: HomeJob, only: Container[int] | None = None) -> None:
+        """Have committed assignments judged by their owners' reports."""
         core = self.core
         gen = core.generation
         for owner, part in self._by_owner((m, f"{hj.job.id}/{n}", a)
-                                          for n, a, m in hj.assignments()).items():
+                                          for n, a, m in hj.assignments()
+                                          if only is None or n in only).items():
             while True:
                 if core.generation is not gen:
                     raise Evicted
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -225,10 +225,10 @@
                         box.setdefault(event[:3], event)
                     await curio.sleep(core.jitter(core.ttl_s / 6))
                     continue
-                touched = set()
+                touched: dict[str, None] = {}
                 for event, verdict in zip(batch, verdicts):
                     self._verdict(event, verdict)
-                    touched.add(event[0])
+                    touched[event[0]] = None
                 for machine in touched:
                     self.poke(machine)
                 core.room_changed()
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from typing import Any
 
 from .model import ARRAY, GANG, SERVICE, Chunk, Job
@@ -66,6 +66,8 @@
         self.breaking = False  # a gang that lost a task and is being stopped
         self.left: set[str] = set()  # machines that a gang's present attempt has lost
         self.closed = False
+        self.look_at = now
+        self.silent: set[tuple[int, int]] = set()
 
     def load(self, chunks: dict[int, Chunk]) -> None:
         """Take over what is committed."""
@@ -172,7 +174,7 @@
         if len(self.errors) >= 3:
             self.not_before = now + min(60.0, 2.0 ** min(6, sum(self.errors.values()) / 2))
 
-    def removed(self, machines: set[str]) -> bool:
+    def removed(self, machines: Container[str]) -> bool:
         """Tasks on machines whose return is confirmed are gone."""
         changed = False
         for number, attempt, machine in self.assignments():
@@ -181,6 +183,17 @@
                 changed = True
         return changed
 
+    def unheard(self, now: float, patience_s: float) -> set[int]:
+        """Assigned tasks of which no owner has told anything since the last look, a while
+        ago: what is found twice has been lost sight of."""
+        if now < self.look_at:
+            return set()
+        self.look_at = now + patience_s
+        before, self.silent = self.silent, {
+            (n, a) for n, a, _ in self.assignments()
+            if n not in self.states and n not in self.outcomes}
+        return {n for n, _ in self.silent & before}
+
     def broken(self) -> list[tuple[int, int, str]]:
         """The rest of a gang that has lost a task: to be stopped before the next attempt."""
         if self.job.kind != GANG or self.ended:
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -28,7 +28,7 @@
         self.machine, self.address, self.type, self.zone = machine, address, type, zone
         self.spot, self.open = spot, open
         self.cpus, self.gpus, self.memory_gb = cpus, gpus, memory_gb
-        self.tasks, self.images = tasks, set(images)
+        self.tasks, self.images = tasks, dict.fromkeys(images)
         self.idle_since, self.owner = idle_since, owner  # inf while anything is on it
         self.hold = ""  # the job that room made by preemption is kept for
         # What is taken, by (rank, whether without GPUs): cpus, gpus, memory.
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -303,9 +303,8 @@
         for _, lasting, name in sorted(offers)[:TRIES]:
             room, kind = rooms[name], types[rooms[name].type]
             dear = any(policy.dear(job, room) for job in policy.services)
-            waiting = [n for n in demand if fits(n.job, kind)
-                       and not (dear and core.patient(n.job, n.age_s))]
-            if waiting and not dear:
+            if any(fits(n.job, kind) and not (dear and core.patient(n.job, n.age_s))
+                   for n in demand):
                 continue
             rest = [r.copy() for r in rooms.values() if r.open and r.machine != room.machine
                     and not (r.spot and not room.spot)]
@@ -313,7 +312,6 @@
             if dear:  # its replicas are worth more than the progress of the lowest rank
                 free += sum(used[0] for r in rest for (rank, _), used in r.used.items()
                             if rank == RANKS["best_effort"])
-                free -= sum(n.tasks * n.job.cpus for n in waiting)
             # Enough stays free that the next job doesn't buy it back.
             if free < (2 * kind.cpus if dear else max(2 * kind.cpus, SLACK * total)) \
                     or not dear and self._worse(rest, room, spare, policy):
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -92,7 +92,7 @@
         self.started = time.monotonic()
         self.clear_at = self.started  # when state or every peer's word was last had
         self.events: dict[str, curio.Event] = {}
-        self.raised: set[str] = set()
+        self.raised: dict[str, None] = {}  # in order: a day in tests must repeat
         self.coros: list[Coroutine[Any, Any, Any]] = []
         self.owner = Owner(self.job_of, self._emit, 0.5 * c.workers.lease_s,
                            0.3 * c.workers.lease_s)
@@ -116,7 +116,7 @@
 
     def signal(self, name: str) -> None:
         """Wake the routine that waits for `name`, at the next flush."""
-        self.raised.add(name)
+        self.raised[name] = None
 
     def spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
         """Start a short-lived routine at the next flush."""
@@ -126,7 +126,7 @@
         """Carry out signals and spawns raised by code that does no I/O."""
         while self.coros or self.raised:
             coros, self.coros = self.coros, []
-            raised, self.raised = self.raised, set()
+            raised, self.raised = self.raised, {}
             for coro in coros:
                 await curio.spawn(self._guard(coro), daemon=True)
             for name in raised:
@@ -576,7 +576,7 @@
             if not current:
                 return peerwire.VERDICTS, (False, [])
             answers = self.owner.launch(values[1])
-            for machine in {i[0] for i in values[1]}:
+            for machine in dict.fromkeys(i[0] for i in values[1]):
                 self.fleet.poke(machine)
             return peerwire.VERDICTS, (True, [(a,) for a in answers])
         if kind == peerwire.STATES:
@@ -589,7 +589,7 @@
             return peerwire.ACK, (False,)
         if kind == peerwire.STOP:
             self.owner.stop(values[1])
-            for machine in {i[0] for i in values[1]}:
+            for machine in dict.fromkeys(i[0] for i in values[1]):
                 self.fleet.poke(machine)
         elif kind == peerwire.ADOPT:
             self.owner.adopt(values[1], now)
@@ -630,7 +630,7 @@
 
     def gone(self, names: Any) -> None:
         """Machines whose return the cloud has confirmed, and all that was on them."""
-        found = set(names)
+        found = dict.fromkeys(names)
         self.owner.removed(found)
         for name in found:
             self.rooms.pop(name, None)
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -58,7 +58,7 @@
         self.told: dict[Key, tuple[str, str, bool]] = {}
         self.want: dict[Key, Want] = {}
         self.kills: dict[Key, float] = {}
-        self.clears: set[Key] = set()
+        self.clears: dict[Key, None] = {}
         self.images: OrderedDict[str, float] = OrderedDict()
         self.idle_since = now
         self.bad_until = -1e9  # /do did not get through: use report responses
@@ -210,7 +210,7 @@
         for key in list(m.told):
             if key not in listed and key not in m.want:
                 del m.told[key]
-        m.clears = {key for key in m.clears if key in listed}
+        m.clears = dict.fromkeys(key for key in m.clears if key in listed)
         if before != listed or shown != (True, m.notice_at is None, self.sick(m)):
             self._touched(m, now)
         return m
@@ -321,7 +321,7 @@
                 m.want.pop(key, None)
                 self.touch(name)
                 if m.listed.get(key, ("",))[0] == "exited":
-                    m.clears.add(key)
+                    m.clears[key] = None
             else:
                 if want is not None and want.phase == QUEUED:
                     # Sent before without an answer: no new launch, and the next
@@ -390,8 +390,14 @@
     def removed(self, names: Iterable[str]) -> None:
         """The cloud has confirmed the machines' return."""
         for name in names:
-            if self.machines.pop(name, None) is not None:
+            m = self.machines.pop(name, None)
+            if m is not None:
                 self.touch(name)
+                # Homes are told as well: one that took over a moment ago has adopted its
+                # tasks here after it heard of the return, and would wait for ever.
+                for key, want in m.want.items():
+                    if want.phase != RESERVED:
+                        self.emit(key[0].partition("/")[0], (name, *key, GONE, "", False))
 
     def drain(self, name: str) -> bool:
         """Close an idle machine for good; False when something is or may be on it."""
@@ -476,8 +482,8 @@
         room = Room(m.name, m.address, m.type, m.zone, m.spot, self.open(m) and kind is not None,
                     kind.cpus if kind else 0.0, kind.gpus if kind else 0.0,
                     kind.memory_gb if kind else 0.0, 0, m.images, math.inf, owner)
-        keys = {k for k, s in m.listed.items() if s[0] != "exited"}
-        keys.update(k for k in m.want if m.listed.get(k, ("",))[0] != "exited")
+        keys = dict.fromkeys(k for k, s in m.listed.items() if s[0] != "exited")
+        keys.update(dict.fromkeys(k for k in m.want if m.listed.get(k, ("",))[0] != "exited"))
         for key in keys:
             job = self.job_of(key[0].partition("/")[0])
             if job is not None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -186,7 +186,7 @@
         room = home.c.rooms.get(name)
         if room is not None and rng.random() < 0.3:
             room.take(LOW)  # charged here, and declined
-            dispatch.stale.add(name)
+            dispatch.stale[name] = None
         if rng.random() < 0.5:
             curio.run(dispatch.refresh_peers, False)
             shown = {n: (r.cpus, r.tasks, r.open, r.idle_since, r.used) for n, r in
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -175,3 +175,15 @@
 ])
 def test_can_ever_run(fields: dict[str, Any], limit: tuple[float, float], ok: bool) -> None:
     assert can_ever_run(msgspec.convert(wire_job(1, **fields), Job), limit) == ok
+
+
+def test_what_nobody_tells_of_is_asked_for_again() -> None:
+    hj = HomeJob(msgspec.convert(wire_job(1, pieces=3), Job), 1, 50, 0.0)
+    _, chunks = hj.start_txn(1, [(0, "m1"), (1, "m1"), (2, "m2")], 1)
+    hj.committed(chunks, 2)
+    assert hj.unheard(0.0, 10.0) == set()         # just committed
+    hj.event("m1", 1, 1, "running", "", 5.0)
+    assert hj.unheard(5.0, 10.0) == set()         # too soon for a second look
+    assert hj.unheard(11.0, 10.0) == {0, 2}
+    hj.event("m2", 2, 1, "gone", "", 12.0)
+    assert hj.unheard(22.0, 10.0) == {0}
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -219,6 +219,23 @@
     assert len(b.machine.kills) == stopped
 
 
+@pytest.mark.parametrize("steps, told", [
+    (["adopt"], True), (["reserve", "launch"], True), (["reserve"], False), ([], False)])
+def test_homes_hear_of_a_returned_machine(steps: list[str], told: bool) -> None:
+    """A home that took over after the return was announced waited for ever."""
+    b = Bench()
+    b.report()
+    if "reserve" in steps:
+        b.owner.reserve(JOB, [("m1", 0)], 1, 0.0)
+    if "launch" in steps:
+        b.owner.launch([("m1", *KEY)])
+    if "adopt" in steps:
+        b.owner.machine("m1", 0.0).known = False
+        b.owner.adopt([("m1", *KEY)], 0.0)
+    b.owner.removed(["m1"])
+    assert b.gone() == told and "m1" not in b.owner.machines
+
+
 # -- generations ---------------------------------------------------------
 
 
