A vain look for victims of the lowest rank no longer puts off the next look

Cause: what looks for room by preemption pauses half a second, and since rooms are made in batches it did so when it had found nothing as well. A replica that found no work of the lowest rank to stop did not look for the next rank until its start was late (launches of 2 in 12 each half second at t=62 s), and a team's guarantee was not claimed at all.

--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -393,7 +393,10 @@
                         spread.copy(), policy, most, self.core.fragile(job, now - hj.since))
         shows = now + self.core.ttl_s / 3 + (0.0 if grace_s <= 0 else min(
             grace_s, self.core.settings.cluster.workers.gang_peer_s))
-        hj.preempt_at = now + self.core.ttl_s / 6
+        if found:
+            # Only then: where no lower rank can be stopped, a higher one, or what other
+            # teams borrow, is to be asked for in the same pass.
+            hj.preempt_at = now + self.core.ttl_s / 6
         for room, count in found:
             hj.made[room.machine] = (count, shows)
             self.core.spawn(self._preempt(room.machine, job, grace_s, (), count))
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -127,6 +127,38 @@
     assert [m for _, m in hurried.starts] == ["m2"] * 3
 
 
+def test_a_replica_does_not_wait_for_the_lowest_rank_where_there_is_none(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Looking for the lowest rank in vain put the look for others off by half a second,
+    again and again until the start was late."""
+    home = Home(monkeypatch)
+    normal = msgspec.convert(wire_job(5, pieces=4), Job)
+    home.c.live[normal.id] = (normal, 1)
+    home.report("m1", "north", "plain", *(f"{normal.id}/{n}" for n in range(4)))
+    home.c.owner.machines["m1"].images["img-1"] = 1.0
+    home.wait(msgspec.convert(wire_job(6, pieces=2, shape="daemon", jobclass="web",
+                                       rank="production", loaners=False), Job))
+    home.look()
+    assert len(home.c.owner.machines["m1"].kills) == 2
+
+
+def test_a_guarantee_is_claimed_where_no_lower_rank_can_be_stopped(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    home = Home(monkeypatch)
+    claims: list[str] = []
+
+    async def claim(job: Job, machines: list[str]) -> None:
+        claims.append(job.id)
+    monkeypatch.setattr(home.c.dispatch, "_claim", claim)
+    home.c.live[SMALL.id] = (SMALL, 1)
+    home.report("m1", "north", "accel", "j-000001/0")
+    gang = msgspec.convert(wire_job(7, pieces=1, cards=1.0, owner="tight", shape="ensemble",
+                                    loaners=False), Job)
+    home.wait(gang)
+    home.look()
+    assert claims == [gang.id]
+
+
 def test_what_missed_its_start_comes_after_what_can_make_it(monkeypatch: pytest.MonkeyPatch
                                                             ) -> None:
     home = Home(monkeypatch)
