--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -63,6 +63,9 @@
             for coro in coros:
                 await coro
         curio.run(run)
+        for coro in self.c.coros:
+            coro.close()  # commands to workers, which there are none of here
+        self.c.coros.clear()
         self.c.raised.clear()
 
 
