--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -37,9 +37,8 @@
 SLACK = 0.1
 # Machines looked at in one round of emptying, each against all others.
 TRIES = 4
-# The share of all replicas' time that may go to moving them off dear machines; off
-# others, half of it.
-MOVING = 0.002
+# The share of all replicas' time that may go to moving them.
+MOVING = 0.001
 
 
 class Provisioner:
@@ -320,6 +319,6 @@
             if await core.ask_owner(peerwire.EVACUATE, name, True):
                 # Each replica that moves is missed for about as long as a report takes.
                 share = lasting / max(lasting, total_lasting)
-                self.emptying_at = now + max(2.0, share / (MOVING if dear else MOVING / 2)) \
+                self.emptying_at = now + max(2.0, share / MOVING) \
                     * core.settings.cluster.workers.report_s
             return
