--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -302,15 +302,20 @@
         for _, lasting, name in sorted(offers)[:TRIES]:
             room, kind = rooms[name], types[rooms[name].type]
             dear = any(policy.dear(job, room) for job in policy.services)
-            if any(fits(n.job, kind) and not (dear and core.patient(n.job, n.age_s))
-                   for n in demand):
+            waiting = [n for n in demand if fits(n.job, kind)
+                       and not (dear and core.patient(n.job, n.age_s))]
+            if waiting and not dear:
                 continue
             rest = [r.copy() for r in rooms.values() if r.open and r.machine != room.machine
                     and not (r.spot and not room.spot)]
             free = sum(r.cpus for r in rest)
-            if dear:  # its replicas are worth more than the progress of the lowest rank
+            if dear:
+                # Its replicas are worth more than the progress of the lowest rank, which
+                # makes way for what waits as well. (Something always waits, and kept nine
+                # dear machines with replicas rented all day.)
                 free += sum(used[0] for r in rest for (rank, _), used in r.used.items()
                             if rank == RANKS["best_effort"])
+                free -= sum(n.tasks * n.job.cpus for n in waiting)
             # Enough stays free that the next job doesn't buy it back.
             if free < (2 * kind.cpus if dear else max(2 * kind.cpus, SLACK * total)) \
                     or not dear and self._worse(rest, room, spare, policy):
