--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -28,7 +28,7 @@
 )
 from .model import GANG, RANKS, SERVICE, Chunk, Job, split_task
 from .peers import PeerError
-from .placement import Policy, Room, Spread, place, preempt
+from .placement import Policy, Room, Spread, capacity, place, preempt
 from .provisioning import Need, remaining
 from .refresh import Asc
 from .statestore import Conflict, Txn, Unavailable, Unknown
@@ -315,10 +315,10 @@
                 self._make_room(hj, wanted - len(chosen), pool, spread, policy,
                                 self._grace(job, age), now)
             if len(chosen) < wanted and now >= hj.preempt_at and self._guaranteed(job):
-                hj.preempt_at = now + core.ttl_s
-                rooms_for = [r.machine for r in pool if r.open and r.allows(job)
-                             and spread.allows(r.zone)]
-                core.spawn(self._claim(job, rooms_for))
+                machines = self._claimable(job, pool, spread)
+                if machines:
+                    hj.preempt_at = now + core.ttl_s
+                    core.spawn(self._claim(job, machines))
             if len(chosen) < wanted:
                 starved = True
                 if not job.one_zone and not job.spread:
@@ -414,6 +414,21 @@
         cpus, gpus = self.core.guarantees.get(job.team, (0.0, 0.0))
         return (gpus > 0 and job.gpus > 0) or (cpus > 0 and job.gpus == 0)
 
+    @staticmethod
+    def _claimable(job: Job, pool: list[Room], spread: Spread) -> list[str]:
+        """Machines of which one more would do: what others run is not stopped for a gang
+        that can't start on what it would get. (Gangs of two had one task after another
+        stopped, in one zone and the next, and started nowhere.)"""
+        rooms = [r for r in pool if r.open and r.allows(job) and spread.allows(r.zone)]
+        if job.kind != GANG:
+            return [r.machine for r in rooms]
+        free: dict[str, int] = {}
+        for room in rooms:
+            zone = room.zone if job.one_zone else ""
+            free[zone] = free.get(zone, 0) + (capacity(job, room) if room.fits(job) else 0)
+        return [r.machine for r in rooms if not r.fits(job)
+                and free[r.zone if job.one_zone else ""] >= job.tasks - 1]
+
     async def _claim(self, job: Job, machines: list[str]) -> None:
         """Give a team its guarantee from what other teams run beyond theirs.
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -162,6 +162,23 @@
     assert claims == [gang.id]
 
 
+@pytest.mark.parametrize("busy, claimed", [
+    (["m1", "m2"], []), (["m1"], ["m1"]), ([], [])])
+def test_others_are_stopped_only_for_a_gang_that_can_start(busy: list[str], claimed: list[str]
+                                                           ) -> None:
+    """Gangs of two had one task after another stopped and started nowhere."""
+    from .test_placement import ACCEL, room
+    rooms = [room("m1", ACCEL), room("m2", ACCEL), room("m3", ACCEL, zone="south")]
+    for each in rooms:
+        if each.machine in busy or each.zone == "south":
+            each.take(SMALL)
+    if not busy:
+        rooms = rooms[2:]  # only the one of the other zone, which is not enough
+    from clayport.dispatch import Dispatch
+    from clayport.placement import Spread
+    assert Dispatch._claimable(PAIR, rooms, Spread(PAIR, ())) == claimed
+
+
 def test_what_missed_its_start_comes_after_what_can_make_it(monkeypatch: pytest.MonkeyPatch
                                                             ) -> None:
     home = Home(monkeypatch)
