--- a/clayport/api.py
+++ b/clayport/api.py
@@ -120,7 +120,7 @@
     async def _submit(self, body: bytes) -> tuple[int, dict[str, Any]]:
         core = self.core
         try:
-            job = msgspec.json.decode(body, type=Job)
+            job = core.judged(msgspec.json.decode(body, type=Job))
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
             return 400, {"error": str(exc)}
         value = {"j": msgspec.to_builtins(job)}
--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -39,6 +39,8 @@
 
 log = logging.getLogger("clayport.dispatch")
 
+# The share of the fleet's CPUs that work without any aim may hold beside work that has one.
+FILL = 0.25
 # Demand told to peers: enough jobs to fill any fleet, and a bounded frame.
 DEMAND_MOST = 500
 
@@ -66,6 +68,9 @@
         self.stale: dict[str, None] = {}
         self.pulling: set[str] = set()
         self.starved = False
+        # Work without any aim that has waited so long is placed, and has machines rented,
+        # like any other (within its share).
+        self.long_s = 20 * core.settings.cluster.workers.lease_s
         self.value_limit = int(core.settings.cluster.state.txn_ops)
 
     # -- the picture -----------------------------------------------------
@@ -223,13 +228,16 @@
                 found.append((hj.job.id, waiting, now - hj.since, zones))
         if len(found) > DEMAND_MOST:
             # What is most urgent is told; the rest is when that has been served.
-            found.sort(key=lambda row: (-self.core.live[row[0]][0].rank
-                                        if row[0] in self.core.live else 0, -row[2]))
+            found.sort(key=lambda row: (*self._urgency(row[0]), -row[2]))
             if now >= self.cut_logged_at:
                 self.cut_logged_at = now + 20 * self.core.ttl_s
                 log.info("event=demand-bounded told=%d jobs=%d", DEMAND_MOST, len(found))
         return found[:DEMAND_MOST]
 
+    def _urgency(self, job: str) -> tuple[bool, int]:
+        known = self.core.live.get(job)
+        return (known[0].filler, -known[0].rank) if known else (True, 0)
+
     def all_demand(self) -> list[Need]:
         """Demand of the whole generation, most urgent first."""
         core = self.core
@@ -239,7 +247,7 @@
                 rows += self.demands.get(label, [])
         found = [Need(core.live[job][0], count, age, tuple(zones.split()))
                  for job, count, age, zones in rows if job in core.live]
-        found.sort(key=lambda need: (-need.job.rank, -need.age_s))
+        found.sort(key=lambda need: (need.job.filler, -need.job.rank, -need.age_s))
         return found
 
     # -- placing ---------------------------------------------------------
@@ -266,21 +274,28 @@
         starved = False
         policy = self.policy()
         full: set[tuple[Any, ...]] = set()
+        quiet = self.quiet()
+        fill = math.inf if quiet else self.fill_cpus(rooms.values())
         for hj in waiting:
             job = hj.job
             shape = (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone, job.spot,
-                     job.kind, job.rank, job.one_zone, job.spread,
+                     job.kind, job.rank, job.filler, job.one_zone, job.spread,
                      job.tasks if job.kind == GANG else 0)
             if shape in full and not hj.errors:
-                starved = True
+                starved = starved or not job.filler
                 continue
             wanted = min(hj.pending, hj.size * max(1, self.value_limit // 4))
             wanted = self._within_limit(job, wanted)
+            if job.filler and job.cpus > 0:
+                wanted = min(wanted, max(0, int(fill / job.cpus)))
             if wanted <= 0 or (job.kind == GANG and wanted < hj.pending):
                 continue
             pool = [r for r in rooms.values() if r.machine not in hj.errors
                     and r.machine not in hj.left] if hj.errors or hj.left else list(rooms.values())
             age = now - hj.since
+            if job.filler and not quiet and age < self.long_s:
+                # It would keep others rented that are to be returned.
+                pool = [r for r in pool if r.spot or r.lasting > 0]
             patient, fragile = core.patient(job, age), core.fragile(job, age)
             spread = self.spread(hj)
             limit = core.wait_limits.get(job.job_class)
@@ -311,7 +326,8 @@
                 coming = sum(n for n, until in hj.made.values() if now < until)
                 chosen += place(job, max(0, wanted - len(chosen) - coming), pool, spread,
                                 core.label, policy, False, fragile)
-            if len(chosen) < wanted and job.rank > 0 and now >= hj.preempt_at:
+            if len(chosen) < wanted and job.rank > 0 and not job.filler \
+                    and now >= hj.preempt_at:
                 self._make_room(hj, wanted - len(chosen), pool, spread, policy,
                                 self._grace(job, age), now)
             if len(chosen) < wanted and now >= hj.preempt_at and self._guaranteed(job):
@@ -319,8 +335,10 @@
                 if machines:
                     hj.preempt_at = now + core.ttl_s
                     core.spawn(self._claim(job, machines))
+            if job.filler:
+                fill -= len(chosen) * job.cpus
             if len(chosen) < wanted:
-                starved = True
+                starved = starved or not job.filler
                 if not job.one_zone and not job.spread:
                     full.add(shape)
             if not chosen:
@@ -357,10 +375,30 @@
             else:
                 late = 0.5
         borrowing = float(not self._in_guarantee(job))
+        if job.filler:
+            # Nobody waits for it, and what runs at its rank can't make way for others.
+            return (-job.rank, 2.0, borrowing, 0.0, hj.live_rev)
         if left == math.inf:
             return (-job.rank, 0.0, borrowing, 0.0, hj.live_rev)
         return (-job.rank, late, borrowing, left, hj.live_rev)
 
+    def fill_cpus(self, rooms: Iterable[Room]) -> float:
+        """What work without any aim may still take beside work that has one.
+
+        Work of the same rank can't make it stop: an array of a guest that fills the fleet
+        for minutes would make all others of its rank late.
+        """
+        types = {t.name: t.cpus for t in self.core.types}
+        cpus = filled = 0.0
+        for room in rooms:
+            cpus += types.get(room.type, 0.0) if room.open else 0.0
+            filled += room.filled
+        return FILL * cpus - filled
+
+    def quiet(self) -> bool:
+        """Whether nothing but replicas is there that work without any aim could hinder."""
+        return not any(j.kind != SERVICE and not j.aimless for j, _ in self.core.live.values())
+
     def _in_guarantee(self, job: Job) -> bool:
         """Whether the job's team stays within its guarantee with it, as last read; true
         where that isn't counted. What is owed to a team comes before what it borrows."""
--- a/clayport/model.py
+++ b/clayport/model.py
@@ -46,11 +46,24 @@
     types: Annotated[list[Text], msgspec.Meta(max_length=64)] | None = None
     zone: Text | None = None
     deadline_s: Amount | None = None
+    # Nobody has said when it is to be started or finished: set by the controllers from the
+    # objectives, whatever the user sends.
+    aimless: bool = False
 
     @property
     def rank(self) -> int:
         return RANKS[self.priority]
 
+    @property
+    def filler(self) -> bool:
+        """Whether it takes only room that nobody else needs."""
+        return self.aimless and self.kind != SERVICE
+
+    @property
+    def standing(self) -> int:
+        """The rank as it counts when room is to be made: without an aim, below the lowest."""
+        return -1 if self.filler and self.rank == 0 else self.rank
+
 
 class MachineType(msgspec.Struct, frozen=True, rename={
     "name": "label", "cpus": "vcpus", "gpus": "cards", "memory_gb": "ram_gb",
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -1,7 +1,7 @@
 """The frames between controllers, packed by hand with struct.
 
 A frame is a header (magic, version, kind, request number, body length) and a
-body laid out by the kind's schema. Field codes: B, I, Q, d as in struct; `?` a
+body laid out by the kind's schema. Field codes: B, h, I, Q, d as in struct; `?` a
 flag; `s` text and `b` bytes, each after its length; a tuple of codes is a list
 of records.
 """
@@ -54,10 +54,10 @@
     # room revision, whether this is the whole table or what changed since, machines that
     # are gone; (machine, address, type, zone, spot, open, cpus, gpus, memory, tasks, images,
     # idle_s, job that its room is kept for)
-    # what is taken: (machine, rank, without GPUs, cpus, gpus, memory)
+    # what is taken: (machine, standing, without GPUs, cpus, gpus, memory)
     TABLE: ("?", "Q", "?", ("s",),
             ("s", "s", "s", "s", "?", "?", "d", "d", "d", "I", "s", "d", "s"),
-            ("s", "B", "?", "d", "d", "d")),
+            ("s", "h", "?", "d", "d", "d")),
     ENDED: ("s", "s"),
     COUNTS: ("Q", "s"),
     COUNTED: ("?", "I", "I"),
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -31,7 +31,7 @@
         self.tasks, self.images = tasks, dict.fromkeys(images)
         self.idle_since, self.owner = idle_since, owner  # inf while anything is on it
         self.hold = ""  # the job that room made by preemption is kept for
-        # What is taken, by (rank, whether without GPUs): cpus, gpus, memory.
+        # What is taken, by (standing, whether without GPUs): cpus, gpus, memory.
         self.used = {(rank, plain): [c, g, m] for rank, plain, c, g, m in used}
 
     def copy(self) -> Room:
@@ -54,7 +54,7 @@
         self.gpus -= job.gpus * count
         self.memory_gb -= job.memory_gb * count
         self.tasks += count
-        taken = self.used.setdefault((job.rank, job.gpus == 0), [0.0, 0.0, 0.0])
+        taken = self.used.setdefault((job.standing, job.gpus == 0), [0.0, 0.0, 0.0])
         taken[0] += job.cpus * count
         taken[1] += job.gpus * count
         taken[2] += job.memory_gb * count
@@ -71,6 +71,16 @@
                 memory_gb += m
         return cpus + EPSILON >= guest.cpus and memory_gb + EPSILON >= guest.memory_gb
 
+    @property
+    def filled(self) -> float:
+        """The CPUs that work without any aim holds here."""
+        return sum(used[0] for (rank, _), used in self.used.items() if rank < 0)
+
+    @property
+    def lasting(self) -> float:
+        """The CPUs that replicas hold: the machine stays for them anyway."""
+        return self.used.get((RANKS["production"], True), [0.0])[0]
+
     def after_preemption(self, job: Job) -> tuple[int, float] | None:
         """The highest rank that would have to be stopped for one task of the job, and
         how much is missing; None: stopping work of lower rank is of no use."""
@@ -145,11 +155,10 @@
     left = room.cpus - job.cpus + room.gpus - job.gpus
     herd = crc32(f"{salt}{room.machine}".encode()) / 2**32
     # Replicas stay: machines that have some take more, so that others empty.
-    lasting = sum(v[0] for k, v in room.used.items() if k[0] == RANKS["production"])
     return (float(dear), float(job.gpus == 0 and room.gpus > 0), float(fragile and room.spot),
             0.0 if job.image in room.images else 1.0,
             0.0 if room.spot else 1.0,
-            -lasting, left, herd)
+            -room.lasting, left, herd)
 
 
 def place(job: Job, wanted: int, rooms: Iterable[Room], spread: Spread, salt: str,
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -103,11 +103,12 @@
             kind = types.get(boot.kind[0])
             if kind is not None and now - boot.since < LATE * kind.boot_s:
                 supply.append(empty_room(kind, boot.name, boot.kind[1], boot.kind[2]))
-        demand = core.dispatch.all_demand()
+        waiting = core.dispatch.all_demand()
+        demand = [n for n in waiting if not n.job.filler]
         policy = core.dispatch.policy()
         spare = spare_room([j for j, _ in core.live.values()], core.arrivals, core.types,
                            core.urgent, now)
-        cpus = sum(types[r.type].cpus - r.used.get((RANKS["production"], True), [0.0])[0]
+        cpus = sum(types[r.type].cpus - r.lasting
                    for r in supply if r.type in types)
         needs = pressing(demand, core.finish_limits, cpus)
         cheap = [r.copy() for r in supply]
@@ -122,12 +123,14 @@
         self.refused = {k: t for k, t in self.refused.items() if t > now}
         if now >= self.ready_at and (missing or kept):
             late = {n.job.id for n in pressing(demand, core.finish_limits, cpus, 1.0, 1.0)}
-            left = {n.job.id: -math.inf if core.aimless(n.job) or n.job.id not in late
+            left = {n.job.id: -math.inf if n.job.aimless or n.job.id not in late
                     else remaining(n.job, n.age_s, core.finish_limits) for n in demand}
             wanted = shopping(core.types, missing, set(self.refused), busy, policy, left)
             wanted += shopping(core.types, kept, set(self.refused), busy, policy,
                                {n.job.id: -math.inf for n in kept})
             await self._rent(wanted, types, now)
+        elif now >= self.ready_at:
+            await self._rent(self._filling(waiting, rooms, supply, busy, policy), types, now)
         await self._return_idle(rooms, types, demand, spare, policy, now)
         if now - self.evacuated_at > core.settings.cluster.workers.lease_s / 2:
             for room in list(core.dispatch.picture().values()):
@@ -140,13 +143,37 @@
         if now >= self.emptying_at:
             await self._consolidate(types, demand, spare, policy, now)
 
+    def _filling(self, waiting: list[Need], rooms: list[Room], supply: list[Room], busy: float,
+                 policy: Policy) -> list[Kind]:
+        """Machines for work without any aim: only once nothing else lacks any, within its
+        share, and ordinary ones only if it can't be had otherwise."""
+        dispatch = self.core.dispatch
+        quiet = dispatch.quiet()
+        fill = math.inf if quiet else dispatch.fill_cpus(rooms)
+        wanted: list[Kind] = []
+        ordinary = {(t.name, z, False) for t in self.core.types for z in t.zones}
+        for need in waiting:
+            if not need.job.filler or fill < need.job.cpus:
+                continue
+            tasks = need.tasks if fill == math.inf else min(
+                need.tasks, int(fill / max(need.job.cpus, 0.1)))
+            fill -= tasks * need.job.cpus
+            refused, room = set(self.refused), supply
+            if not quiet and need.age_s < dispatch.long_s:
+                if need.job.spot:
+                    refused |= ordinary
+                room = [r for r in supply if r.spot or r.lasting > 0]
+            missing = short(room, [need._replace(tasks=tasks)], policy)
+            wanted += shopping(self.core.types, missing, refused, busy, policy,
+                               {need.job.id: -math.inf})
+        return wanted
+
     @staticmethod
     def _on_dear(rooms: list[Room], policy: Policy) -> list[Need]:
         """Replicas that run on machines far dearer than they need."""
         found = []
         for job in policy.services:
-            cpus = sum(r.used.get((RANKS["production"], True), [0.0])[0] for r in rooms
-                       if policy.dear(job, r))
+            cpus = sum(r.lasting for r in rooms if policy.dear(job, r))
             if cpus > 0:
                 found.append(Need(job, math.ceil(cpus / max(job.cpus, 0.1))))
         return found[:1]
@@ -289,7 +316,7 @@
             guests = room.type in policy.guests
             if guests and room.gpus < kind.gpus:
                 continue  # its GPUs are in use
-            lasting = room.used.get((RANKS["production"], True), [0.0, 0.0, 0.0])[0]
+            lasting = room.lasting
             if lasting <= 0 or now - self.emptied.get(room.machine, -1e9) < \
                     2 * core.settings.cluster.workers.lease_s:
                 continue  # empties by itself, or has just been tried
@@ -297,8 +324,7 @@
             # The dear ones first, then those with the fewest replicas to move.
             offers.append((not (dear or guests), lasting, room.machine))
         # A look at all others for each: only the best few are looked at in a round.
-        total_lasting = sum(r.used.get((RANKS["production"], True), [0.0])[0]
-                            for r in rooms.values())
+        total_lasting = sum(r.lasting for r in rooms.values())
         for _, lasting, name in sorted(offers)[:TRIES]:
             room, kind = rooms[name], types[rooms[name].type]
             dear = any(policy.dear(job, room) for job in policy.services)
@@ -314,7 +340,7 @@
                 # makes way for what waits as well. (Something always waits, and kept nine
                 # dear machines with replicas rented all day.)
                 free += sum(used[0] for r in rest for (rank, _), used in r.used.items()
-                            if rank == RANKS["best_effort"])
+                            if rank <= RANKS["best_effort"])
                 free -= sum(n.tasks * n.job.cpus for n in waiting)
             # Enough stays free that the next job doesn't buy it back.
             if free < (2 * kind.cpus if dear else max(2 * kind.cpus, SLACK * total)) \
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -155,9 +155,10 @@
                 await event.wait()
         event.clear()
 
-    def aimless(self, job: Job) -> bool:
-        """Whether nobody has said when the job is to be started or finished."""
-        return job.deadline_s is None and job.job_class not in self.aimed
+    def judged(self, job: Job) -> Job:
+        """The job, with whether anybody has said when it is to be started or finished."""
+        return msgspec.structs.replace(
+            job, aimless=job.deadline_s is None and job.job_class not in self.aimed)
 
     def patient(self, job: Job, age_s: float) -> bool:
         """Whether the job can wait for a machine that isn't dear.
@@ -165,7 +166,7 @@
         Work without any aim always can: it once had the dearest machines rented, at
         eighteen times the price, since what has no limit was taken for late.
         """
-        return job.kind != SERVICE and (self.aimless(job) or slack(
+        return job.kind != SERVICE and (job.aimless or slack(
             job, age_s, self.finish_limits) > self.patience_s)
 
     def fragile(self, job: Job, age_s: float) -> bool:
@@ -295,10 +296,10 @@
                 self.nodes[key[len(NODE_PREFIX):]] = str(value["inc"])
                 self.signal("members")
             elif key.startswith(CLASS_PREFIX):
-                known = msgspec.convert(value["j"], Job)
+                known = self.judged(msgspec.convert(value["j"], Job))
                 self.classes[known.job_class] = known
             elif key.startswith(LIVE_PREFIX):
-                self.note_live(msgspec.convert(value["j"], Job), rev)
+                self.note_live(self.judged(msgspec.convert(value["j"], Job)), rev)
         except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
             log.error("key=%s event=malformed-value cause=%r", key, exc)
 
@@ -410,7 +411,8 @@
                         continue
                     self.note_end(job, str(entry.value["s"]))
                     if "j" in entry.value:
-                        orphans[job] = (msgspec.convert(entry.value["j"], Job), entry.value["s"])
+                        orphans[job] = (self.judged(msgspec.convert(entry.value["j"], Job)),
+                                        entry.value["s"])
                 if self.generation is not generation:
                     return
                 for job, (desc, rev) in self.live.items():
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -351,7 +351,7 @@
             if key in m.kills or status[0] == "saving":
                 room.take(victim, -1)
             elif victim.rank < job.rank or (victim.team in over and victim.kind != SERVICE):
-                victims.append((victim.rank, victim.checkpoint_s == 0, key, victim))
+                victims.append((victim.standing, victim.checkpoint_s == 0, key, victim))
         chosen: list[tuple[Key, Job]] = []
         for _, _, key, victim in sorted(victims, key=lambda v: v[:3]):
             if capacity(job, room) >= count:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -107,7 +107,7 @@
     """Work without an aim was taken for late, and rented machines at 18 times the price."""
     home = Home(monkeypatch)
     job = msgspec.convert(wire_job(1, **fields), Job)
-    assert home.c.patient(job, age) == patient
+    assert home.c.patient(home.c.judged(job), age) == patient
 
 
 def test_lower_ranks_give_way_before_a_dear_machine_is_filled(monkeypatch: pytest.MonkeyPatch
--- a/tests/test_peerwire.py
+++ b/tests/test_peerwire.py
@@ -8,8 +8,8 @@
 
 from clayport import peerwire as wire
 
-SAMPLES: dict[str, Any] = {"s": "wörd", "b": b"\x00\xff", "B": 7, "I": 2**32 - 1, "Q": 2**64 - 1,
-                           "d": 1.5, "?": True}
+SAMPLES: dict[str, Any] = {"s": "wörd", "b": b"\x00\xff", "B": 7, "h": -1, "I": 2**32 - 1,
+                           "Q": 2**64 - 1, "d": 1.5, "?": True}
 
 
 def sample(schema: tuple[Any, ...]) -> tuple[Any, ...]:
