Whose fault an error is: homes judge, and no machine is closed for a job with a mistake

Now a job that failed on three machines, more often than it runs, and has completed nothing is at fault: one trial at a time with a growing pause, no demand, no preemption.

--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -221,7 +221,7 @@
         found = []
         for hj in self.homes.values():
             waiting = hj.pending + len(hj.placing)
-            if waiting > 0 and now >= hj.not_before:
+            if waiting > 0 and now >= hj.not_before and not hj.at_fault:
                 zones = ""
                 if hj.job.spread or hj.job.one_zone:
                     zones = " ".join(self.core.zones.get(m, "") for _, _, m in hj.assignments())
@@ -278,6 +278,8 @@
         fill = math.inf if quiet else self.fill_cpus(rooms.values())
         for hj in waiting:
             job = hj.job
+            if hj.at_fault and hj.assigned:
+                continue  # one trial at a time
             shape = (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone, job.spot,
                      job.kind, job.rank, job.filler, job.one_zone, job.spread,
                      job.tasks if job.kind == GANG else 0)
@@ -286,12 +288,16 @@
                 continue
             wanted = min(hj.pending, hj.size * max(1, self.value_limit // 4))
             wanted = self._within_limit(job, wanted)
+            if hj.at_fault and job.kind != GANG:
+                wanted = min(wanted, 1)
             if job.filler and job.cpus > 0:
-                wanted = min(wanted, max(0, int(fill / job.cpus)))
+                # Without a bound there are infinitely many, which is no whole number.
+                wanted = int(max(0.0, min(wanted, fill / job.cpus)))
             if wanted <= 0 or (job.kind == GANG and wanted < hj.pending):
                 continue
-            pool = [r for r in rooms.values() if r.machine not in hj.errors
-                    and r.machine not in hj.left] if hj.errors or hj.left else list(rooms.values())
+            avoided = hj.avoided()
+            pool = [r for r in rooms.values() if r.machine not in avoided
+                    and r.machine not in hj.left] if avoided or hj.left else list(rooms.values())
             age = now - hj.since
             if job.filler and not quiet and age < self.long_s:
                 # It would keep others rented that are to be returned.
@@ -300,7 +306,11 @@
             spread = self.spread(hj)
             limit = core.wait_limits.get(job.job_class)
             chosen: list[Room] = []
-            if limit is not None and age < limit and job.kind != GANG:
+            if hj.at_fault:
+                # No room is made, and no guarantee claimed, for what will hardly use it.
+                chosen = place(job, wanted, pool, spread, core.label, policy, True, fragile)
+                wanted = len(chosen)
+            elif limit is not None and age < limit and job.kind != GANG:
                 # Started in time only where the image is, or comes soon enough:
                 # rather than fetch it elsewhere, work of lower rank is stopped there.
                 quick = [r for r in pool if self._fetch_s(job, r) < limit - age]
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -14,7 +14,7 @@
 from . import http, peerwire
 from .cloud import CloudError
 from .config import ConfigError, endpoint
-from .jobs import CLEAR, KILL, LATER
+from .jobs import CLEAR, JOB_AT_FAULT, KILL, LATER, MACHINE_AT_FAULT
 from .model import Job, Report, split_task
 from .peers import PeerError
 from .workers import GONE, Key, Machine
@@ -239,6 +239,8 @@
         owner = self.core.owner
         if verdict == LATER:
             owner.retell(machine, key)
+        elif verdict in (JOB_AT_FAULT, MACHINE_AT_FAULT):
+            owner.judge(machine, task.partition("/")[0], verdict == JOB_AT_FAULT)
         elif state == GONE:
             owner.settled(machine, key)
         elif verdict == KILL:
@@ -319,7 +321,9 @@
                 continue  # possibly evicted: see Provisioner.run
             mine = list(core.owner.machines.values())
             for m in mine:
-                if core.owner.sick(m) and m.known:
+                # Not at once: the job that failed there may yet prove to be at fault.
+                m.ailing = m.ailing + 1 if core.owner.sick(m) else 0
+                if m.ailing >= 3 and m.known:
                     self.evacuate(m.name, True)
             silent = [m for m in mine if now - m.heard > self.silent_s and not m.fencing
                       and (m.known or m.want)]
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -13,8 +13,10 @@
 from .statestore import Txn
 from .workers import GONE
 
-# Verdicts on what an owner tells.
-OK, KILL, CLEAR, LATER = range(4)
+# Verdicts on what an owner tells; the last two judge an error.
+OK, KILL, CLEAR, LATER, JOB_AT_FAULT, MACHINE_AT_FAULT = range(6)
+# Machines on which a job has to have failed before it is taken to be at fault itself.
+FAULT_MACHINES = 3
 
 GENERATION_KEY = "c/generation"
 
@@ -39,7 +41,7 @@
     """A job at its home."""
 
     def __init__(self, job: Job, live_rev: int, size: int, now: float, ended: str = "",
-                 generation: int = 0) -> None:
+                 generation: int = 0, pause_s: float = 1.0, pause_most_s: float = 60.0) -> None:
         self.name = f"job {job.id} {generation}"  # the signal of its routine
         self.job, self.live_rev, self.size = job, live_rev, size
         self.ended = ended  # "", "cancelled" or "done"
@@ -61,7 +63,11 @@
         self.started = False  # a task of it has been seen running
         self.made: dict[str, tuple[int, float]] = {}  # machine: tasks room is made for, until
         self.moved_at = now
-        self.errors: dict[str, int] = {}  # machine: failures of this job there
+        self.errors: dict[str, int] = {}  # machine: failures of this job there, the latest last
+        self.proven = False  # a task of it has completed
+        self.suspected = False  # found to be at fault under an earlier generation
+        self.trials = 0  # vain trials since the job was found to be at fault
+        self.pause_s, self.pause_most_s = pause_s, pause_most_s
         self.kill_at = 0.0
         self.breaking = False  # a gang that lost a task and is being stopped
         self.left: set[str] = set()  # machines that a gang's present attempt has lost
@@ -77,6 +83,7 @@
 
     def recount(self) -> None:
         self.done = sum(len(c.done) for c in self.chunks.values())
+        self.proven = self.proven or self.done > 0
         self.assigned = sum(len(c.assigned) for c in self.chunks.values())
         self.again.clear()
         self.cursor = 0
@@ -160,19 +167,42 @@
                 if started or cause in ("mates_gone", "alone", "error"):
                     self.breaking = True
             if cause == "error":
-                self._failed(machine, now)
-            elif cause == "done":
+                self.states.pop(number, None)
+                return self._failed(machine, now)
+            if cause == "done":
+                self.proven = True
                 self.errors.pop(machine, None)
         else:
             self.states[number] = (state, cause)
             self.started = self.started or state == "running"
         return OK
 
-    def _failed(self, machine: str, now: float) -> None:
-        """Back off from a machine, and from everywhere when it is the job that fails."""
-        self.errors[machine] = self.errors.get(machine, 0) + 1
-        if len(self.errors) >= 3:
-            self.not_before = now + min(60.0, 2.0 ** min(6, sum(self.errors.values()) / 2))
+    @property
+    def at_fault(self) -> bool:
+        """Whether it is the job that fails, and not the machines: it has failed on several,
+        more often than it runs anywhere, and has completed nothing."""
+        return not self.proven and (self.suspected or len(
+            self.errors) >= FAULT_MACHINES and sum(self.errors.values()) > self.running)
+
+    def _failed(self, machine: str, now: float) -> int:
+        """Back off from a machine, and from everywhere when it is the job that fails.
+
+        A job submitted with a mistake fails on every machine; it had sound ones taken for
+        sick, and rented new ones, until its user cancelled it. It is tried again now and
+        then, since what failed may have passed.
+        """
+        self.errors[machine] = self.errors.pop(machine, 0) + 1
+        if self.at_fault:
+            if now >= self.not_before:
+                self.not_before = now + min(self.pause_most_s, self.pause_s * 2.0 ** self.trials)
+                self.trials = min(self.trials + 1, 16)
+            return JOB_AT_FAULT
+        return MACHINE_AT_FAULT if self.proven or self.running > sum(self.errors.values()) else OK
+
+    def avoided(self) -> Container[str]:
+        """Machines that the job keeps off: where it failed, or, when that was its own fault,
+        where it failed last."""
+        return set(list(self.errors)[-1:]) if self.at_fault else self.errors
 
     def removed(self, machines: Container[str]) -> bool:
         """Tasks on machines whose return is confirmed are gone."""
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -155,8 +155,7 @@
         for need in waiting:
             if not need.job.filler or fill < need.job.cpus:
                 continue
-            tasks = need.tasks if fill == math.inf else min(
-                need.tasks, int(fill / max(need.job.cpus, 0.1)))
+            tasks = int(min(need.tasks, fill / max(need.job.cpus, 0.1)))
             fill -= tasks * need.job.cpus
             refused, room = set(self.refused), supply
             if not quiet and need.age_s < dispatch.long_s:
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -348,6 +348,7 @@
         self.ended[job] = status
         while len(self.ended) > ENDED_MOST:
             self.ended.popitem(last=False)
+        self.owner.ended(job, status)
         known = self.live.pop(job, None)
         hj = self.dispatch.homes.get(job)
         if known is not None:
@@ -436,7 +437,10 @@
 
     def _home(self, job: Job, rev: int, chunks: dict[int, Chunk], ended: str) -> None:
         hj = HomeJob(job, rev, chunk_size(self.settings.cluster.state.value_kb),
-                     time.monotonic(), ended, self.generation.number)
+                     time.monotonic(), ended, self.generation.number,
+                     self.settings.cluster.workers.report_s,
+                     6 * self.settings.cluster.workers.lease_s)
+        hj.suspected = job.id in self.owner.faulty
         hj.load(chunks)
         self.dispatch.homes[job.id] = hj
         self.spawn(self.dispatch.drive(hj))
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -24,6 +24,8 @@
 RESERVED, QUEUED, SENT, LIVE = range(4)
 # Commands per request, so that 64 KiB always suffice.
 BATCH = 300
+# Jobs of which is remembered whose fault their errors were.
+JUDGED_MOST = 1000
 # Machines no longer here whose end is remembered as a change of the table.
 CHANGES_MOST = 1000
 
@@ -64,6 +66,7 @@
         self.bad_until = -1e9  # /do did not get through: use report responses
         self.by_response: list[Key] = []  # launches sent in the last report response
         self.errors: dict[str, int] = {}  # job: failures here since the last success
+        self.ailing = 0  # looks in a row at which it was found sick
         self.busy = False  # a /do is in flight
         self.fencing = False
         # Room made by preemption is kept for the job it was made for: others of
@@ -99,6 +102,9 @@
         self.room_rev = 0
         self.changes: OrderedDict[str, int] = OrderedDict()
         self.whole_rev = 0
+        # What homes have judged: jobs that fail by their own fault, and those that do not.
+        self.faulty: dict[str, None] = {}
+        self.sound: dict[str, None] = {}
 
     def begin(self, generation: Generation, me: str) -> None:
         """A new generation: tokens rise and every want is adopted anew.
@@ -223,16 +229,47 @@
                     and key not in m.kills:
                 m.kills[key] = job.save_s
 
-    @staticmethod
-    def sick(m: Machine) -> bool:
-        """A machine that fails the work of several jobs and completes none."""
-        return len(m.errors) >= 2 or sum(m.errors.values()) >= 4
+    def sick(self, m: Machine) -> bool:
+        """A machine that fails the work of several jobs, or again and again that of one that
+        runs well elsewhere, and completes none."""
+        return len(m.errors) >= 2 or any(
+            n >= 2 and job in self.sound for job, n in m.errors.items())
+
+    def judge(self, name: str, job: str, at_fault: bool) -> None:
+        """A home says whose fault an error was. What a job failed by its own is held
+        against no machine: a few such jobs once closed sound ones."""
+        here, there = (self.faulty, self.sound) if at_fault else (self.sound, self.faulty)
+        there.pop(job, None)
+        known = job in here
+        here[job] = None
+        while len(here) > JUDGED_MOST:
+            here.pop(next(iter(here)))
+        if at_fault and not known:
+            log.info("job=%s event=at-fault", job)
+            self._forgive(job)
+        m = self.machines.get(name)
+        if m is not None and not at_fault and job in m.errors and self.sick(m):
+            log.info("machine=%s job=%s event=sick errors=%d", name, job, sum(m.errors.values()))
+            self.touch(name)
+
+    def ended(self, job: str, status: str) -> None:
+        """A job is over, and what was judged of it; a user cancels what has a mistake."""
+        self.sound.pop(job, None)
+        self.faulty.pop(job, None)
+        if status == "cancelled":
+            self._forgive(job)
+
+    def _forgive(self, job: str) -> None:
+        for m in self.machines.values():
+            if m.errors.pop(job, 0):
+                self.touch(m.name)
 
     def _tell(self, m: Machine, key: Key, status: tuple[str, str, bool]) -> None:
         m.told[key] = status
         if status[1] == "error":
             job = key[0].partition("/")[0]
-            m.errors[job] = m.errors.get(job, 0) + 1
+            if job not in self.faulty:
+                m.errors[job] = m.errors.get(job, 0) + 1
             if self.sick(m):
                 log.info("machine=%s job=%s event=sick errors=%d", m.name, job,
                          sum(m.errors.values()))
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,132 @@
+"""Whose fault a failure is, and work that nobody waits for."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from clayport.jobs import JOB_AT_FAULT, MACHINE_AT_FAULT, OK, HomeJob
+from clayport.model import Chunk, Job
+
+from .test_dispatch import Home
+from .test_workers import KEY, Bench
+from .world import job as wire_job
+
+
+def made(number: int, **fields: Any) -> Job:
+    job = msgspec.convert(wire_job(number, **fields), Job)
+    return msgspec.structs.replace(job, aimless=job.job_class == "unnamed")
+
+
+def started(events: str, tasks: int = 12) -> tuple[HomeJob, list[int], float]:
+    """A home after events of tasks on machines of their own: e(rror), d(one), r(unning)."""
+    hj = HomeJob(made(1, pieces=tasks), 1, 50, 0.0)
+    chunk = Chunk()
+    chunk.assigned = {n: (1, f"m{n}") for n in range(tasks)}
+    hj.load({0: chunk})
+    verdicts = [hj.event(f"m{n}", n, 1, "running" if e == "r" else "exited",
+                         {"e": "error", "d": "done"}.get(e, ""), 10.0)
+                for n, e in enumerate(events)]
+    return hj, verdicts, hj.not_before
+
+
+@pytest.mark.parametrize("events, at_fault, last", [
+    ("ee", False, OK),                  # two machines may both be sick
+    ("eee", True, JOB_AT_FAULT),
+    ("deee", False, MACHINE_AT_FAULT),  # it has run well elsewhere
+    ("rrrreee", False, MACHINE_AT_FAULT),
+    ("rreee", True, JOB_AT_FAULT),
+    ("eeed", False, OK),                # what failed has passed
+])
+def test_a_job_that_fails_on_several_machines_is_at_fault(events: str, at_fault: bool,
+                                                          last: int) -> None:
+    hj, verdicts, _ = started(events)
+    assert (hj.at_fault, verdicts[-1]) == (at_fault, last)
+
+
+def test_a_job_at_fault_is_tried_again_ever_more_rarely() -> None:
+    """A hundred failures at once are one trial: what failed may pass within seconds."""
+    hj, _, until = started("eeeeeeeeee")
+    assert until == 11.0 and hj.avoided() == {"m9"}
+    for number, pause in ((10, 2.0), (11, 4.0)):
+        hj.event(f"m{number}", number, 1, "exited", "error", until)
+        assert hj.not_before == until + pause
+        until = hj.not_before
+
+
+def test_a_job_at_fault_is_tried_on_one_machine_and_wanted_nowhere(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    home = Home(monkeypatch)
+    for name in ("m1", "m2", "m3", "m4"):
+        home.report(name, "north", "plain")
+    hj = home.wait(made(1, pieces=16))
+    hj.errors = {"m1": 2, "m2": 1, "m3": 1}
+    assert home.c.dispatch.demand() == []
+    home.look()
+    assert len(hj.starts) == 1 and hj.starts[0][1] != "m3"
+
+
+ERROR = (KEY, "exited", "error")
+OTHER = (("j-000002/0", 1), "exited", "error")
+
+
+@pytest.mark.parametrize("steps, sick", [
+    ([("report", ERROR, OTHER)], True),
+    ([("report", ERROR, OTHER), ("judge", "j-000002", True)], False),
+    ([("judge", "j-000002", True), ("report", ERROR, OTHER)], False),
+    ([("report", *(((f"j-000001/{n}", 1), "exited", "error") for n in range(8)))], False),
+    ([("report", *(((f"j-000001/{n}", 1), "exited", "error") for n in range(2))),
+      ("judge", "j-000001", False)], True),
+    ([("report", ERROR, OTHER), ("end", "j-000002", "cancelled")], False),
+    ([("report", ERROR, OTHER), ("end", "j-000002", "done")], True),
+])
+def test_no_sound_machine_is_closed_for_a_job_at_fault(steps: list[tuple[Any, ...]], sick: bool
+                                                       ) -> None:
+    b = Bench()
+    b.report()
+    for what, *args in steps:
+        if what == "report":
+            b.report(*args)
+        elif what == "judge":
+            b.owner.judge("m1", *args)
+        else:
+            b.owner.ended(*args)
+    assert b.owner.sick(b.machine) == sick
+
+
+def test_what_nobody_waits_for_comes_last_and_within_its_share(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """A guest's arrays filled the fleet for minutes, and made all of their rank late."""
+    home = Home(monkeypatch)
+    for number in range(8):
+        home.report(f"m{number}", "north", "plain")  # 64 CPUs
+    home.c.owner.machines["m0"].spot = home.c.owner.machines["m1"].spot = True
+    home.c.owner.machines["m2"].spot = home.c.owner.machines["m3"].spot = True
+    home.c.owner.touch_all()
+    guest = home.wait(made(1, jobclass="unnamed", rank="best_effort", pieces=32))
+    late = home.wait(made(2, rank="best_effort", pieces=4))
+    late.since -= 500.0
+    assert home.c.dispatch._order(late, home.now) < home.c.dispatch._order(guest, home.now)
+    home.look()
+    assert len(late.starts) == 4 and len(guest.starts) == 8  # a quarter of 64 CPUs
+    assert {m for _, m in guest.starts} <= {"m0", "m1", "m2", "m3"}
+
+
+def test_alone_it_takes_what_there_is(monkeypatch: pytest.MonkeyPatch) -> None:
+    home = Home(monkeypatch)
+    home.report("m1", "north", "plain")
+    guest = home.wait(made(1, jobclass="unnamed", rank="best_effort", pieces=32))
+    home.look()
+    assert len(guest.starts) == 4
+
+
+def test_what_nobody_waits_for_makes_way_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    home = Home(monkeypatch)
+    aimed, guest = made(1, rank="best_effort"), made(2, rank="best_effort", jobclass="unnamed")
+    for job in (aimed, guest):
+        home.c.live[job.id] = (job, 1)
+    home.report("m1", "north", "plain", "j-000001/0", "j-000001/1", "j-000002/0", "j-000002/1")
+    assert home.c.owner.preempt(made(3), "m1", 0.0, home.now, (), 2)
+    assert {k[0] for k in home.c.owner.machines["m1"].kills} == {"j-000002/0", "j-000002/1"}
