A controller that stood still judges nothing by what it saw before

It could step aside, ask after all machines, fence or return from its old picture before it learns that it was evicted; inspections alone stood in the way.

--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -313,9 +313,9 @@
         core = self.core
         while True:
             await curio.sleep(core.settings.cluster.workers.report_s)
-            if not core.serving:
-                continue
             now = time.monotonic()
+            if not core.awake(now) or not core.serving:
+                continue
             core.owner.expire(now)
             if core.away or core.state_lost(now):
                 continue  # possibly evicted: see Provisioner.run
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -63,9 +63,10 @@
             await curio.sleep(core.ttl_s / 12)
             if not core.serving or core.generation.provisioner != core.label or not core.types:
                 continue
-            if core.away or core.state_lost(time.monotonic()):
-                # Possibly evicted: a return sent now may be held in the network
-                # and destroy, minutes later, machines that work.
+            now = time.monotonic()
+            if not core.awake(now) or core.away or core.state_lost(now):
+                # Possibly evicted, or just awake after standing still: a return sent now may be
+                # held in the network and destroy, minutes later, machines that work.
                 continue
             try:
                 await self.tick()
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -91,6 +91,11 @@
         self.rescan = True
         self.started = time.monotonic()
         self.clear_at = self.started  # when state or every peer's word was last had
+        # When this process was last seen running, and whether it has learnt since it last
+        # stood still that it is still a member.
+        self.beat_at = self.started
+        self.woke = 0
+        self.confirmed = 0
         self.events: dict[str, curio.Event] = {}
         self.raised: dict[str, None] = {}  # in order: a day in tests must repeat
         self.coros: list[Coroutine[Any, Any, Any]] = []
@@ -182,6 +187,33 @@
         if self.owner.room_rev != self.dispatch.own_rev:
             self.signal("place")
 
+    # -- standing still --------------------------------------------------
+
+    async def keep_awake(self) -> None:
+        """Notice that this process stood still while the clocks ran on."""
+        while True:
+            self.awake(time.monotonic())
+            await curio.sleep(self.settings.cluster.workers.report_s / 4)
+
+    def awake(self, now: float) -> bool:
+        """Whether what was last seen is as old as the clock says, for all that is judged
+        by elapsed time. Not after standing still: everybody then looks silent or late, and
+        the others may have gone on without us."""
+        gap = now - self.beat_at - self.settings.cluster.workers.report_s / 4
+        self.beat_at = now
+        if gap > 1.5 * self.settings.cluster.workers.report_s:
+            log.info("event=stood-still seconds=%.1f", gap)
+            self.woke += 1
+            self.rescan = True
+            # Not known to answer until it has; a lease may have ended meanwhile.
+            self.store.last_bad = now
+            for peer in self.peers.values():
+                peer.heard += gap
+            self.owner.stood_still(gap)
+            self.provisioner.began_at = now
+            self.signal("lease")
+        return self.confirmed == self.woke
+
     # -- standing --------------------------------------------------------
 
     @property
@@ -257,8 +289,10 @@
                 await curio.sleep(self.jitter(self.ttl_s / 8))
 
     async def _scan(self) -> int:
+        woke = self.woke
         entries, rev = await self.store.scan("c/")
-        self.rescan = False
+        self.confirmed = woke
+        self.rescan = woke != self.woke
         keys = {e.key for e in entries}
         for label in [n for n in self.nodes if NODE_PREFIX + n not in keys]:
             del self.nodes[label]
@@ -472,7 +506,7 @@
         """Propose the next generation when those present differ from its members."""
         while True:
             await self.wait("members", self.ttl_s / 2)
-            if not self.state_known:
+            if not self.state_known or not self.awake(time.monotonic()):
                 continue
             if successor(self.generation, self.nodes) is None:
                 continue
@@ -492,6 +526,7 @@
         """Exchange signs of life, demand and whether the state service answers."""
         while True:
             now = time.monotonic()
+            self.awake(now)
             try:
                 label, number, ok, rev = await peer.call(peerwire.PING, (
                     self.label, self.generation.number, not self.state_lost(now),
@@ -501,7 +536,7 @@
             except peers.PeerError as exc:
                 log.debug("peer=%s event=out-of-reach cause=%s", peer.label, exc)
             now = time.monotonic()
-            away = self.state_known and should_leave(
+            away = self.state_known and self.awake(now) and should_leave(
                 now, self.label, {p.label: p.heard for p in self.peers.values()}, self.nodes,
                 1.5 * self.ttl_s) and now - self.started > 2 * self.ttl_s
             if away != self.away:
@@ -698,8 +733,8 @@
                 await group.spawn(self.duty, self.keep_peers, peer)
             for label in s.labels:
                 await group.spawn(self.duty, self.fleet.tell, label)
-            for routine in (self.follow, self.keep_lease, self.keep_members, self.keep_catalogue,
-                            self.dispatch.refresh, self.dispatch.place_all,
+            for routine in (self.keep_awake, self.follow, self.keep_lease, self.keep_members,
+                            self.keep_catalogue, self.dispatch.refresh, self.dispatch.place_all,
                             self.fleet.watch_silence, self.provisioner.run):
                 await group.spawn(self.duty, routine)
             log.info("label=%s event=started incarnation=%s", s.label, self.incarnation)
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -123,6 +123,11 @@
                 holder.clear()
         self.touch_all()
 
+    def stood_still(self, gap_s: float) -> None:
+        """We stood still: what came meanwhile is still to be read, so nobody was silent."""
+        for m in self.machines.values():
+            m.heard += gap_s
+
     def machine(self, name: str, now: float) -> Machine:
         assert self.generation is not None
         found = self.machines.get(name)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,4 +1,4 @@
-"""Whose fault a failure is, and work that nobody waits for."""
+"""Whose fault a failure is, work that nobody waits for, and a controller that stood still."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 import pytest
 
 from clayport.jobs import JOB_AT_FAULT, MACHINE_AT_FAULT, OK, HomeJob
+from clayport.membership import should_leave
 from clayport.model import Chunk, Job
 
 from .test_dispatch import Home
@@ -130,3 +131,29 @@
     home.report("m1", "north", "plain", "j-000001/0", "j-000001/1", "j-000002/0", "j-000002/1")
     assert home.c.owner.preempt(made(3), "m1", 0.0, home.now, (), 2)
     assert {k[0] for k in home.c.owner.machines["m1"].kills} == {"j-000002/0", "j-000002/1"}
+
+
+@pytest.mark.parametrize("still_s", [0.0, 2.0, 5.0, 10.0, 20.0, 60.0])
+def test_nobody_was_silent_while_we_stood_still(monkeypatch: pytest.MonkeyPatch, still_s: float
+                                                ) -> None:
+    """After standing still for seconds a controller found all others silent: it stepped
+    aside, and asked after every machine."""
+    home = Home(monkeypatch)
+    c = home.c
+    home.report("m1", "north", "plain")
+    for label in ("c1", "c2"):
+        c.nodes[label] = label
+        if label in c.peers:
+            c.peers[label].heard = home.now
+    assert c.awake(home.now)
+    home.now += still_s + 0.2
+    known = c.awake(home.now)
+    assert known == (still_s == 0.0)
+    assert c.rescan and (still_s == 0.0 or not c.store.ok)
+    assert home.now - c.owner.machines["m1"].heard < c.fleet.silent_s
+    heard = {label: c.peers[label].heard for label in c.peers}
+    assert not should_leave(home.now, c.label, heard, heard, 1.5 * c.ttl_s)
+    if not known:
+        # What it last saw counts again once it has learnt whether it is still a member.
+        c.confirmed = c.woke
+        assert c.awake(home.now)
