Work without any aim fills machines in use, and leaves one that it alone would keep

Now it goes wherever other work is, and a machine on which only it is left is drained: what saves does so and goes on elsewhere.

--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -146,7 +146,7 @@
         rooms = []
         for m, a, t, z, s, o, c, g, mem, n, images, idle, hold in rows:
             room = Room(m, a, t, z, s, o, c, g, mem, n,
-                        images.split(" ") if images else (), now - idle if not n else math.inf,
+                        images.split(" ") if images else (), now - idle if idle >= 0 else math.inf,
                         label, used.get(m, ()))
             room.hold = hold
             rooms.append(room)
@@ -184,7 +184,8 @@
                 r = owner.room(m, core.label, now)
                 rows.append((r.machine, r.address, r.type, r.zone, r.spot, r.open, r.cpus, r.gpus,
                              r.memory_gb, r.tasks, " ".join(r.images),
-                             0.0 if r.tasks else max(0.0, now - r.idle_since), r.hold))
+                             -1.0 if r.idle_since == math.inf else max(0.0, now - r.idle_since),
+                             r.hold))
                 taken += [(r.machine, *key, *used) for key, used in r.used.items()]
         gone = [(n,) for n in wanted if n not in owner.machines]
         return (core.serving, owner.room_rev, changed is None, gone, rows, taken)
@@ -300,8 +301,8 @@
                     and r.machine not in hj.left] if avoided or hj.left else list(rooms.values())
             age = now - hj.since
             if job.filler and not quiet and age < self.long_s:
-                # It would keep others rented that are to be returned.
-                pool = [r for r in pool if r.spot or r.lasting > 0]
+                # Not on ordinary machines that it alone would keep rented.
+                pool = [r for r in pool if r.spot or not r.idle]
             patient, fragile = core.patient(job, age), core.fragile(job, age)
             spread = self.spread(hj)
             limit = core.wait_limits.get(job.job_class)
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import math
 from collections.abc import Iterable
 from typing import Any
 from zlib import crc32
@@ -19,7 +20,7 @@
     """A machine as the snapshot shows it; placements subtract at once."""
 
     __slots__ = ("machine", "address", "type", "zone", "spot", "open", "cpus", "gpus",
-                 "memory_gb", "tasks", "images", "idle_since", "owner", "used", "hold")
+                 "memory_gb", "tasks", "fillers", "images", "idle_since", "owner", "used", "hold")
 
     def __init__(self, machine: str, address: str, type: str, zone: str, spot: bool, open: bool,
                  cpus: float, gpus: float, memory_gb: float, tasks: int, images: Iterable[str],
@@ -30,6 +31,8 @@
         self.cpus, self.gpus, self.memory_gb = cpus, gpus, memory_gb
         self.tasks, self.images = tasks, dict.fromkeys(images)
         self.idle_since, self.owner = idle_since, owner  # inf while anything is on it
+        # Tasks without any aim: they alone leave it idle.
+        self.fillers = 0 if idle_since == math.inf else tasks
         self.hold = ""  # the job that room made by preemption is kept for
         # What is taken, by (standing, whether without GPUs): cpus, gpus, memory.
         self.used = {(rank, plain): [c, g, m] for rank, plain, c, g, m in used}
@@ -54,6 +57,8 @@
         self.gpus -= job.gpus * count
         self.memory_gb -= job.memory_gb * count
         self.tasks += count
+        if job.standing < 0:
+            self.fillers += count
         taken = self.used.setdefault((job.standing, job.gpus == 0), [0.0, 0.0, 0.0])
         taken[0] += job.cpus * count
         taken[1] += job.gpus * count
@@ -71,6 +76,10 @@
                 memory_gb += m
         return cpus + EPSILON >= guest.cpus and memory_gb + EPSILON >= guest.memory_gb
 
+    @property
+    def idle(self) -> bool:
+        return self.tasks <= self.fillers
+
     @property
     def filled(self) -> float:
         """The CPUs that work without any aim holds here."""
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -162,7 +162,7 @@
             if not quiet and need.age_s < dispatch.long_s:
                 if need.job.spot:
                     refused |= ordinary
-                room = [r for r in supply if r.spot or r.lasting > 0]
+                room = [r for r in supply if r.spot or not r.idle]
             missing = short(room, [need._replace(tasks=tasks)], policy)
             wanted += shopping(self.core.types, missing, refused, busy, policy,
                                {need.job.id: -math.inf})
@@ -265,7 +265,8 @@
         # Cheap room that replicas on dear machines can still move to is kept.
         keep = sum(n.job.cpus * n.tasks for n in self._on_dear(rooms, policy))
         hurried = [n for n in demand if not core.patient(n.job, n.age_s)]
-        idle = [r for r in rooms if r.tasks == 0 and r.type in types
+        idle = [r for r in rooms if r.idle and r.type in types
+                and (r.tasks == 0 or r.open and not r.spot)
                 and r.machine not in self.returned
                 and (not r.open or now - r.idle_since > 0.5 * types[r.type].boot_s)]
         # Closed ones first: nothing will ever start there again.
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -310,8 +310,11 @@
 
     def _touched(self, m: Machine, now: float) -> None:
         self.touch(m.name)
-        if m.want or any(s[0] != "exited" for s in m.listed.values()):
-            m.idle_since = now
+        for key in (*m.want, *(k for k, s in m.listed.items() if s[0] != "exited")):
+            job = self.job_of(key[0].partition("/")[0])
+            if job is None or job.standing >= 0:
+                m.idle_since = now
+                return
 
     # -- what homes ask --------------------------------------------------
 
@@ -325,7 +328,8 @@
                 and (m.hold_job == job.id or now >= m.hold_until)
             if ok and m is not None:
                 m.want[(f"{job.id}/{number}", attempt)] = Want(RESERVED, now)
-                m.idle_since = now
+                if job.standing >= 0:
+                    m.idle_since = now
                 self.touch(name)
             granted.append(ok)
         return granted
@@ -442,10 +446,23 @@
                         self.emit(key[0].partition("/")[0], (name, *key, GONE, "", False))
 
     def drain(self, name: str) -> bool:
-        """Close an idle machine for good; False when something is or may be on it."""
+        """Close an idle machine for good; False when something is or may be on it.
+
+        Work without any aim that saves its progress does so and goes on elsewhere: it must
+        not keep an ordinary machine rented.
+        """
         m = self.machines.get(name)
         if m is None:
             return True
+        room = self.room(m)
+        if room.tasks and room.idle:
+            m.draining = True
+            for key, status in m.listed.items():
+                job = self.job_of(key[0].partition("/")[0])
+                if job is not None and job.checkpoint_s > 0 and status[0] == "running":
+                    m.kills.setdefault(key, job.save_s)
+            self.touch(name)
+            return False
         if m.want or any(s[0] != "exited" for s in m.listed.values()):
             return False
         m.draining = True
@@ -532,10 +549,10 @@
                 room.take(job)
             else:
                 room.tasks += 1
+        if room.idle:
+            room.idle_since = m.idle_since
         if now is not None:
             room.hold = m.hold_job if now < m.hold_until else ""
-            if not room.tasks:
-                room.idle_since = m.idle_since
         return room
 
     def jobs_on(self, name: str) -> set[str]:
