--- a/clayport/api.py
+++ b/clayport/api.py
@@ -13,7 +13,7 @@
 from .jobs import can_ever_run, end_key, live_key
 from .model import Job, fits
 from .peers import PeerError
-from .statestore import Conflict, Txn, Unavailable, Unknown
+from .statestore import Conflict, Lookups, Txn, Unavailable, Unknown
 
 if TYPE_CHECKING:
     from .server import Controller
@@ -30,6 +30,7 @@
 
     def __init__(self, core: Controller) -> None:
         self.core = core
+        self.lookups = Lookups(core.store, 4 * core.settings.cluster.state.txn_ops, POLL_S / 3)
 
     async def handle(self, method: str, path: str, body: bytes) -> tuple[int, bytes, Headers]:
         try:
@@ -77,6 +78,9 @@
         core = self.core
         if job in core.ended:
             return core.ended[job]
+        live = core.live.get(job)
+        if live is not None and await self.lookups.unchanged(live_key(job), live[1]):
+            return "live"
         if await core.store.get(live_key(job), timeout_s) is not None:
             return "live"
         entry = await core.store.get(end_key(job), timeout_s)
--- a/clayport/statestore.py
+++ b/clayport/statestore.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import time
 from typing import Any
 
@@ -112,6 +111,10 @@
         self.level -= amount
         return max(0.0, -self.level / self.rate)
 
+    def give_back(self, amount: float) -> None:
+        """What was taken is not used after all."""
+        self.level += amount
+
 
 class StateStore:
     """Requests to the state service, paced to this controller's share."""
@@ -134,13 +137,19 @@
         return self.last_ok >= self.last_bad
 
     async def _call(self, method: str, path: str, body: Any = None, changes: int = 0,
-                    timeout_s: float | None = None, client: http.Client | None = None
-                    ) -> tuple[int, bytes]:
+                    timeout_s: float | None = None, client: http.Client | None = None,
+                    urgent: bool = False) -> tuple[int, bytes]:
         now = time.monotonic()
         wait = self.requests.delay(1, now)
         if changes:
             wait = max(wait, self.changes.delay(changes, now))
-        if wait > 0:
+        if timeout_s is not None and wait > timeout_s and client is None:
+            # A user asks who will have left by then: refused now, so that the queue of
+            # those who ask again and again doesn't grow without end.
+            self.requests.give_back(1)
+            self.changes.give_back(changes)
+            raise Unavailable("too much is asked")
+        if wait > 0 and not urgent:
             await curio.sleep(wait)
         raw = None if body is None else msgspec.json.encode(body)
         self.sent += 1
@@ -200,11 +209,13 @@
                 return entries, first
             since = page.items[-1].key
 
-    async def commit(self, txn: Txn) -> int:
+    async def commit(self, txn: Txn, timeout_s: float | None = None) -> int:
         """Apply; the revision. Conflict, NoLease, Unavailable or Unknown otherwise."""
-        body = {"when": [{"key": k, "key_rev": r} for k, r in txn.when.items()],
-                "writes": txn.writes}
-        status, payload = await self._call("POST", "/commit", body, changes=len(txn.writes))
+        body: dict[str, Any] = {"when": [{"key": k, "key_rev": r} for k, r in txn.when.items()]}
+        if txn.writes:
+            body["writes"] = txn.writes
+        status, payload = await self._call("POST", "/commit", body, changes=len(txn.writes),
+                                           timeout_s=timeout_s)
         if status == 200:
             return int(self._decode(payload, _Revision).rev)
         if status == 409:
@@ -214,14 +225,16 @@
         raise Unavailable(f"{status} {payload[:200]!r}")
 
     async def lease(self, ttl_s: float) -> int:
-        status, payload = await self._call("POST", "/leases", {"ttl_ms": int(ttl_s * 1000)})
+        status, payload = await self._call("POST", "/leases", {"ttl_ms": int(ttl_s * 1000)},
+                                           urgent=True)
         if status != 200:
             raise Unavailable(f"{status} for a lease")
         return int(self._decode(payload, _Lease).id)
 
     async def renew(self, lease: int) -> bool:
         """False when the lease has ended."""
-        status, _ = await self._call("POST", f"/leases/{lease}/touch", {})
+        # Never behind users' reads: a controller that many asked once lost its lease.
+        status, _ = await self._call("POST", f"/leases/{lease}/touch", {}, urgent=True)
         return status == 200
 
     async def watch(self, prefix: str, since: int, wait_s: float) -> tuple[list[Change], int]:
@@ -237,6 +250,67 @@
         return log.events, log.rev
 
 
-def jitter(rng: random.Random, base_s: float) -> float:
-    """A pause around `base_s`, so that controllers don't come back in step."""
-    return base_s * rng.uniform(0.5, 1.5)
+class _Batch:
+    """Questions that are answered together."""
+
+    def __init__(self) -> None:
+        self.revs: dict[str, int] = {}
+        self.changed: set[str] = set()
+        self.error: Exception | None = None
+        self.over = curio.Event()
+
+
+class Lookups:
+    """Whether keys still have the revisions known here, many of them in one request.
+
+    A question goes with the next request that is sent after it, so the answer is never
+    older than the question: as good as a read of its own, and users may ask many times
+    as often as usual without taking the requests that the work itself needs.
+    """
+
+    def __init__(self, store: StateStore, most: int, timeout_s: float) -> None:
+        self.store, self.most, self.timeout_s = store, most, timeout_s
+        # A fifth of this controller's requests at most.
+        self.pause_s = 5.0 / store.requests.rate
+        self.next = _Batch()
+        self.asking = False
+
+    async def unchanged(self, key: str, rev: int) -> bool:
+        """Unavailable or Unknown when there is no answer."""
+        batch = self.next
+        batch.revs[key] = rev
+        if not self.asking:
+            self.asking = True
+            await curio.spawn(self._ask, daemon=True)
+        await batch.over.wait()
+        if batch.error is not None:
+            raise Unavailable(str(batch.error))
+        return key not in batch.changed
+
+    async def _ask(self) -> None:
+        try:
+            while self.next.revs:
+                batch, self.next = self.next, _Batch()
+                try:
+                    await self._compare(batch)
+                except Exception as exc:  # whatever it is, those who wait are to be told
+                    batch.error = exc
+                finally:
+                    await batch.over.set()
+                await curio.sleep(self.pause_s)
+        finally:
+            self.asking = False
+
+    async def _compare(self, batch: _Batch) -> None:
+        keys = list(batch.revs)
+        for first in range(0, len(keys), self.most):
+            txn = Txn()
+            for key in keys[first:first + self.most]:
+                txn.require(key, batch.revs[key])
+            try:
+                try:
+                    await self.store.commit(txn, self.timeout_s)
+                except Unknown:
+                    await self.store.commit(txn, self.timeout_s)
+            except Conflict as exc:
+                batch.changed.update(exc.failed)
--- a/tests/world.py
+++ b/tests/world.py
@@ -146,10 +146,11 @@
 
     def commit(self, body: Any) -> tuple[int, Any]:
         settings = SETTINGS["state"]
-        assert len(body["writes"]) <= settings["txn_ops"]
+        writes = body.get("writes", [])
+        assert len(writes) <= settings["txn_ops"]
         assert len(body["when"]) <= 4 * settings["txn_ops"]
         assert len(json.dumps(body)) <= 64 * 1024
-        for write in body["writes"]:
+        for write in writes:
             if write.get("hold") is not None and write["hold"] not in self.leases:
                 return 400, {"error": "no such lease"}
             assert len(json.dumps(write.get("data"))) <= settings["value_kb"] * 1024
@@ -157,9 +158,9 @@
                   if self.keys.get(c["key"], (None, 0))[1] != c["key_rev"]]
         if failed:
             return 409, {"failed": failed, "store_rev": self.rev}
-        if body["writes"]:
+        if writes:
             self.rev += 1
-        for write in body["writes"]:
+        for write in writes:
             if "write" in write:
                 self.change(write["write"], write["data"], write.get("hold"), self.rev)
             else:
