--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from .model import SERVICE, Job, MachineType, fits
+from .model import ARRAY, SERVICE, Job, MachineType, fits
 from .placement import Policy, Room, Spread, capacity, place
 
 Kind = tuple[str, str, bool]  # type, zone, spot
@@ -25,6 +25,8 @@
 # Estimates are often wrong by half: a line is taken to last this much longer,
 # and this share of the time allowed is planned with.
 LINE, MARGIN = 1.5, 0.8
+# A job that has time for so many rounds of its tasks is rented for by its pace.
+WAVES = 4.0
 # A machine that takes this many times its type's boot time is given up, and
 # one that takes this many times is no longer counted on.
 GIVE_UP, LATE = 4.0, 1.6
@@ -141,8 +143,33 @@
     return math.inf if limit is None else limit - age_s - job.estimate_s
 
 
+def in_waves(need: Need, limits: dict[str, float], boot_s: float
+             ) -> tuple[int, bool | None] | None:
+    """For a job of tasks so short that it runs in many waves: how many at a time let it end
+    in time, and whether it will be late at its pace (None: too early to say); None for all
+    others.
+
+    A job of 25,000 tasks of four seconds counted as early until it was nearly due, since
+    the fleet as a whole would have done it in no time (it is of the lowest rank, and got
+    what others left), and would then have had thousands of CPUs rented.
+    """
+    job = need.job
+    limit = job.deadline_s if job.deadline_s is not None else limits.get(job.job_class)
+    if limit is None or job.kind != ARRAY:
+        return None
+    left = max(MARGIN * limit - need.age_s, boot_s)
+    wave = LINE * max(job.estimate_s, 1.0)
+    if left < WAVES * wave or need.tasks <= 1:
+        return None
+    tasks = min(need.tasks, math.ceil(need.tasks * wave / left))
+    if need.age_s <= wave:
+        return tasks, None
+    return tasks, (job.tasks - need.tasks) / need.age_s * left < need.tasks
+
+
 def pressing(demand: Iterable[Need], limits: dict[str, float], fleet_cpus: float,
-             line_factor: float = LINE, margin: float = MARGIN) -> list[Need]:
+             line_factor: float = LINE, margin: float = MARGIN, boot_s: float = 0.0
+             ) -> list[Need]:
     """The demand that would be late if it waited for room to become free.
 
     With factors of 1 it is what will be late if the estimates are right: a dear machine
@@ -160,8 +187,13 @@
         job = need.job
         line = line_factor * ahead / fleet_cpus if fleet_cpus > 0 else math.inf
         ahead += need.tasks * job.cpus * max(1.0, job.estimate_s)
-        if line > slack(job, need.age_s, limits, line_factor, margin):
-            found.append(need)
+        waves = in_waves(need, limits, boot_s)
+        late = line > slack(job, need.age_s, limits, line_factor, margin)
+        if waves is None:
+            if late:
+                found.append(need)
+        elif late if waves[1] is None else waves[1]:
+            found.append(need._replace(tasks=waves[0]))
     return found
 
 
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -111,7 +111,8 @@
                            core.urgent, now)
         cpus = sum(types[r.type].cpus - r.lasting
                    for r in supply if r.type in types)
-        needs = pressing(demand, core.finish_limits, cpus)
+        boot_s = min(t.boot_s for t in core.types)
+        needs = pressing(demand, core.finish_limits, cpus, boot_s=boot_s)
         cheap = [r.copy() for r in supply]
         missing = short(supply, needs, policy)
         # Room that is only kept, and room for replicas on dear machines, has to be
@@ -123,7 +124,8 @@
             kept += short([r for r in rest if not policy.dear(need.job, r)], [need], policy)
         self.refused = {k: t for k, t in self.refused.items() if t > now}
         if now >= self.ready_at and (missing or kept):
-            late = {n.job.id for n in pressing(demand, core.finish_limits, cpus, 1.0, 1.0)}
+            late = {n.job.id for n in pressing(demand, core.finish_limits, cpus, 1.0, 1.0,
+                                                 boot_s)}
             left = {n.job.id: -math.inf if n.job.aimless or n.job.id not in late
                     else remaining(n.job, n.age_s, core.finish_limits) for n in demand}
             wanted = shopping(core.types, missing, set(self.refused), busy, policy, left)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -10,6 +10,7 @@
 from clayport.jobs import JOB_AT_FAULT, MACHINE_AT_FAULT, OK, HomeJob
 from clayport.membership import should_leave
 from clayport.model import Chunk, Job
+from clayport.provisioning import Need, pressing
 
 from .test_dispatch import Home
 from .test_workers import KEY, Bench
@@ -179,3 +180,17 @@
         # What it last saw counts again once it has learnt whether it is still a member.
         c.confirmed = c.woke
         assert c.awake(home.now)
+
+
+@pytest.mark.parametrize("age, waiting, wanted", [
+    (5.0, 25000, None),     # hardly begun: nothing to judge it by
+    (100.0, 10000, None),   # 150 a second: done in time
+    (100.0, 20000, 546),    # 50 a second: late, unless so many run at a time
+    (300.0, 20000, 3000),   # nothing rented now would be there sooner than in 40 s
+])
+def test_many_short_tasks_are_rented_for_by_their_pace(age: float, waiting: int,
+                                                       wanted: int | None) -> None:
+    """A job of 25,000 tasks counted as early until it was nearly due, then as all too late."""
+    job = made(1, pieces=25000, guess_s=4.0, vcpus=0.25, due_s=400.0, rank="best_effort")
+    found = pressing([Need(job, waiting, age)], {}, 1e9, boot_s=40.0)
+    assert [n.tasks for n in found] == ([] if wanted is None else [wanted])
