Boots are expected as they were seen, where most of a type differ from the catalogue

Now the middle of what the last eight boots took, overdue ones included, replaces the catalogue's time when it is 1.6 times as long or a third as long, and a late type is as much dearer in choosing; after 20 leases it is forgotten, so it is tried again.

--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+import msgspec
+
 from .model import ARRAY, SERVICE, Job, MachineType, fits
 from .placement import Policy, Room, Spread, capacity, place
 
@@ -30,6 +32,8 @@
 # A machine that takes this many times its type's boot time is given up, and
 # one that takes this many times is no longer counted on.
 GIVE_UP, LATE = 4.0, 1.6
+# Boots that are remembered of a type, and as many as say something.
+SEEN_MOST, SEEN_LEAST = 8, 3
 
 
 class Need(NamedTuple):
@@ -51,6 +55,43 @@
         self.name, self.kind, self.since = name, kind, since
 
 
+class Boots:
+    """How long machines of each type took to come up of late, in their type's boot times."""
+
+    def __init__(self, span_s: float) -> None:
+        self.span_s = span_s
+        self.seen: dict[str, deque[tuple[float, float]]] = {}
+
+    def note(self, kind: MachineType, took_s: float, now: float) -> None:
+        self.seen.setdefault(kind.name, deque(maxlen=SEEN_MOST)).append(
+            (now, took_s / max(kind.boot_s, 1.0)))
+
+    def observed(self, types: Iterable[MachineType], booting: Iterable[Boot], now: float
+                 ) -> list[MachineType]:
+        """The catalogue with the boot times that are to be expected now.
+
+        Only where most machines of a type come up far later or sooner than it says: single
+        ones that take several times as long are usual, and prices per task differ by less.
+        What was seen long ago is forgotten, so that the type is tried again.
+        """
+        late: dict[str, list[float]] = {}
+        for boot in booting:
+            late.setdefault(boot.kind[0], []).append(now - boot.since)
+        found = []
+        for kind in types:
+            seen = self.seen.get(kind.name, deque())
+            while seen and now - seen[0][0] > self.span_s:
+                seen.popleft()
+            ratios = sorted([*(r for _, r in seen), *(
+                age / max(kind.boot_s, 1.0) for age in late.get(kind.name, ())
+                if age > LATE * kind.boot_s)])
+            middle = ratios[len(ratios) // 2] if len(ratios) >= SEEN_LEAST else 1.0
+            if middle > LATE or middle < 1 / LATE / 2:
+                kind = msgspec.structs.replace(kind, boot_s=kind.boot_s * middle)
+            found.append(kind)
+        return found
+
+
 def empty_room(kind: MachineType, name: str, zone: str, spot: bool) -> Room:
     return Room(name, "", kind.name, zone, spot, True, kind.cpus, kind.gpus, kind.memory_gb, 0,
                 (), math.inf, "")
@@ -199,14 +240,15 @@
 
 def shopping(types: list[MachineType], missing: list[Need],
              refused: set[Kind], busy_cpus: float, policy: Policy,
-             left: dict[str, float]) -> list[Kind]:
+             left: dict[str, float], boot_s: dict[str, float] | None = None) -> list[Kind]:
     """Machines to rent for what is missing, cheapest a task first.
 
     A big machine is worth its price only when it fills up: what will use it is
     what is missing now, and a share of what the fleet is busy with, since that
     much more work of the kind can be expected while the machine lives. `left`
     says how long jobs may still wait: a dear machine is rented only for a job
-    that it can still bring in time.
+    that it can still bring in time. A type whose machines come up later than `boot_s`
+    says is as much dearer: they are charged meanwhile, and what waits goes on waiting.
     """
     bought: list[Kind] = []
     rooms: list[Room] = []
@@ -231,7 +273,9 @@
                             continue
                         room = empty_room(kind, "", zone, spot)
                         held = min(max(wanted, likely), capacity(job, room))
-                        offer = (price_of(kind, spot) / held, zones.get(zone, 0), zone, kind, spot)
+                        late = kind.boot_s / boot_s[kind.name] if boot_s else 1.0
+                        offer = (price_of(kind, spot) * max(1.0, late) / held,
+                                 zones.get(zone, 0), zone, kind, spot)
                         if best is None or offer[:3] < best[:3]:
                             best = offer
             if best is None:
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -17,6 +17,7 @@
     GIVE_UP,
     LATE,
     Boot,
+    Boots,
     Kind,
     Need,
     empty_room,
@@ -47,6 +48,8 @@
     def __init__(self, core: Controller) -> None:
         self.core = core
         self.boots: dict[str, Boot] = {}
+        self.own: set[str] = set()  # machines rented here that have not come up yet
+        self.took = Boots(20 * core.settings.cluster.workers.lease_s)
         self.returned: dict[str, float] = {}
         self.refused: dict[Kind, float] = {}
         self.emptied: dict[str, float] = {}  # when a machine was last to be emptied
@@ -96,6 +99,9 @@
         rooms = list(core.dispatch.picture().values())
         types = {t.name: t for t in core.types}
         await self._give_up(now, types)
+        observed = self.took.observed(core.types, (
+            b for n, b in self.boots.items() if n in self.own), now)
+        boots = {t.name: t.boot_s for t in core.types}
         supply = [r.copy() for r in rooms if r.open]
         busy = sum(types[r.type].cpus - r.cpus for r in rooms if r.type in types)
         if log.isEnabledFor(logging.DEBUG):
@@ -107,11 +113,11 @@
         waiting = core.dispatch.all_demand()
         demand = [n for n in waiting if not n.job.filler]
         policy = core.dispatch.policy()
-        spare = spare_room([j for j, _ in core.live.values()], core.arrivals, core.types,
+        spare = spare_room([j for j, _ in core.live.values()], core.arrivals, observed,
                            core.urgent, now)
         cpus = sum(types[r.type].cpus - r.lasting
                    for r in supply if r.type in types)
-        boot_s = min(t.boot_s for t in core.types)
+        boot_s = min(t.boot_s for t in observed)
         needs = pressing(demand, core.finish_limits, cpus, boot_s=boot_s)
         cheap = [r.copy() for r in supply]
         missing = short(supply, needs, policy)
@@ -128,9 +134,9 @@
                                                  boot_s)}
             left = {n.job.id: -math.inf if n.job.aimless or n.job.id not in late
                     else remaining(n.job, n.age_s, core.finish_limits) for n in demand}
-            wanted = shopping(core.types, missing, set(self.refused), busy, policy, left)
-            wanted += shopping(core.types, kept, set(self.refused), busy, policy,
-                               {n.job.id: -math.inf for n in kept})
+            wanted = shopping(observed, missing, set(self.refused), busy, policy, left, boots)
+            wanted += shopping(observed, kept, set(self.refused), busy, policy,
+                               {n.job.id: -math.inf for n in kept}, boots)
             await self._rent(wanted, types, now)
         elif now >= self.ready_at:
             await self._rent(self._filling(waiting, rooms, supply, busy, policy), types, now)
@@ -215,8 +221,16 @@
         for name, boot in list(self.boots.items()):
             gone = name not in self.listed and now - boot.since > 4 * lag + core.ttl_s
             if name in core.rooms or name in self.returned or gone:
+                if name in core.rooms and name in self.own:
+                    self._up(boot, now)
+                self.own.discard(name)
                 del self.boots[name]
 
+    def _up(self, boot: Boot, now: float) -> None:
+        for kind in self.core.types:
+            if kind.name == boot.kind[0]:
+                self.took.note(kind, now - boot.since, now)
+
     async def _give_up(self, now: float, types: dict[str, MachineType]) -> None:
         """Return machines that never came up; they cost as long as they are kept.
 
@@ -229,6 +243,9 @@
                 if b.kind[0] in types and now - b.since > GIVE_UP * types[b.kind[0]].boot_s]
         if late:
             log.info("event=never-up machines=%s", late)
+            for name in late:
+                if name in self.own:
+                    self._up(self.boots[name], now)
             await self._return(late[:100], now)
 
     async def _return(self, names: list[str], now: float) -> None:
@@ -236,6 +253,7 @@
         for name in names:
             self.returned[name] = now
             self.boots.pop(name, None)
+            self.own.discard(name)
         await self.core.announce_gone(names)
 
     async def _rent(self, wanted: list[Kind], types: dict[str, MachineType], now: float) -> None:
@@ -256,6 +274,7 @@
                 core.signal("demand")
             for machine in got:
                 self.boots[machine] = Boot(machine, kind, now)
+                self.own.add(machine)
 
     async def _return_idle(self, rooms: list[Room], types: dict[str, MachineType],
                            demand: list[Need], spare: list[Need], policy: Policy,
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,19 +1,23 @@
-"""Whose fault a failure is, work that nobody waits for, and a controller that stood still."""
+"""Whose fault a failure is, work that nobody waits for, many who ask, and standing still."""
 
 from __future__ import annotations
 
 from typing import Any
 
+import curio
 import msgspec
 import pytest
 
 from clayport.jobs import JOB_AT_FAULT, MACHINE_AT_FAULT, OK, HomeJob
 from clayport.membership import should_leave
-from clayport.model import Chunk, Job
-from clayport.provisioning import Need, pressing
+from clayport.model import Chunk, Job, MachineType
+from clayport.placement import OPEN
+from clayport.provisioning import Boot, Boots, Need, pressing, shopping
+from clayport.statestore import Bucket, Conflict, Lookups, StateStore, Txn, Unavailable
 
 from .test_dispatch import Home
 from .test_workers import KEY, Bench
+from .world import TYPES
 from .world import job as wire_job
 
 
@@ -194,3 +198,78 @@
     job = made(1, pieces=25000, guess_s=4.0, vcpus=0.25, due_s=400.0, rank="best_effort")
     found = pressing([Need(job, waiting, age)], {}, 1e9, boot_s=40.0)
     assert [n.tasks for n in found] == ([] if wanted is None else [wanted])
+
+
+def test_polls_share_requests_that_are_sent_after_them() -> None:
+    """Users who asked eight times as often took the requests that the work needed."""
+    sent: list[set[str]] = []
+
+    class Store:
+        requests = Bucket(1000.0, 0.0)
+
+        async def commit(self, txn: Txn, timeout_s: float | None = None) -> int:
+            sent.append(set(txn.when))
+            assert not txn.writes
+            await curio.sleep(0)
+            if "b" in txn.when:
+                raise Conflict(["b"])
+            if "x" in txn.when:
+                raise Unavailable("503")
+            return 1
+
+    async def main() -> list[Any]:
+        lookups = Lookups(Store(), 2, 1.0)  # type: ignore[arg-type]
+        first = await curio.spawn(lookups.unchanged, "a", 1)
+        await curio.sleep(0)
+        while not sent:
+            await curio.sleep(0)
+        later = [await curio.spawn(lookups.unchanged, k, 1) for k in "abca"]
+        answers = [await first.join(), *[await t.join() for t in later]]
+        with pytest.raises(Unavailable):
+            await lookups.unchanged("x", 1)
+        return answers
+    assert curio.run(main) == [True, True, False, True, True]
+    assert sent == [{"a"}, {"a", "b"}, {"c"}, {"x"}]  # two conditions a request at most
+
+
+def test_what_comes_too_late_to_be_read_is_refused_at_once() -> None:
+    store = StateStore("127.0.0.1", 1, 30.0, 10.0, 1.0, 3)
+    store.requests.level = -100.0
+
+    async def main() -> None:
+        with pytest.raises(Unavailable, match="too much"):
+            await store.get("c/live/j-000001", 0.5)
+    before = store.requests.level
+    curio.run(main)
+    assert before <= store.requests.level < 0  # it has taken nothing from the others
+
+
+@pytest.mark.parametrize("took, booting, factor", [
+    ([1.0, 0.7, 1.4, 6.0], [], 1.0),          # a single late one is usual
+    ([3.0, 5.0, 1.0, 4.0], [], 4.0),
+    ([1.0], [2.0, 3.0, 3.5], 3.0),            # overdue, and not up yet
+    ([1.0, 1.0, 1.0], [0.5, 0.6], 1.0),       # not due yet: says nothing
+    ([0.05, 0.04, 0.1], [], 0.05),
+    ([9.0, 9.0], [], 1.0),                    # too few
+])
+def test_boots_are_expected_as_they_were_seen(took: list[float], booting: list[float],
+                                              factor: float) -> None:
+    kind = msgspec.convert(TYPES[0], MachineType)
+    boots = Boots(200.0)
+    for ratio in took:
+        boots.note(kind, ratio * kind.boot_s, 100.0)
+    waiting = [Boot(f"m{n}", (kind.name, "north", False), 100.0 - r * kind.boot_s)
+               for n, r in enumerate(booting)]
+    [seen] = boots.observed([kind], waiting, 100.0)
+    assert seen.boot_s == pytest.approx(factor * kind.boot_s)
+    assert boots.observed([kind], [], 400.0) == [kind]  # it is tried again
+
+
+def test_a_type_that_comes_up_late_is_as_much_dearer() -> None:
+    types = msgspec.convert([TYPES[0], {**TYPES[0], "label": "other", "rate": 0.6,
+                                        "spot_price": 0.2}], list[MachineType])
+    job, boots = made(1, loaners=False), {t.name: t.boot_s for t in types}
+    for factor, chosen in ((1.0, "plain"), (3.0, "other")):
+        late = [msgspec.structs.replace(types[0], boot_s=types[0].boot_s * factor), types[1]]
+        bought = shopping(late, [Need(job, 3)], set(), 0.0, OPEN, {}, boots)
+        assert {k[0] for k in bought} == {chosen}
