--- a/clayport/cli.py
+++ b/clayport/cli.py
@@ -50,6 +50,6 @@
     from .server import Controller
     controller = Controller(settings)
     if refresh is not None:
-        controller.dispatch.asc = Asc(refresh.start_s, refresh.least_s, refresh.most_s)
+        controller.picture.asc = Asc(refresh.start_s, refresh.least_s, refresh.most_s)
     curio.run(controller.run)
     return 1
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -82,7 +82,7 @@
         now = time.monotonic()
         gen = core.generation
         fresh = self.began is not gen
-        await core.dispatch.refresh_peers(changed_only=not fresh)
+        await core.picture.refresh_peers(changed_only=not fresh)
         if fresh or now - self.listed_at > core.settings.cluster.cloud.list_lag_s:
             await self._list(now)
         if fresh:
@@ -96,7 +96,7 @@
         if core.generation is not gen:
             return
         now = time.monotonic()
-        rooms = list(core.dispatch.picture().values())
+        rooms = list(core.picture.rooms().values())
         types = {t.name: t for t in core.types}
         await self._give_up(now, types)
         observed = self.took.observed(core.types, (
@@ -142,7 +142,7 @@
             await self._rent(self._filling(waiting, rooms, supply, busy, policy), types, now)
         await self._return_idle(rooms, types, demand, spare, policy, now)
         if now - self.evacuated_at > core.settings.cluster.workers.lease_s / 2:
-            for room in list(core.dispatch.picture().values()):
+            for room in list(core.picture.rooms().values()):
                 kind = types.get(room.type)
                 if kind is not None and room.open and policy.blocked(room, kind) > 0 \
                         and await core.ask_owner(peerwire.EVACUATE, room.machine, False):
@@ -298,7 +298,7 @@
             if keep > 0 and room.open and cheap:
                 keep -= room.cpus
                 continue
-            rest = [r.copy() for r in core.dispatch.picture().values()
+            rest = [r.copy() for r in core.picture.rooms().values()
                     if r.open and r.machine != room.machine and r.machine not in names]
             if room.open and self._worse(rest, room, needs if cheap else hurried, policy):
                 continue
@@ -327,7 +327,7 @@
         this a machine that has one stays rented, however little else there is for it.
         """
         core = self.core
-        rooms = core.dispatch.picture()
+        rooms = core.picture.rooms()
         self.emptied = {n: t for n, t in self.emptied.items() if n in rooms}
         total = sum(types[r.type].cpus for r in rooms.values() if r.type in types)
         offers: list[tuple[bool, float, str]] = []
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -22,6 +22,7 @@
 from .jobs import GENERATION_KEY, HomeJob, end_key
 from .membership import NOBODY, Generation, should_leave, successor
 from .model import SERVICE, Chunk, Job, MachineType, chunk_size
+from .picture import Picture
 from .placement import Room
 from .provisioning import LINE, Arrivals, remaining, slack
 from .renting import Provisioner
@@ -102,6 +103,7 @@
         self.owner = Owner(self.job_of, self._emit, 0.5 * c.workers.lease_s,
                            0.3 * c.workers.lease_s)
         self.fleet = Fleet(self)
+        self.picture = Picture(self)
         self.dispatch = Dispatch(self)
         self.provisioner = Provisioner(self)
         self.api = Api(self)
@@ -184,7 +186,7 @@
             remaining(job, age_s, self.finish_limits) < LINE * job.estimate_s
 
     def room_changed(self) -> None:
-        if self.owner.room_rev != self.dispatch.own_rev:
+        if self.owner.room_rev != self.picture.own_rev:
             self.signal("place")
 
     # -- standing still --------------------------------------------------
@@ -418,12 +420,9 @@
         for hj in self.dispatch.homes.values():
             self.signal(hj.name)
         self.dispatch.homes = {}
-        self.dispatch.inflight.clear()
         self.dispatch.quotas.clear()
         self.dispatch.demands.clear()
-        self.dispatch.pulled.clear()
-        self.dispatch.own_rev = -1
-        self.dispatch.stale.clear()
+        self.picture.begin()
         self.fleet.outboxes.clear()
         self.owner.begin(generation, self.label)
         if self.member:
@@ -551,7 +550,7 @@
         peer.state_ok, peer.generation = ok, number
         if rev != peer.room_rev:
             peer.room_rev = rev
-            if self.dispatch.starved:
+            if self.picture.starved:
                 self.signal("starved")
         if number > self.generation.number and self.store.ok:
             self.rescan = True
@@ -605,7 +604,7 @@
             counts = self.dispatch.counts(values[1]) if current else None
             return peerwire.COUNTED, (counts is not None, *(counts or (0, 0)))
         if kind == peerwire.ROOM:
-            return peerwire.TABLE, self.dispatch.table(values[1], [n for (n,) in values[2]]) \
+            return peerwire.TABLE, self.picture.table(values[1], [n for (n,) in values[2]]) \
                 if current else (False, 0, False, [], [], [])
         if kind == peerwire.RESERVE:
             job = self.job_of(values[1])
@@ -734,7 +733,7 @@
             for label in s.labels:
                 await group.spawn(self.duty, self.fleet.tell, label)
             for routine in (self.keep_awake, self.follow, self.keep_lease, self.keep_members,
-                            self.keep_catalogue, self.dispatch.refresh, self.dispatch.place_all,
+                            self.keep_catalogue, self.picture.refresh, self.dispatch.place_all,
                             self.fleet.watch_silence, self.provisioner.run):
                 await group.spawn(self.duty, routine)
             log.info("label=%s event=started incarnation=%s", s.label, self.incarnation)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -210,13 +210,13 @@
     """Peers pull what changed since their last pull; nothing may be missing from it."""
     rng = random.Random(seed)
     owner_side, home = Home(monkeypatch), Home(monkeypatch)
-    owner, dispatch = owner_side.c.owner, home.c.dispatch
+    owner, picture = owner_side.c.owner, home.c.picture
     home.c.live[LOW.id] = owner_side.c.live[LOW.id] = (LOW, 1)
     home.c.generation = owner_side.c.generation = Generation(1, {"c1": "y"}, 1)
     owner_side.c.serving = True
 
     async def call(_: int, values: tuple[Any, ...]) -> tuple[Any, ...]:
-        return owner_side.c.dispatch.table(values[1], [n for (n,) in values[2]])
+        return owner_side.c.picture.table(values[1], [n for (n,) in values[2]])
     home.c.peers["c1"].call = call  # type: ignore[method-assign,assignment]
     for step in range(60):
         owner_side.now = home.now = home.now + 1.0
@@ -238,9 +238,9 @@
         room = home.c.rooms.get(name)
         if room is not None and rng.random() < 0.3:
             room.take(LOW)  # charged here, and declined
-            dispatch.stale[name] = None
+            picture.stale[name] = None
         if rng.random() < 0.5:
-            curio.run(dispatch.refresh_peers, False)
+            curio.run(picture.refresh_peers, False)
             shown = {n: (r.cpus, r.tasks, r.open, r.idle_since, r.used) for n, r in
                      home.c.rooms.items()}
             rooms = [owner.room(m, "c1", home.now) for m in owner.machines.values() if m.known]
