What users and replicas wait for goes ahead in the queue for the state service

Submissions, cancellations, membership and starts of replicas now go ahead by half a second's worth, leases by five. Ruled out: the service's own limits (no request was refused).

--- a/clayport/api.py
+++ b/clayport/api.py
@@ -151,7 +151,7 @@
         deadline = time.monotonic() + SUBMIT_S * 0.7
         while True:
             try:
-                rev = await core.store.commit(txn)
+                rev = await core.store.commit(txn, urgent=True)
                 break
             except Conflict:
                 known = await self._known(job.id, SUBMIT_S / 5)
@@ -188,7 +188,7 @@
             txn = Txn().require(live_key(job), entry.rev).delete(live_key(job))
             txn.put(end_key(job), {"s": "cancelled", "j": entry.value["j"]})
             try:
-                await core.store.commit(txn)
+                await core.store.commit(txn, urgent=True)
             except Conflict:
                 continue
             except Unknown:
--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -507,7 +507,7 @@
             raise Evicted
         return self.core.generation.rev
 
-    async def _settle(self, txn: Txn, fence: int) -> int:
+    async def _settle(self, txn: Txn, fence: int, urgent: bool = False) -> int:
         """Commit until the outcome is certain; Conflict, or Unavailable if never sent.
 
         An unanswered transaction may still be applied: it is sent again until
@@ -518,7 +518,7 @@
             if self.core.generation.rev != fence:
                 raise Evicted
             try:
-                return await self.core.store.commit(txn)
+                return await self.core.store.commit(txn, urgent=urgent)
             except Unknown:
                 unsure = True
             except Unavailable:
@@ -564,7 +564,7 @@
         for key, (value, rev) in quota.items():
             txn.require(key, rev).put(key, value)
         try:
-            rev = await self._settle(txn, fence)
+            rev = await self._settle(txn, fence, job.kind == SERVICE)
         except Conflict as exc:
             await self._stop(release)
             await self._conflict(hj, exc, fence)
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -486,12 +486,14 @@
                 if self.away:
                     if self.lease is not None and self.nodes.get(self.label):
                         lease, self.lease = self.lease, None
-                        await self.store.commit(Txn().delete(NODE_PREFIX + self.label))
+                        await self.store.commit(Txn().delete(NODE_PREFIX + self.label),
+                                                urgent=True)
                         log.info("event=stepped-aside lease=%d", lease)
                 elif self.lease is None:
                     lease = await self.store.lease(self.ttl_s)
                     await self.store.commit(Txn().put(
-                        NODE_PREFIX + self.label, {"inc": self.incarnation}, lease))
+                        NODE_PREFIX + self.label, {"inc": self.incarnation}, lease),
+                        urgent=True)
                     self.lease = lease
                 elif not await self.store.renew(self.lease):
                     self.lease = None
@@ -515,7 +517,7 @@
                 continue
             txn = Txn().require(GENERATION_KEY, self.generation.rev)
             try:
-                await self.store.commit(txn.put(GENERATION_KEY, proposal.value()))
+                await self.store.commit(txn.put(GENERATION_KEY, proposal.value()), urgent=True)
             except Conflict:
                 await curio.sleep(self.ttl_s / 20)
             except (Unavailable, Unknown, NoLease):
--- a/clayport/statestore.py
+++ b/clayport/statestore.py
@@ -10,6 +10,10 @@
 
 from . import http
 
+# How far what users and replicas wait for may go ahead of the queue (the service allows
+# bursts of a whole second's worth), and how far the few requests that keep our lease may.
+URGENT_S, LEASE_S = 0.5, 5.0
+
 
 class Unavailable(Exception):
     """Not executed: refused by the service, or never sent."""
@@ -104,12 +108,15 @@
     def __init__(self, rate: float, now: float) -> None:
         self.rate, self.level, self.at = rate, rate, now
 
-    def delay(self, amount: float, now: float) -> float:
-        """Take `amount`; how long to wait before it may be used."""
+    def delay(self, amount: float, now: float, ahead_s: float = 0.0) -> float:
+        """Take `amount`; how long to wait before it may be used.
+
+        What is urgent goes ahead of what waits already, by `ahead_s` seconds' worth.
+        """
         self.level = min(self.rate, self.level + (now - self.at) * self.rate)
         self.at = now
         self.level -= amount
-        return max(0.0, -self.level / self.rate)
+        return max(0.0, -self.level / self.rate - ahead_s)
 
     def give_back(self, amount: float) -> None:
         """What was taken is not used after all."""
@@ -138,18 +145,18 @@
 
     async def _call(self, method: str, path: str, body: Any = None, changes: int = 0,
                     timeout_s: float | None = None, client: http.Client | None = None,
-                    urgent: bool = False) -> tuple[int, bytes]:
+                    ahead_s: float = 0.0) -> tuple[int, bytes]:
         now = time.monotonic()
-        wait = self.requests.delay(1, now)
+        wait = self.requests.delay(1, now, ahead_s)
         if changes:
-            wait = max(wait, self.changes.delay(changes, now))
+            wait = max(wait, self.changes.delay(changes, now, ahead_s))
         if timeout_s is not None and wait > timeout_s and client is None:
             # A user asks who will have left by then: refused now, so that the queue of
             # those who ask again and again doesn't grow without end.
             self.requests.give_back(1)
             self.changes.give_back(changes)
             raise Unavailable("too much is asked")
-        if wait > 0 and not urgent:
+        if wait > 0:
             await curio.sleep(wait)
         raw = None if body is None else msgspec.json.encode(body)
         self.sent += 1
@@ -209,13 +216,18 @@
                 return entries, first
             since = page.items[-1].key
 
-    async def commit(self, txn: Txn, timeout_s: float | None = None) -> int:
-        """Apply; the revision. Conflict, NoLease, Unavailable or Unknown otherwise."""
+    async def commit(self, txn: Txn, timeout_s: float | None = None,
+                     urgent: bool = False) -> int:
+        """Apply; the revision. Conflict, NoLease, Unavailable or Unknown otherwise.
+
+        Urgent is what users and replicas wait for: the outcomes of a job of thousands of
+        short tasks once delayed submissions.
+        """
         body: dict[str, Any] = {"when": [{"key": k, "key_rev": r} for k, r in txn.when.items()]}
         if txn.writes:
             body["writes"] = txn.writes
         status, payload = await self._call("POST", "/commit", body, changes=len(txn.writes),
-                                           timeout_s=timeout_s)
+                                           timeout_s=timeout_s, ahead_s=URGENT_S if urgent else 0.0)
         if status == 200:
             return int(self._decode(payload, _Revision).rev)
         if status == 409:
@@ -226,7 +238,7 @@
 
     async def lease(self, ttl_s: float) -> int:
         status, payload = await self._call("POST", "/leases", {"ttl_ms": int(ttl_s * 1000)},
-                                           urgent=True)
+                                           ahead_s=LEASE_S)
         if status != 200:
             raise Unavailable(f"{status} for a lease")
         return int(self._decode(payload, _Lease).id)
@@ -234,7 +246,7 @@
     async def renew(self, lease: int) -> bool:
         """False when the lease has ended."""
         # Never behind users' reads: a controller that many asked once lost its lease.
-        status, _ = await self._call("POST", f"/leases/{lease}/touch", {}, urgent=True)
+        status, _ = await self._call("POST", f"/leases/{lease}/touch", {}, ahead_s=LEASE_S)
         return status == 200
 
     async def watch(self, prefix: str, since: int, wait_s: float) -> tuple[list[Change], int]:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -13,7 +13,16 @@
 from clayport.model import Chunk, Job, MachineType
 from clayport.placement import OPEN
 from clayport.provisioning import Boot, Boots, Need, pressing, shopping
-from clayport.statestore import Bucket, Conflict, Lookups, StateStore, Txn, Unavailable
+from clayport.statestore import (
+    LEASE_S,
+    URGENT_S,
+    Bucket,
+    Conflict,
+    Lookups,
+    StateStore,
+    Txn,
+    Unavailable,
+)
 
 from .test_dispatch import Home
 from .test_workers import KEY, Bench
@@ -232,6 +241,16 @@
     assert sent == [{"a"}, {"a", "b"}, {"c"}, {"x"}]  # two conditions a request at most
 
 
+@pytest.mark.parametrize("level, ahead_s, wait", [
+    (5.0, 0.0, 0.0), (-15.0, 0.0, 1.6), (-4.0, URGENT_S, 0.0), (-15.0, URGENT_S, 1.1),
+    (-40.0, LEASE_S, 0.0)])
+def test_users_go_ahead_of_what_waits_for_the_state_service(level: float, ahead_s: float,
+                                                            wait: float) -> None:
+    bucket = Bucket(10.0, 0.0)
+    bucket.level = level
+    assert bucket.delay(1.0, 0.0, ahead_s) == pytest.approx(wait)
+
+
 def test_what_comes_too_late_to_be_read_is_refused_at_once() -> None:
     store = StateStore("127.0.0.1", 1, 30.0, 10.0, 1.0, 3)
     store.requests.level = -100.0
