A job's routine ends with its generation; a reservation replaces nothing

Cause: in all four logs each new generation shows the job's routine refused for c/generation, then a launch under the new generation, then refusals for its own chunks: the routine of the generation before went on, beside its successor, since a step took its fence from the generation that held then and the loop of steps did not look. Both used the same attempt number; a second reservation of a task on a machine replaced the launched one, and its release said that the task, never sent, was gone. Now every step, commit, reservation, stop and adoption names the generation that the job was loaded under, and an owner refuses to reserve what it wants or lists already: either alone prevents it. Each has a test that fails without it. Ruled out: late commands (tokens), late commits (generation).

--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -444,7 +444,7 @@
             await self._adopt(hj)
             while core.generation is gen:
                 try:
-                    while await self._step(hj):
+                    while core.generation is gen and await self._step(hj):
                         await core.flush()
                 except (Unavailable, Unknown) as exc:
                     log.debug("job=%s event=waiting cause=%s", hj.job.id, exc)
@@ -496,14 +496,20 @@
                 left, grace = hj.broken(), hj.job.save_s if hj.job.checkpoint_s else 0.0
             if left:
                 hj.kill_at = now + self.core.ttl_s
-                await self._stop([(m, f"{hj.job.id}/{n}", a, grace, False) for n, a, m in left])
+                await self._stop(hj, [(m, f"{hj.job.id}/{n}", a, grace, False) for n, a, m in left])
         if hj.ended and not hj.assigned:
             await self._tidy(hj)
             hj.closed = True
         return False
 
-    def _fence(self) -> int:
-        if not self.core.serving:
+    def _fence(self, hj: HomeJob) -> int:
+        """The condition of the job's commits: the generation that it was loaded under.
+
+        Not whichever holds now. The routine of the generation before, delayed by a peer
+        that had crashed, once went on under the next one beside its successor; both used
+        the same attempt number, and tasks ran twice.
+        """
+        if not self.core.serving or self.core.generation.number != hj.generation:
             raise Evicted
         return self.core.generation.rev
 
@@ -528,7 +534,7 @@
 
     async def _start(self, hj: HomeJob, starts: list[tuple[int, str]]) -> None:
         core, job = self.core, hj.job
-        fence = self._fence()
+        fence = self._fence(hj)
         gen = core.generation
         if await self._charge(job, 1 if job.kind != GANG else len(starts)) is None:
             return
@@ -550,15 +556,15 @@
             self.core.picture.starved = True
         release = [(m, f"{job.id}/{n}", attempt, 0.0, False) for n, m in granted]
         if not granted or hj.ended or (job.kind == GANG and declined):
-            await self._stop(release)
+            await self._stop(hj, release)
             return
         try:
             quota = await self._charge(job, len(granted))
         except Unavailable:
-            await self._stop(release)
+            await self._stop(hj, release)
             raise
         if quota is None:
-            await self._stop(release)
+            await self._stop(hj, release)
             return
         txn, chunks = hj.start_txn(fence, granted, attempt)
         for key, (value, rev) in quota.items():
@@ -566,11 +572,11 @@
         try:
             rev = await self._settle(txn, fence, job.kind == SERVICE)
         except Conflict as exc:
-            await self._stop(release)
+            await self._stop(hj, release)
             await self._conflict(hj, exc, fence)
             return
         except Unavailable:
-            await self._stop(release)
+            await self._stop(hj, release)
             raise
         hj.committed(chunks, rev)
         self._charged(quota, rev)
@@ -585,6 +591,8 @@
         granted: list[tuple[int, str]] = []
         task = hj.job.id
         for owner, items in self._by_owner((m, n) for n, m in starts).items():
+            if core.generation.number != hj.generation:
+                raise Evicted
             if owner == core.label:
                 flags = core.owner.reserve(hj.job, items, attempt, time.monotonic())
             else:
@@ -671,10 +679,12 @@
         return hj.assignment(number) == (item[2], item[0]) and number not in hj.outcomes \
             and number not in hj.states
 
-    async def _stop(self, items: list[tuple[str, str, int, float, bool]]) -> None:
+    async def _stop(self, hj: HomeJob, items: list[tuple[str, str, int, float, bool]]) -> None:
         """Kill or clear through the owners. What gets lost is asked again, or expires."""
         core = self.core
         for owner, part in self._by_owner(items).items():
+            if core.generation.number != hj.generation:
+                return  # its successor may mean something else by the same attempt
             if owner == core.label:
                 core.owner.stop(part)
                 for machine in dict.fromkeys(i[0] for i in part):
@@ -689,6 +699,8 @@
         """Have committed assignments judged by their owners' reports."""
         core = self.core
         gen = core.generation
+        if gen.number != hj.generation:
+            raise Evicted
         for owner, part in self._by_owner((m, f"{hj.job.id}/{n}", a)
                                           for n, a, m in hj.assignments()
                                           if only is None or n in only).items():
@@ -708,7 +720,7 @@
 
     async def _commit_outcomes(self, hj: HomeJob) -> None:
         core = self.core
-        fence = self._fence()
+        fence = self._fence(hj)
         txn, chunks, covered, over = hj.outcome_txn(fence, max(1, self.value_limit - 4))
         count = sum(1 for n in covered if hj.assignment(n) is not None)
         quota = await self._charge(hj.job, -count) or {}
@@ -731,7 +743,7 @@
             hj.ended = "done"
             core.note_end(hj.job.id, "done")
             log.info("job=%s generation=%d event=done", hj.job.id, core.generation.number)
-        await self._stop([(where[n], f"{hj.job.id}/{n}", a, 0.0, True)
+        await self._stop(hj, [(where[n], f"{hj.job.id}/{n}", a, 0.0, True)
                           for n, a in cleared if where[n]])
         core.signal("place")
 
@@ -768,7 +780,7 @@
         most = max(1, self.value_limit - 2)
         while left:
             part, left = left[:most], left[most:]
-            txn = Txn().require(GENERATION_KEY, self._fence())
+            txn = Txn().require(GENERATION_KEY, self._fence(hj))
             for index, _ in part:
                 txn.delete(chunk_key(hj.job.id, index))
             try:
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -43,6 +43,7 @@
     def __init__(self, job: Job, live_rev: int, size: int, now: float, ended: str = "",
                  generation: int = 0, pause_s: float = 1.0, pause_most_s: float = 60.0) -> None:
         self.name = f"job {job.id} {generation}"  # the signal of its routine
+        self.generation = generation
         self.job, self.live_rev, self.size = job, live_rev, size
         self.ended = ended  # "", "cancelled" or "done"
         self.chunks: dict[int, Chunk] = {}
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -324,7 +324,11 @@
         granted = []
         for name, number in items:
             m = self.machines.get(name)
-            ok = m is not None and self.open(m) and self.room(m).fits(job) \
+            # A reservation never replaces what is wanted or there already: let go, it
+            # would be taken to have never been sent.
+            ok = m is not None and (f"{job.id}/{number}", attempt) not in m.want \
+                and (f"{job.id}/{number}", attempt) not in m.listed \
+                and self.open(m) and self.room(m).fits(job) \
                 and (m.hold_job == job.id or now >= m.hold_until)
             if ok and m is not None:
                 m.want[(f"{job.id}/{number}", attempt)] = Want(RESERVED, now)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from clayport.dispatch import Evicted
 from clayport.jobs import JOB_AT_FAULT, MACHINE_AT_FAULT, OK, HomeJob
 from clayport.membership import should_leave
 from clayport.model import Chunk, Job, MachineType
@@ -25,7 +26,7 @@
 )
 
 from .test_dispatch import Home
-from .test_workers import KEY, Bench
+from .test_workers import JOB, KEY, Bench
 from .world import TYPES
 from .world import job as wire_job
 
@@ -292,3 +293,42 @@
         late = [msgspec.structs.replace(types[0], boot_s=types[0].boot_s * factor), types[1]]
         bought = shopping(late, [Need(job, 3)], set(), 0.0, OPEN, {}, boots)
         assert {k[0] for k in bought} == {chosen}
+
+
+def test_a_routine_does_not_go_on_under_the_next_generation(monkeypatch: pytest.MonkeyPatch
+                                                            ) -> None:
+    """Delayed by a peer that had crashed, one did, beside its successor: both used the same
+    attempt number, the second reservation replaced the first one's launch, and its release
+    said that tasks were gone that ran (eleven ran twice)."""
+    home = Home(monkeypatch)
+    c = home.c
+    home.report("m1", "north", "plain")
+    job = made(1)
+    c.live[job.id] = (job, 1)
+    c.serving = True
+    old = HomeJob(job, 1, 50, home.now, generation=0)
+    old.load({0: Chunk()})
+    for prepare in ("starts", "outcomes", "adopt"):
+        if prepare == "starts":
+            old.starts = [(n, "m1") for n in old.take(2)]
+        elif prepare == "outcomes":
+            old.chunks[0].assigned[2] = (1, "m1")
+            old.event("m1", 2, 1, "exited", "done", home.now)
+        step = c.dispatch._adopt if prepare == "adopt" else c.dispatch._step
+        with pytest.raises(Evicted):
+            curio.run(step, old)
+        assert not c.owner.machines["m1"].want
+    curio.run(c.dispatch._stop, old, [("m1", "j-000001/0", 1, 0.0, False)])
+    assert not c.owner.machines["m1"].kills
+
+
+def test_a_reservation_never_replaces_what_is_there() -> None:
+    b = Bench()
+    b.report()
+    b.launch()
+    b.owner.orders(b.machine)
+    for _ in range(2):  # sent, then listed
+        assert b.owner.reserve(JOB, [("m1", 0)], 1, 1.0) == [False]
+        b.owner.stop([("m1", *KEY, 0.0, False)])
+        assert not b.gone()
+        b.report((KEY, "running", ""))
