Transactions of scattered tasks stay within their limits

Starts and outcomes are now cut where a transaction is full, by a bound that costs nothing to compute.

--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -207,7 +207,9 @@
                 if room.machine in hj.made:
                     left_, until = hj.made[room.machine]
                     hj.made[room.machine] = (max(0, left_ - 1), until)
-            numbers = hj.take(len(chosen))
+            numbers = hj.take(len(chosen), max(1, self.value_limit - 4))
+            for room in chosen[len(numbers):]:
+                room.take(job, -1)  # the next transaction's
             hj.starts = [(n, r.machine) for n, r in zip(numbers, chosen)]
             for number, machine in hj.starts:
                 self.core.picture.inflight[(job.id, number)] = (machine, job)
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -9,7 +9,7 @@
 from collections.abc import Container, Iterable
 from typing import Any
 
-from .model import ARRAY, GANG, SERVICE, Chunk, Job
+from .model import ARRAY, ASSIGNED_BYTES, GANG, SERVICE, TXN_BYTES, Chunk, Job
 from .statestore import Txn
 from .workers import GONE
 
@@ -124,18 +124,42 @@
     def running(self) -> int:
         return sum(1 for s, _ in self.states.values() if s == "running")
 
-    def take(self, count: int) -> list[int]:
-        """Up to `count` waiting tasks, marked as being placed."""
+    def take(self, count: int, limit: int = 1_000_000) -> list[int]:
+        """Up to `count` waiting tasks, marked as being placed.
+
+        Of `limit` chunks at most, and as many as one transaction holds: tasks that wait
+        again may be scattered over all chunks of a job of tens of thousands, and what is
+        too large is refused whole, again and again.
+        """
         taken: list[int] = []
-        while self.again and len(taken) < count:
+        indexes: set[int] = set()
+        size = 0
+
+        def holds(number: int) -> bool:
+            nonlocal size
+            index = number // self.size
+            added = ASSIGNED_BYTES
+            if index not in indexes:
+                chunk = self.chunks.get(index)
+                added += chunk.most_bytes(self.size) if chunk else 0
+            if indexes and (size + added > TXN_BYTES
+                            or index not in indexes and len(indexes) == limit):
+                return False
+            indexes.add(index)
+            size += added
+            taken.append(number)
+            self.placing.add(number)
+            return True
+
+        for _ in range(len(self.again)):
+            if len(taken) == count:
+                break
             number = self.again.popleft()
-            if self._free(number):
-                taken.append(number)
-                self.placing.add(number)
+            if self._free(number) and not holds(number):
+                self.again.append(number)
         while self.cursor < self.job.tasks and len(taken) < count:
-            if self._free(self.cursor):
-                taken.append(self.cursor)
-                self.placing.add(self.cursor)
+            if self._free(self.cursor) and not holds(self.cursor):
+                break
             self.cursor += 1
         return taken
 
@@ -265,12 +289,14 @@
         txn = Txn().require(GENERATION_KEY, fence)
         chunks: dict[int, Chunk] = {}
         covered: list[int] = []
-        finished = 0
+        finished = size = 0
         for number, (attempt, done) in self.outcomes.items():
             index = number // self.size
             if index not in chunks:
-                if len(chunks) == limit:
+                added = self.chunks[index].most_bytes(self.size) if index in self.chunks else 0
+                if chunks and (len(chunks) == limit or size + added > TXN_BYTES):
                     continue
+                size += added
                 chunks[index] = self._require(txn, index)
             if chunks[index].assigned.get(number, (0, ""))[0] == attempt:
                 del chunks[index].assigned[number]
--- a/clayport/model.py
+++ b/clayport/model.py
@@ -178,6 +178,11 @@
         chunk.last_attempt = int(value["n"])
         return chunk
 
+    def most_bytes(self, size: int) -> int:
+        """A bound on the length of its value, without building that."""
+        return ASSIGNED_BYTES * len(self.assigned) + RUN_BYTES * min(
+            len(self.done), size + 1 - len(self.done)) + RUN_BYTES * 2
+
     def copy(self) -> Chunk:
         other = Chunk()
         other.rev, other.assigned = self.rev, dict(self.assigned)
@@ -185,6 +190,9 @@
         return other
 
 
+# The widest assignment, run of done tasks, and what a transaction's values may take together
+# of its 64 KiB.
+ASSIGNED_BYTES, RUN_BYTES, TXN_BYTES = 36, 14, 50_000
 # The widest entry of a chunk: "[99999,4294967296,\"i-0000000000\"]," and, in the
 # worst case, a run of its own in the done list.
 CHUNK_ENTRY_BYTES = 56
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import curio
@@ -11,7 +12,7 @@
 from clayport.dispatch import Evicted
 from clayport.jobs import JOB_AT_FAULT, MACHINE_AT_FAULT, OK, HomeJob
 from clayport.membership import should_leave
-from clayport.model import Chunk, Job, MachineType
+from clayport.model import Chunk, Job, MachineType, chunk_size
 from clayport.placement import OPEN
 from clayport.provisioning import Boot, Boots, Need, pressing, shopping
 from clayport.statestore import (
@@ -332,3 +333,33 @@
         b.owner.stop([("m1", *KEY, 0.0, False)])
         assert not b.gone()
         b.report((KEY, "running", ""))
+
+
+@pytest.mark.parametrize("value_kb, limit", [(8.0, 12), (32.0, 28)])
+def test_scattered_tasks_are_committed_in_transactions_that_fit(value_kb: float, limit: int
+                                                                ) -> None:
+    """What waits again, or ended, all over a huge job was one transaction, refused whole."""
+    size = chunk_size(value_kb)
+    hj = HomeJob(made(1, pieces=25000), 1, size, 0.0)
+    hj.load({i: Chunk() for i in range(25000 // size + 1)})
+    for index, chunk in hj.chunks.items():
+        numbers = range(index * size, min(25000, (index + 1) * size))
+        chunk.assigned = {n: (4_000_000_000, f"i-{n:010d}") for n in numbers if n % 2}
+        chunk.done = {n for n in numbers if n % 4 == 2}
+        hj.again.extend(n for n in numbers if n % 4 == 0)
+    hj.recount()
+    everything = [n for n in range(25000) if n % 4 == 0]
+    hj.again.extend(everything[::-7])
+    taken = hj.take(2000, limit)
+    assert taken and len({n // size for n in taken}) <= limit
+    txn, _ = hj.start_txn(1, [(n, f"i-{n:010d}") for n in taken], 4_000_000_000)
+    assert len(json.dumps(txn.writes)) < 60 * 1024
+    for chunk in hj.chunks.values():
+        hj.outcomes.update({n: (4_000_000_000, True) for n in chunk.assigned})
+    txn, chunks, covered, _ = hj.outcome_txn(1, limit)
+    assert 0 < len(chunks) <= limit and covered and len(json.dumps(txn.writes)) < 60 * 1024
+    found: set[int] = set()
+    hj.placing.clear()
+    while more := hj.take(500, limit):
+        found.update(more)
+    assert found == set(everything)  # nothing is lost on the way
