--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -355,7 +355,7 @@
     txn, _ = hj.start_txn(1, [(n, f"i-{n:010d}") for n in taken], 4_000_000_000)
     assert len(json.dumps(txn.writes)) < 60 * 1024
     for chunk in hj.chunks.values():
-        hj.outcomes.update({n: (4_000_000_000, True) for n in chunk.assigned})
+        hj.outcomes[next(iter(chunk.assigned))] = (4_000_000_000, True)  # the others run on
     txn, chunks, covered, _ = hj.outcome_txn(1, limit)
     assert 0 < len(chunks) <= limit and covered and len(json.dumps(txn.writes)) < 60 * 1024
     found: set[int] = set()
