A job at fault is tried again also while others of its tasks run

Cause (found on rereading): one trial at a time was kept by waiting until nothing of the job was assigned; a service with a replica that runs and another that had failed on three sick machines would have missed that one for good, since a replica never completes. Now the trial waits only for what is assigned and does not run. Its test fails without it.

--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -128,8 +128,10 @@
         fill = math.inf if quiet else self.fill_cpus(rooms.values())
         for hj in waiting:
             job = hj.job
-            if hj.at_fault and hj.assigned:
-                continue  # one trial at a time
+            if hj.at_fault and hj.assigned > hj.running:
+                # One trial at a time. (Not none while others of it run: a replica that had
+                # failed on three sick machines would have been missing for good.)
+                continue
             shape = (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone, job.spot,
                      job.kind, job.rank, job.filler, job.one_zone, job.spread,
                      job.tasks if job.kind == GANG else 0)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -85,6 +85,22 @@
     assert len(hj.starts) == 1 and hj.starts[0][1] != "m3"
 
 
+@pytest.mark.parametrize("state, starts", [("running", 1), ("pulling", 0)])
+def test_a_replica_is_tried_again_while_others_of_its_job_run(
+        monkeypatch: pytest.MonkeyPatch, state: str, starts: int) -> None:
+    home = Home(monkeypatch)
+    home.report("m4", "north", "plain")
+    hj = home.wait(made(1, pieces=2, shape="daemon", loaners=False))
+    chunk = Chunk()
+    chunk.assigned = {0: (1, "m9")}
+    hj.load({0: chunk})
+    hj.event("m9", 0, 1, state, "", home.now)
+    hj.errors = {"m1": 1, "m2": 1, "m3": 1}
+    assert hj.at_fault
+    home.look()
+    assert len(hj.starts) == starts
+
+
 ERROR = (KEY, "exited", "error")
 OTHER = (("j-000002/0", 1), "exited", "error")
 
