--- a/clayport/api.py
+++ b/clayport/api.py
@@ -10,10 +10,10 @@
 import msgspec
 
 from . import peerwire
-from .jobs import can_ever_run, end_key, live_key
-from .model import Job, fits
+from .jobs import can_ever_run, end_key, end_value, ended, fitted, live_key, live_value
+from .model import SERVICE, Job, fits
 from .peers import PeerError
-from .statestore import Conflict, Lookups, Txn, Unavailable, Unknown
+from .statestore import CANCEL_S, URGENT_S, Conflict, Lookups, Txn, Unavailable, Unknown
 
 if TYPE_CHECKING:
     from .server import Controller
@@ -23,6 +23,8 @@
 Headers = list[tuple[str, str]]
 # The protocol's own figures: users wait this long for a submission and a poll.
 SUBMIT_S, POLL_S = 5.0, 2.0
+# What a final record takes besides the description that it carries on.
+END_BYTES = 64
 
 
 class Api:
@@ -86,7 +88,7 @@
         entry = await core.store.get(end_key(job), timeout_s)
         if entry is None:
             return None
-        core.note_end(job, str(entry.value["s"]))
+        core.note_end(job, *ended(entry.value))
         return str(entry.value["s"])
 
     async def _answer(self, job: str, status: str) -> dict[str, Any]:
@@ -127,8 +129,13 @@
             job = core.judged(msgspec.json.decode(body, type=Job))
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
             return 400, {"error": str(exc)}
-        value = {"j": msgspec.to_builtins(job)}
-        if len(msgspec.json.encode(value)) > core.settings.cluster.state.value_kb * 1024 / 2:
+        submitted = time.time()
+        value = live_value(job, submitted)
+        if len(msgspec.json.encode(value)) > core.settings.cluster.state.least().value_kb * 1024 \
+                - END_BYTES:
+            known = await self._known(job.id, SUBMIT_S / 3)
+            if known is not None:  # accepted while more was allowed
+                return 200, await self._answer(job.id, known)
             return 400, {"error": "description too large"}
         limit = core.limits.get(job.team)
         if not core.types and job.id not in core.ended:
@@ -146,12 +153,22 @@
             known = await self._known(job.id, SUBMIT_S / 3)
             if known is not None:
                 return 200, await self._answer(job.id, known)
+        deadline = time.monotonic() + SUBMIT_S * 0.7
+        if job.prereqs:
+            wrong = await self._unsuitable(job.prereqs)
+            if wrong:
+                known = await self._known(job.id, SUBMIT_S / 5)
+                if known is not None:
+                    return 200, await self._answer(job.id, known)
+                return 422, {"error": wrong}
+            if not core.upgraded:
+                # The version in production would start it at once.
+                raise Unavailable("not all controllers can take prereqs yet")
         txn = Txn().require(live_key(job.id), 0).require(end_key(job.id), 0)
         txn.put(live_key(job.id), value)
-        deadline = time.monotonic() + SUBMIT_S * 0.7
         while True:
             try:
-                rev = await core.store.commit(txn, urgent=True)
+                rev = await core.store.commit(txn, ahead_s=URGENT_S)
                 break
             except Conflict:
                 known = await self._known(job.id, SUBMIT_S / 5)
@@ -166,9 +183,42 @@
                 await curio.sleep(core.jitter(0.1))
         log.info("job=%s event=accepted class=%s kind=%s tasks=%d", job.id, job.job_class,
                  job.kind, job.tasks)
-        core.note_live(job, rev)
+        core.note_live(job, rev, core.since(submitted))
         return 201, {"id": job.id, "status": "queued"}
 
+    async def _unsuitable(self, names: list[str]) -> str:
+        """Why a job can't wait for these; empty if it can: each was accepted, and ends by
+        itself. What isn't known here may have been accepted a moment ago by a controller
+        whose watch is ahead of ours, so the state service is asked."""
+        core = self.core
+        unknown = []
+        for name in dict.fromkeys(names):
+            known = core.live.get(name)
+            if known is None and name not in core.ended:
+                unknown.append(name)
+            elif known is not None and known[0].kind == SERVICE:
+                return f"{name} is a service"
+        # Of many at once, which records there are: a comparison names those that exist.
+        most = max(1, core.bounds.txn_ops * 2)
+        for first in range(0, len(unknown), most):
+            part = unknown[first:first + most]
+            txn = Txn()
+            for name in part:
+                txn.require(live_key(name), 0).require(end_key(name), 0)
+            try:
+                await core.store.commit(txn, SUBMIT_S / 5)
+                return f"{part[0]} was never accepted"
+            except Conflict as exc:
+                for name in part:
+                    if end_key(name) in exc.failed:
+                        continue
+                    if live_key(name) not in exc.failed:
+                        return f"{name} was never accepted"
+                    entry = await core.store.get(live_key(name), SUBMIT_S / 5)
+                    if entry is not None and entry.value["j"]["shape"] == SERVICE:
+                        return f"{name} is a service"
+        return ""
+
     async def _abort(self, job: str) -> tuple[int, dict[str, Any]]:
         core = self.core
         if not self._valid(job):
@@ -186,16 +236,18 @@
                     continue
                 return 200, {"id": job, "status": known}
             txn = Txn().require(live_key(job), entry.rev).delete(live_key(job))
-            txn.put(end_key(job), {"s": "cancelled", "j": entry.value["j"]})
+            at = time.time()
+            txn.put(end_key(job), fitted(end_value("cancelled", at, entry.value["j"]),
+                                         core.bounds.value_kb))
             try:
-                await core.store.commit(txn, urgent=True)
+                await core.store.commit(txn, ahead_s=CANCEL_S)
             except Conflict:
                 continue
             except Unknown:
                 await curio.sleep(core.jitter(0.1))
                 continue
             log.info("job=%s event=cancelled", job)
-            core.note_end(job, "cancelled")
+            core.note_end(job, "cancelled", at)
             core.tell_end(job, "cancelled")
             return 200, {"id": job, "status": "cancelled"}
         raise Unavailable("not settled in time")
--- a/clayport/config.py
+++ b/clayport/config.py
@@ -56,11 +56,31 @@
     cancel_s: Positive
 
 
+class NextLimits(msgspec.Struct, frozen=True):
+    """Limits that the state service will have some time after an upgrade; what is absent
+    stays as it is."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Annotated[float, msgspec.Meta(ge=1)] | None = None
+    txn_ops: Annotated[int, msgspec.Meta(ge=4)] | None = None
+
+
 class StateSettings(msgspec.Struct, frozen=True):
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Annotated[int, msgspec.Meta(ge=4)]
+    next: NextLimits | None = None
+
+    def least(self) -> StateSettings:
+        """What may be asked of the service at any time: the smaller of both limits."""
+        coming = self.next or NextLimits()
+        return StateSettings(
+            min(self.rps, coming.rps or self.rps),
+            min(self.write_rps, coming.write_rps or self.write_rps),
+            min(self.value_kb, coming.value_kb or self.value_kb),
+            min(self.txn_ops, coming.txn_ops or self.txn_ops))
 
 
 class CloudSettings(msgspec.Struct, frozen=True):
--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -20,9 +20,12 @@
     OK,
     HomeJob,
     amounts,
-    chunk_key,
     end_key,
+    end_value,
+    ended,
+    fitted,
     live_key,
+    parse_chunk_key,
     quota_key,
     quota_of,
 )
@@ -30,7 +33,7 @@
 from .peers import PeerError
 from .placement import Policy, Room, Spread, capacity, place, preempt
 from .provisioning import Need, remaining
-from .statestore import Conflict, Txn, Unavailable, Unknown
+from .statestore import CANCEL_S, URGENT_S, Conflict, TooLarge, Txn, Unavailable, Unknown
 from .workers import GONE
 
 if TYPE_CHECKING:
@@ -61,7 +64,16 @@
         # Work without any aim that has waited so long is placed, and has machines rented,
         # like any other (within its share).
         self.long_s = 20 * core.settings.cluster.workers.lease_s
-        self.value_limit = int(core.settings.cluster.state.txn_ops)
+
+    @property
+    def start_chunks(self) -> int:
+        """Chunks that a transaction of starts may change, beside the quota."""
+        return max(1, self.core.bounds.txn_ops - 4)
+
+    @property
+    def outcome_chunks(self) -> int:
+        """The same for outcomes: also the quota, the live and the final record."""
+        return max(1, self.core.bounds.txn_ops - 4)
 
     # -- demand ----------------------------------------------------------
 
@@ -138,7 +150,7 @@
             if shape in full and not hj.errors:
                 starved = starved or not job.filler
                 continue
-            wanted = min(hj.pending, hj.size * max(1, self.value_limit // 4))
+            wanted = min(hj.pending, hj.size * max(1, core.bounds.txn_ops // 4))
             wanted = self._within_limit(job, wanted)
             if hj.at_fault and job.kind != GANG:
                 wanted = min(wanted, 1)
@@ -209,7 +221,7 @@
                 if room.machine in hj.made:
                     left_, until = hj.made[room.machine]
                     hj.made[room.machine] = (max(0, left_ - 1), until)
-            numbers = hj.take(len(chosen), max(1, self.value_limit - 4))
+            numbers = hj.take(len(chosen), self.start_chunks)
             for room in chosen[len(numbers):]:
                 room.take(job, -1)  # the next transaction's
             hj.starts = [(n, r.machine) for n, r in zip(numbers, chosen)]
@@ -261,7 +273,8 @@
 
     def quiet(self) -> bool:
         """Whether nothing but replicas is there that work without any aim could hinder."""
-        return not any(j.kind != SERVICE and not j.aimless for j, _ in self.core.live.values())
+        return not any(j.kind != SERVICE and not j.aimless and not self.core.pipes.waiting(j.id)
+                       for j, _ in self.core.live.values())
 
     def _in_guarantee(self, job: Job) -> bool:
         """Whether the job's team stays within its guarantee with it, as last read; true
@@ -478,6 +491,13 @@
 
     async def _step(self, hj: HomeJob) -> bool:
         """One thing that is due; False when nothing is."""
+        core = self.core
+        if core.upgraded and hj.narrow(core.narrow_size) or hj.wide:
+            await self._move(hj)
+            return True
+        if not hj.ended and hj.job.id in core.pipes.doomed:
+            await self._cancel(hj)
+            return True
         if hj.starts:
             starts, hj.starts = hj.starts, []
             try:
@@ -506,6 +526,52 @@
             hj.closed = True
         return False
 
+    async def _move(self, hj: HomeJob) -> None:
+        """Write the job's narrower chunks, then remove the wider ones they come from.
+
+        Nothing else of the job is committed meanwhile, so that after an end in the middle
+        the wider ones still hold all of it. (Tasks found under the wrong key would be
+        started again while they run.)
+        """
+        fence = self._fence(hj)
+        moved: set[int] = set()
+        log.info("job=%s generation=%d event=narrow chunks=%d size=%d", hj.job.id,
+                 hj.generation, len(hj.chunks), hj.size)
+        while hj.wide:
+            txn, chunks, gone = hj.move_txn(fence, self.core.bounds.txn_ops, moved)
+            try:
+                rev = await self._settle(txn, fence)
+            except Conflict as exc:
+                await self._conflict(hj, exc, fence)
+                return
+            hj.committed(chunks, rev)
+            moved.update(chunks)
+            for key in gone:
+                del hj.wide[key]
+
+    async def _cancel(self, hj: HomeJob) -> None:
+        """A job that this one needs was cancelled, and so is this one.
+
+        From the records alone, by whichever controller is its home: the one that told the
+        user may be gone. No task of it has ever started.
+        """
+        core, job = self.core, hj.job.id
+        entry = await core.store.get(live_key(job))
+        if entry is None:
+            await self.learn_end(job)
+            if not hj.ended:
+                raise Unavailable("the record is just changing")
+            return
+        txn = Txn().require(live_key(job), entry.rev).delete(live_key(job))
+        txn.put(end_key(job), fitted(end_value("cancelled", time.time(), entry.value["j"]),
+                                     core.bounds.value_kb))
+        try:
+            await self._settle(txn, self._fence(hj), CANCEL_S)
+        except Conflict:
+            return
+        log.info("job=%s generation=%d event=cancelled cause=prereq", job, hj.generation)
+        core.note_end(job, "cancelled", time.time())
+
     def _fence(self, hj: HomeJob) -> int:
         """The condition of the job's commits: the generation that it was loaded under.
 
@@ -517,20 +583,25 @@
             raise Evicted
         return self.core.generation.rev
 
-    async def _settle(self, txn: Txn, fence: int, urgent: bool = False) -> int:
+    async def _settle(self, txn: Txn, fence: int, ahead_s: float = 0.0) -> int:
         """Commit until the outcome is certain; Conflict, or Unavailable if never sent.
 
         An unanswered transaction may still be applied: it is sent again until
-        an answer tells, since either copy makes the other fail.
+        an answer tells, since either copy makes the other fail. One that has become too
+        large meanwhile will never tell: what holds now has to be read.
         """
         unsure = False
         while True:
             if self.core.generation.rev != fence:
                 raise Evicted
             try:
-                return await self.core.store.commit(txn, urgent=urgent)
+                return await self.core.store.commit(txn, ahead_s=ahead_s)
             except Unknown:
                 unsure = True
+            except TooLarge:
+                if unsure:
+                    raise Conflict([k for k in txn.when if k != GENERATION_KEY]) from None
+                raise
             except Unavailable:
                 if not unsure:
                     raise
@@ -574,7 +645,7 @@
         for key, (value, rev) in quota.items():
             txn.require(key, rev).put(key, value)
         try:
-            rev = await self._settle(txn, fence, job.kind == SERVICE)
+            rev = await self._settle(txn, fence, URGENT_S if job.kind == SERVICE else 0.0)
         except Conflict as exc:
             await self._stop(hj, release)
             await self._conflict(hj, exc, fence)
@@ -725,7 +796,8 @@
     async def _commit_outcomes(self, hj: HomeJob) -> None:
         core = self.core
         fence = self._fence(hj)
-        txn, chunks, covered, over = hj.outcome_txn(fence, max(1, self.value_limit - 4))
+        at = time.time()
+        txn, chunks, covered, over = hj.outcome_txn(fence, self.outcome_chunks, at)
         count = sum(1 for n in covered if hj.assignment(n) is not None)
         quota = await self._charge(hj.job, -count) or {}
         for key, (value, rev) in quota.items():
@@ -739,13 +811,13 @@
             hj.committed(chunks, rev)
             self._charged(quota, rev)
             dropped = {w["remove"] for w in txn.writes if "remove" in w}
-            for index in [i for i in chunks if chunk_key(hj.job.id, i) in dropped]:
+            for index in [i for i in chunks if hj.key(i) in dropped]:
                 del hj.chunks[index]
         where = {n: hj.where.pop(n, "") for n in covered}
         cleared = hj.covered(covered)
         if over:
             hj.ended = "done"
-            core.note_end(hj.job.id, "done")
+            core.note_end(hj.job.id, "done", at)
             log.info("job=%s generation=%d event=done", hj.job.id, core.generation.number)
         await self._stop(hj, [(where[n], f"{hj.job.id}/{n}", a, 0.0, True)
                           for n, a in cleared if where[n]])
@@ -766,7 +838,8 @@
             entries, _ = await core.store.scan(f"run/{hj.job.id}/")
             if core.generation.rev != fence:
                 raise Evicted
-            hj.load({int(e.key.rpartition("/")[2]): Chunk.parse(e.value, e.rev) for e in entries})
+            hj.load_all({parse_chunk_key(e.key)[1:]: Chunk.parse(e.value, e.rev)
+                         for e in entries})
             hj.outcomes = {n: o for n, o in hj.outcomes.items()
                            if (hj.assignment(n) or (0, ""))[0] == o[0]}
             await self._adopt(hj)
@@ -775,18 +848,18 @@
         """The live record is gone: find out how the job ended."""
         entry = await self.core.store.get(end_key(job))
         if entry is not None:
-            self.core.note_end(job, str(entry.value["s"]))
+            self.core.note_end(job, *ended(entry.value))
 
     async def _tidy(self, hj: HomeJob) -> None:
         """Remove what is left of an ended job's records."""
         left = sorted(hj.chunks.items())
         left = [(i, c) for i, c in left if c.rev]
-        most = max(1, self.value_limit - 2)
+        most = max(1, self.core.bounds.txn_ops - 2)
         while left:
             part, left = left[:most], left[most:]
             txn = Txn().require(GENERATION_KEY, self._fence(hj))
             for index, _ in part:
-                txn.delete(chunk_key(hj.job.id, index))
+                txn.delete(hj.key(index))
             try:
                 await self._settle(txn, self.core.generation.rev)
             except Conflict:
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -9,6 +9,8 @@
 from collections.abc import Container, Iterable
 from typing import Any
 
+import msgspec
+
 from .model import ARRAY, ASSIGNED_BYTES, GANG, SERVICE, TXN_BYTES, Chunk, Job
 from .statestore import Txn
 from .workers import GONE
@@ -29,8 +31,17 @@
     return f"end/{job}"
 
 
-def chunk_key(job: str, index: int) -> str:
-    return f"run/{job}/{index:05d}"
+def chunk_key(job: str, index: int, size: int = 0) -> str:
+    """The key of a chunk; `size` where it is not the one that the first versions derive
+    from `value_kb` (they write and expect the short form)."""
+    return f"run/{job}/{size}.{index:05d}" if size else f"run/{job}/{index:05d}"
+
+
+def parse_chunk_key(key: str) -> tuple[str, int, int]:
+    """(job, size or 0, index) of a chunk's key; ValueError for anything else."""
+    _, job, name = key.split("/")
+    size, _, index = name.rpartition(".")
+    return job, int(size or 0), int(index)
 
 
 def quota_key(team: str) -> str:
@@ -45,8 +56,15 @@
         self.name = f"job {job.id} {generation}"  # the signal of its routine
         self.generation = generation
         self.job, self.live_rev, self.size = job, live_rev, size
+        self.first_size = size
         self.ended = ended  # "", "cancelled" or "done"
         self.chunks: dict[int, Chunk] = {}
+        # The size in the chunks' keys (0: the first versions' short form), and revisions of
+        # the wider chunks that hold the same until all has been moved.
+        self.layout = 0
+        self.wide: dict[str, int] = {}
+        # Not ready: jobs that it names are not known to be done. Until somebody says so.
+        self.blocked = bool(job.prereqs)
         self.states: dict[int, tuple[str, str]] = {}
         self.outcomes: dict[int, tuple[int, bool]] = {}  # task: attempt, whether done
         self.where: dict[int, str] = {}  # task that exited: the machine still listing it
@@ -77,11 +95,105 @@
         self.silent: set[tuple[int, int]] = set()
 
     def load(self, chunks: dict[int, Chunk]) -> None:
-        """Take over what is committed."""
+        """Take over what is committed in one layout."""
         self.chunks = chunks
         self.attempt = max([self.attempt, *(c.last_attempt for c in chunks.values())])
         self.recount()
 
+    def load_all(self, found: dict[tuple[int, int], Chunk]) -> None:
+        """Take over what is committed, in whichever layouts it is.
+
+        Narrower chunks that are found beside wider ones are drafts of a move that did not
+        get to its end: the wider hold the truth, and the move goes on before anything else.
+        """
+        self.layout, self.size, self.wide = 0, self.first_size, {}
+        sizes = sorted({size for size, _ in found}, key=lambda s: s or self.size)
+        if not sizes:
+            self.load({})
+            return
+        if len(sizes) == 1:
+            self.layout, self.size = sizes[0], sizes[0] or self.size
+            self.load({index: c for (_, index), c in found.items()})
+            return
+        size = sizes[0] or self.size
+        merged = {index: c.copy() for (s, index), c in found.items() if s == sizes[0]}
+        wide = self.size
+        for other in sizes[1:]:
+            for (s, index), c in found.items():
+                if s == other:
+                    span = range(index * (s or wide), (index + 1) * (s or wide))
+                    self._overlay(merged, size, c, span)
+                    self.wide[chunk_key(self.job.id, index, s)] = c.rev
+        self.layout, self.size = sizes[0], size
+        self.load(merged)
+
+    @staticmethod
+    def _overlay(chunks: dict[int, Chunk], size: int, wide: Chunk, span: range) -> None:
+        """Put what a wider chunk says of its tasks into narrower ones.
+
+        At least one of them, even of an empty one: attempt numbers must never fall.
+        """
+        chunks.setdefault(span.start // size, Chunk())
+        for index in range(span.start // size, (span.stop - 1) // size + 1):
+            chunk = chunks.get(index)
+            if chunk is not None:
+                chunk.assigned = {n: a for n, a in chunk.assigned.items() if n not in span}
+                chunk.done = {n for n in chunk.done if n not in span}
+                chunk.last_attempt = max(chunk.last_attempt, wide.last_attempt)
+        for number in (*wide.assigned, *wide.done):
+            index = number // size
+            if index not in chunks:
+                chunks[index] = Chunk()
+            chunks[index].last_attempt = max(chunks[index].last_attempt, wide.last_attempt)
+            if number in wide.done:
+                chunks[index].done.add(number)
+            else:
+                chunks[index].assigned[number] = wide.assigned[number]
+
+    def narrow(self, size: int) -> bool:
+        """Begin to keep the job in chunks of `size` tasks, where its present ones might not
+        fit the limits that are to come; whether anything has to be moved.
+
+        In memory at once; the records follow (`move_txn`) before anything else of the job
+        is committed.
+        """
+        if self.size <= size or self.job.tasks <= size:
+            return bool(self.wide)
+        chunks: dict[int, Chunk] = {}
+        for index, chunk in self.chunks.items():
+            self._overlay(chunks, size, chunk, range(index * self.size, (index + 1) * self.size))
+            if chunk.rev:
+                self.wide[chunk_key(self.job.id, index, self.layout)] = chunk.rev
+        self.layout = self.size = size
+        self.chunks = chunks
+        self.recount()
+        return bool(self.wide)
+
+    def move_txn(self, fence: int, limit: int, moved: set[int]
+                 ) -> tuple[Txn, dict[int, Chunk], list[str]]:
+        """The next step of a move: narrower chunks as long as there are any to write, then
+        the wider ones removed. Nothing to do: no writes."""
+        txn = Txn().require(GENERATION_KEY, fence)
+        chunks: dict[int, Chunk] = {}
+        size = 0
+        for index, chunk in self.chunks.items():
+            if index in moved:
+                continue
+            size += chunk.most_bytes(self.size)
+            if chunks and (len(chunks) == limit or size > TXN_BYTES):
+                return txn, chunks, []
+            chunks[index] = self._require(txn, index)
+            txn.put(self.key(index), chunk.value())
+        gone: list[str] = []
+        if not chunks:
+            for key, rev in list(self.wide.items())[:limit]:
+                txn.require(key, rev).delete(key)
+                gone.append(key)
+        return txn, chunks, gone
+
+    def key(self, index: int) -> str:
+        return chunk_key(self.job.id, index, self.layout)
+
     def recount(self) -> None:
         self.done = sum(len(c.done) for c in self.chunks.values())
         self.proven = self.proven or self.done > 0
@@ -106,7 +218,7 @@
     @property
     def pending(self) -> int:
         """Tasks waiting for a machine; a gang's wait until the last old one is gone."""
-        if self.ended:
+        if self.ended or self.blocked:
             return 0
         if self.job.kind == GANG and self.assigned and not self.filling:
             return 0
@@ -262,7 +374,7 @@
     def _require(self, txn: Txn, index: int) -> Chunk:
         """The chunk's condition, and a copy to be changed."""
         old = self.chunks.get(index)
-        txn.require(chunk_key(self.job.id, index), old.rev if old else 0)
+        txn.require(self.key(index), old.rev if old else 0)
         return old.copy() if old else Chunk()
 
     def start_txn(self, fence: int, starts: list[tuple[int, str]], attempt: int
@@ -277,10 +389,11 @@
             chunks[index].assigned[number] = (attempt, machine)
             chunks[index].last_attempt = attempt
         for index, chunk in chunks.items():
-            txn.put(chunk_key(self.job.id, index), chunk.value())
+            txn.put(self.key(index), chunk.value())
         return txn, chunks
 
-    def outcome_txn(self, fence: int, limit: int) -> tuple[Txn, dict[int, Chunk], list[int], bool]:
+    def outcome_txn(self, fence: int, limit: int, at: float = 0.0
+                    ) -> tuple[Txn, dict[int, Chunk], list[int], bool]:
         """Commit what ended, chunk by chunk; the last one ends the job in the same step.
 
         Answers the transaction, the changed chunks, the tasks covered and
@@ -307,12 +420,12 @@
         over = not self.ended and self.done + finished == self.job.tasks
         for index, chunk in chunks.items():
             if (self.ended or over) and not chunk.assigned:
-                txn.delete(chunk_key(self.job.id, index))
+                txn.delete(self.key(index))
             else:
-                txn.put(chunk_key(self.job.id, index), chunk.value())
+                txn.put(self.key(index), chunk.value())
         if over:
             txn.require(live_key(self.job.id), self.live_rev)
-            txn.delete(live_key(self.job.id)).put(end_key(self.job.id), {"s": "done"})
+            txn.delete(live_key(self.job.id)).put(end_key(self.job.id), end_value("done", at))
         return txn, chunks, covered, over
 
     def committed(self, chunks: dict[int, Chunk], rev: int) -> None:
@@ -337,6 +450,37 @@
         return cleared
 
 
+def live_value(job: Job, at: float) -> dict[str, Any]:
+    """A live record: the description, and the time of day of its submission."""
+    return {"j": msgspec.to_builtins(job), "t": round(at, 3)}
+
+
+def end_value(status: str, at: float, desc: Any = None) -> dict[str, Any]:
+    """A final record: how the job ended and when, and its description where tasks of it
+    may still be on machines."""
+    value: dict[str, Any] = {"s": status, "t": round(at, 3)}
+    if desc is not None:
+        value["j"] = desc
+    return value
+
+
+def ended(value: Any) -> tuple[str, float | None]:
+    """How a job ended, and when (the first versions did not say)."""
+    status = value["s"]
+    if status not in ("done", "cancelled"):
+        raise ValueError(f"status {status!r}")
+    return status, float(value["t"]) if "t" in value else None
+
+
+def fitted(value: dict[str, Any], value_kb: float) -> dict[str, Any]:
+    """A final record that fits: a description accepted under a larger limit is cut down
+    to what the rest of its tasks need. (A job too large to be cancelled would run on.)"""
+    if len(msgspec.json.encode(value)) <= value_kb * 1024 or "j" not in value:
+        return value
+    desc = {k: v for k, v in value["j"].items() if k not in ("prereqs", "flavors")}
+    return {**value, "j": {**desc, "bundle": desc["bundle"][:20]}}
+
+
 def amounts(job: Job, count: int) -> tuple[float, float]:
     """What `count` tasks take of their team's limit."""
     return job.cpus * count, job.gpus * count
--- a/clayport/model.py
+++ b/clayport/model.py
@@ -9,15 +9,19 @@
 
 import msgspec
 
+# What is longer doesn't fit a value of the state service in any case.
+PREREQS_MOST = 1000
 Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+JobId = Annotated[str, msgspec.Meta(pattern=r"^j-[0-9]{1,30}$")]
+Prereqs = Annotated[list[JobId], msgspec.Meta(max_length=PREREQS_MOST)]
 
 ARRAY, GANG, SERVICE = "sweep", "ensemble", "daemon"
 RANKS = {"production": 3, "high": 2, "normal": 1, "best_effort": 0}
 MAX_TASKS = 100_000
 
 
-class Job(msgspec.Struct, frozen=True, rename={
+class Job(msgspec.Struct, frozen=True, omit_defaults=True, rename={
     "job_class": "jobclass", "team": "owner", "kind": "shape", "priority": "rank",
     "tasks": "pieces", "cpus": "vcpus", "gpus": "cards", "memory_gb": "ram_gb",
     "image": "bundle", "types": "flavors", "zone": "site", "one_zone": "together",
@@ -26,7 +30,7 @@
 }):
     """A job's description as its user submitted it."""
 
-    id: Annotated[str, msgspec.Meta(pattern=r"^j-[0-9]{1,30}$")]
+    id: JobId
     job_class: Text
     team: Text
     kind: Literal["sweep", "ensemble", "daemon"]
@@ -46,6 +50,8 @@
     types: Annotated[list[Text], msgspec.Meta(max_length=64)] | None = None
     zone: Text | None = None
     deadline_s: Amount | None = None
+    # Jobs that have to be done before any task of this one starts.
+    prereqs: Prereqs | None = None
     # Nobody has said when it is to be started or finished: set by the controllers from the
     # objectives, whatever the user sends.
     aimless: bool = False
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -7,7 +7,7 @@
 import secrets
 import time
 from collections import OrderedDict
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 import curio
@@ -19,19 +19,35 @@
 from .config import Settings, endpoint
 from .dispatch import Dispatch
 from .fleet import Fleet
-from .jobs import GENERATION_KEY, HomeJob, end_key
+from .jobs import GENERATION_KEY, HomeJob, end_key, ended, live_key, parse_chunk_key
 from .membership import NOBODY, Generation, should_leave, successor
 from .model import SERVICE, Chunk, Job, MachineType, chunk_size
 from .picture import Picture
+from .pipelines import Pipelines
 from .placement import Room
 from .provisioning import LINE, Arrivals, remaining, slack
 from .renting import Provisioner
-from .statestore import Change, Compacted, Conflict, NoLease, StateStore, Txn, Unavailable, Unknown
+from .statestore import (
+    LEASE_S,
+    Change,
+    Compacted,
+    Conflict,
+    NoLease,
+    StateStore,
+    Txn,
+    Unavailable,
+    Unknown,
+)
 from .workers import Owner
 
 log = logging.getLogger("clayport.server")
 
 NODE_PREFIX, LIVE_PREFIX, CLASS_PREFIX = "c/node/", "c/live/", "c/class/"
+# What a controller understands, by its label; kept for good, since one that has been
+# upgraded never comes back old. The first versions ignore the keys and write none.
+VERSION_PREFIX = "c/version/"
+# 2: prereqs, times in records, sizes in the keys of chunks.
+FORMAT = 2
 # Ended jobs kept in memory so that polls for them need no read.
 ENDED_MOST = 20_000
 CLASSES_MOST = 100
@@ -75,7 +91,14 @@
         # reserve (peers, state, cloud) for those who connect to us.
         self.worker_sockets = c.machine_limits.max_sockets // 4
         self.types: list[MachineType] = []
+        # Live jobs as they are to be scheduled, with their records' revisions.
         self.live: dict[str, tuple[Job, int]] = {}
+        # What a start takes besides its image: a report each way and a look at the picture.
+        self.pipes = Pipelines(1.0, 3 * c.workers.report_s)
+        self.versions: dict[str, tuple[int, int]] = {}  # label: format, revision
+        self.upgraded = False  # every controller understands FORMAT
+        self.bounds = c.state  # the state service's limits as they are to be kept to
+        self.narrow_size = chunk_size(c.state.least().value_kb)
         self.descs: dict[str, Job] = {}  # ended jobs that may still be on machines
         self.ended: OrderedDict[str, str] = OrderedDict()
         # One job of each class that needs GPUs, remembered over restarts: a machine
@@ -268,6 +291,27 @@
         """Somebody acts under a newer generation than we know: look at once."""
         self.rescan = True
 
+    # -- versions ---------------------------------------------------------
+
+    def _count_versions(self) -> None:
+        """Whether every controller of the settings, present or not, understands FORMAT.
+
+        And whether the generation began after the last of them had said so: what their
+        predecessors have on its way fails under it. Once true, it stays.
+        """
+        found = [self.versions.get(label, (0, 0)) for label in self.settings.labels]
+        if self.upgraded or any(number < FORMAT for number, _ in found) \
+                or self.generation.rev <= max(rev for _, rev in found):
+            return
+        self.upgraded = True
+        self.bounds = self.settings.cluster.state.least()
+        self.store.set_rates(self.bounds.rps, self.bounds.write_rps)
+        self.api.lookups.most = 4 * self.bounds.txn_ops
+        log.info("event=upgraded format=%d value_kb=%g txn_ops=%d write_rps=%g", FORMAT,
+                 self.bounds.value_kb, self.bounds.txn_ops, self.bounds.write_rps)
+        for hj in self.dispatch.homes.values():
+            self.signal(hj.name)
+
     # -- the mirror ------------------------------------------------------
 
     async def follow(self) -> None:
@@ -280,6 +324,8 @@
                 changes, rev = await self.store.watch("c/", rev, self.ttl_s)
                 for change in changes:
                     self._apply(change)
+                if not self.upgraded:
+                    self._count_versions()
                 await self.flush()
             except Compacted:
                 self.rescan = True
@@ -304,7 +350,9 @@
             if LIVE_PREFIX + job not in keys and since <= rev:
                 self._gone_live(job)
         self.state_known = True
+        self._count_versions()
         self.signal("members")
+        self.signal("prereqs")
         await self.flush()
         return rev
 
@@ -331,20 +379,38 @@
             elif key.startswith(NODE_PREFIX):
                 self.nodes[key[len(NODE_PREFIX):]] = str(value["inc"])
                 self.signal("members")
+            elif key.startswith(VERSION_PREFIX):
+                self.versions[key[len(VERSION_PREFIX):]] = (int(value["format"]), rev)
             elif key.startswith(CLASS_PREFIX):
                 known = self.judged(msgspec.convert(value["j"], Job))
                 self.classes[known.job_class] = known
             elif key.startswith(LIVE_PREFIX):
-                self.note_live(self.judged(msgspec.convert(value["j"], Job)), rev)
+                self.note_live(self.judged(msgspec.convert(value["j"], Job)), rev,
+                               self.since(value.get("t")))
         except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
             log.error("key=%s event=malformed-value cause=%r", key, exc)
 
-    def note_live(self, job: Job, rev: int) -> None:
+    def since(self, at: float | None) -> float:
+        """A time of day in a record as this process's clock has it; now where it says none.
+
+        As the nodes' times of day differ by up to the settings' bound, what may have been
+        now was now: a start that is due within two seconds must not be a second late by it.
+        """
+        now = time.monotonic()
+        if at is None:
+            return now
+        return now - max(0.0, time.time() - at - self.settings.cluster.clock_error_ms / 500)
+
+    def note_live(self, job: Job, rev: int, submitted: float) -> None:
         """A job is accepted; its home sets to work."""
         if job.id in self.live or job.id in self.ended:
             return
-        self.live[job.id] = (job, rev)
-        if self.state_known:
+        changed = self.pipes.add(job, submitted)
+        self.live[job.id] = (self.pipes.view(job.id, self.finish_limits), rev)
+        self._review(changed)
+        if self.pipes.waiting(job.id):
+            self.signal("prereqs")
+        elif self.state_known:
             self.arrivals.note(job, time.monotonic())
         if job.gpus > 0 and job.job_class not in self.classes \
                 and len(self.classes) < CLASSES_MOST and job.job_class.isascii() \
@@ -353,14 +419,71 @@
             self.spawn(self._remember(job))
         if self.serving and self.generation.place(job.id) == self.label \
                 and job.id not in self.dispatch.homes:
-            self._home(job, rev, {}, "")
+            self._home(self.live[job.id][0], rev, {}, "")
             self.signal("place")
 
+    def _review(self, changed: Iterable[str]) -> None:
+        """Jobs whose urgency has changed, by what needs them."""
+        for name in changed:
+            if name in self.live:
+                job = self.pipes.view(name, self.finish_limits)
+                self.live[name] = (job, self.live[name][1])
+                hj = self.dispatch.homes.get(name)
+                if hj is not None:
+                    hj.job = job
+                    self.signal("place")
+
+    def _ready(self, name: str) -> None:
+        """All jobs that this one needs are done, as their final records say."""
+        job = self.live[name][0]
+        if self.state_known:
+            self.arrivals.note(job, time.monotonic())
+        hj = self.dispatch.homes.get(name)
+        if hj is not None and not hj.ended:
+            hj.since = self.pipes.links[name].ready
+            hj.blocked = False
+            log.info("job=%s event=ready", name)
+            self.signal("place")
+
+    async def keep_prereqs(self) -> None:
+        """Look up jobs that others wait for and of which nothing is known here: ended
+        before this process began, or accepted a moment ago. And ask again, many in one
+        request, whether those that are taken to be live still are: a missed notice must
+        not delay what waits for it for long."""
+        pause_s = 4 * self.ttl_s
+        while True:
+            await self.wait("prereqs", pause_s)
+            for name in self.pipes.unknown():
+                if name in self.ended:
+                    self._end_of(name, self.ended[name], time.monotonic())
+                    continue
+                try:
+                    entry = await self.store.get(end_key(name))
+                except (Unavailable, Unknown):
+                    break
+                if entry is not None:
+                    self._note_end(name, entry.value)
+            pause_s = self.jitter(self.ttl_s / 4) if self.pipes.unknown() else 4 * self.ttl_s
+            await self.flush()
+            for name in sorted(self._awaited()):
+                known = self.live.get(name)
+                try:
+                    if known is not None and not await self.api.lookups.unchanged(
+                            live_key(name), known[1]):
+                        self._gone_live(name)
+                except Unavailable:
+                    break
+
+    def _awaited(self) -> set[str]:
+        """Live jobs that jobs at home here wait for."""
+        return {need for name, hj in self.dispatch.homes.items() if hj.blocked
+                and name in self.pipes.links for need in self.pipes.links[name].needs}
+
     async def _remember(self, job: Job) -> None:
         key = CLASS_PREFIX + job.job_class
         try:
             await self.store.commit(Txn().require(key, 0).put(
-                key, {"j": msgspec.to_builtins(job)}))
+                key, {"j": msgspec.to_builtins(msgspec.structs.replace(job, prereqs=None))}))
         except (Conflict, Unavailable, Unknown):
             pass  # a hint only
 
@@ -376,11 +499,30 @@
                 await curio.sleep(self.jitter(self.ttl_s / 6))
                 continue
             if entry is not None:
-                self.note_end(job, str(entry.value["s"]))
+                self._note_end(job, entry.value)
             return
 
-    def note_end(self, job: str, status: str) -> None:
-        """A job is over, as committed."""
+    def _note_end(self, job: str, record: Any) -> None:
+        """A final record was read."""
+        try:
+            self.note_end(job, *ended(record))
+        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+            log.error("key=%s event=malformed-value cause=%r", end_key(job), exc)
+
+    def _end_of(self, job: str, status: str, at: float) -> None:
+        """What the end of a job means for those that need it, and for what it needed."""
+        ready, doomed, changed = self.pipes.end(job, status, at)
+        self._review(changed)
+        for name in ready:
+            self._ready(name)
+        for name in doomed:
+            hj = self.dispatch.homes.get(name)
+            if hj is not None:
+                self.signal(hj.name)
+
+    def note_end(self, job: str, status: str, at: float | None = None) -> None:
+        """A job is over, as committed (at that time of day)."""
+        self._end_of(job, status, self.since(at))
         self.ended[job] = status
         while len(self.ended) > ENDED_MOST:
             self.ended.popitem(last=False)
@@ -433,24 +575,31 @@
         while self.generation is generation:
             try:
                 entries, _ = await self.store.scan("run/")
-                found: dict[str, dict[int, Chunk]] = {}
+                found: dict[str, dict[tuple[int, int], Chunk]] = {}
+                unreadable: set[str] = set()
                 for e in entries:
-                    _, job, index = e.key.split("/")
-                    if generation.place(job) == self.label:
-                        found.setdefault(job, {})[int(index)] = Chunk.parse(e.value, e.rev)
+                    try:
+                        job, size, index = parse_chunk_key(e.key)
+                        if generation.place(job) == self.label:
+                            found.setdefault(job, {})[size, index] = Chunk.parse(e.value, e.rev)
+                    except (KeyError, TypeError, ValueError) as exc:
+                        # The job stays as it is: none of its tasks may be started, for
+                        # they may run. All others go on.
+                        log.error("key=%s event=malformed-value cause=%r", e.key, exc)
+                        unreadable.add(e.key.split("/")[1])
                 orphans: dict[str, tuple[Job, str]] = {}
                 for job in [j for j in found if j not in self.live]:
                     entry = await self.store.get(end_key(job))
                     if entry is None:
                         continue
-                    self.note_end(job, str(entry.value["s"]))
+                    self.note_end(job, *ended(entry.value))
                     if "j" in entry.value:
                         orphans[job] = (self.judged(msgspec.convert(entry.value["j"], Job)),
                                         entry.value["s"])
                 if self.generation is not generation:
                     return
                 for job, (desc, rev) in self.live.items():
-                    if generation.place(job) == self.label:
+                    if generation.place(job) == self.label and job not in unreadable:
                         self._home(desc, rev, found.get(job, {}), "")
                 for job, (desc, status) in orphans.items():
                     self.descs[job] = desc
@@ -458,7 +607,7 @@
                 self.serving = True
                 log.info("generation=%d event=serving jobs=%d", generation.number,
                          len(self.dispatch.homes))
-                for name in ("place", "starved", "demand"):
+                for name in ("place", "starved", "demand", "prereqs"):
                     self.signal(name)
                 await self.flush()
                 return
@@ -468,13 +617,18 @@
                 log.error("event=malformed-state cause=%r", exc)
             await curio.sleep(self.jitter(self.ttl_s / 8))
 
-    def _home(self, job: Job, rev: int, chunks: dict[int, Chunk], ended: str) -> None:
+    def _home(self, job: Job, rev: int, chunks: dict[tuple[int, int], Chunk],
+              ended: str) -> None:
         hj = HomeJob(job, rev, chunk_size(self.settings.cluster.state.value_kb),
                      time.monotonic(), ended, self.generation.number,
                      self.settings.cluster.workers.report_s,
                      6 * self.settings.cluster.workers.lease_s)
         hj.suspected = job.id in self.owner.faulty
-        hj.load(chunks)
+        hj.load_all(chunks)
+        link = self.pipes.links.get(job.id)
+        if link is not None:
+            hj.blocked = bool(link.needs)
+            hj.since = link.ready
         self.dispatch.homes[job.id] = hj
         self.spawn(self.dispatch.drive(hj))
 
@@ -487,13 +641,15 @@
                     if self.lease is not None and self.nodes.get(self.label):
                         lease, self.lease = self.lease, None
                         await self.store.commit(Txn().delete(NODE_PREFIX + self.label),
-                                                urgent=True)
+                                                ahead_s=LEASE_S)
                         log.info("event=stepped-aside lease=%d", lease)
                 elif self.lease is None:
                     lease = await self.store.lease(self.ttl_s)
-                    await self.store.commit(Txn().put(
-                        NODE_PREFIX + self.label, {"inc": self.incarnation}, lease),
-                        urgent=True)
+                    txn = Txn().put(NODE_PREFIX + self.label, {"inc": self.incarnation}, lease)
+                    # With the key, so that the generation that takes us in is the later one.
+                    if self.versions.get(self.label, (0, 0))[0] < FORMAT:
+                        txn.put(VERSION_PREFIX + self.label, {"format": FORMAT})
+                    await self.store.commit(txn, ahead_s=LEASE_S)
                     self.lease = lease
                 elif not await self.store.renew(self.lease):
                     self.lease = None
@@ -517,7 +673,8 @@
                 continue
             txn = Txn().require(GENERATION_KEY, self.generation.rev)
             try:
-                await self.store.commit(txn.put(GENERATION_KEY, proposal.value()), urgent=True)
+                await self.store.commit(txn.put(GENERATION_KEY, proposal.value()),
+                                        ahead_s=LEASE_S)
             except Conflict:
                 await curio.sleep(self.ttl_s / 20)
             except (Unavailable, Unknown, NoLease):
@@ -563,6 +720,8 @@
             try:
                 self.types = await self.cloud.catalogue()
                 self.owner.types = {t.name: t for t in self.types}
+                self.pipes.fetch_gb_per_s = min(
+                    (t.fetch_gb_per_s for t in self.types if t.fetch_gb_per_s > 0), default=1.0)
                 self.owner.touch_all()
                 await curio.sleep(self.jitter(20 * self.settings.cluster.workers.lease_s))
             except CloudError as exc:
@@ -592,7 +751,7 @@
             return peerwire.PONG, (self.label, self.generation.number,
                                    not self.state_lost(now), self.owner.room_rev)
         if kind == peerwire.ENDED:
-            if values[1] in ("done", "cancelled"):
+            if values[1] in ("done", "cancelled") and values[0] not in self.ended:
                 self.note_end(values[0], values[1])
             return peerwire.ACK, (True,)
         if kind == peerwire.INSPECT:
@@ -735,6 +894,7 @@
             for label in s.labels:
                 await group.spawn(self.duty, self.fleet.tell, label)
             for routine in (self.keep_awake, self.follow, self.keep_lease, self.keep_members,
+                            self.keep_prereqs,
                             self.keep_catalogue, self.picture.refresh, self.dispatch.place_all,
                             self.fleet.watch_silence, self.provisioner.run):
                 await group.spawn(self.duty, routine)
--- a/clayport/statestore.py
+++ b/clayport/statestore.py
@@ -11,8 +11,9 @@
 from . import http
 
 # How far what users and replicas wait for may go ahead of the queue (the service allows
-# bursts of a whole second's worth), and how far the few requests that keep our lease may.
-URGENT_S, LEASE_S = 0.5, 5.0
+# bursts of a whole second's worth), how far cancellations may, which have a limit of their
+# own, and how far the few requests that keep our lease and the generation may.
+URGENT_S, CANCEL_S, LEASE_S = 0.5, 1.0, 5.0
 
 
 class Unavailable(Exception):
@@ -31,6 +32,10 @@
         self.failed = failed
 
 
+class TooLarge(Unavailable):
+    """Refused for what it is, and not executed: larger than the service takes by now."""
+
+
 class NoLease(Exception):
     """The lease that a write names has ended."""
 
@@ -131,6 +136,7 @@
         self.client = http.Client(host, port, keep=8)
         self.watcher = http.Client(host, port, keep=1)
         self.timeout_s = timeout_s
+        self.controllers = controllers
         now = time.monotonic()
         self.requests = Bucket(rps * 0.9 / controllers, now)
         self.changes = Bucket(write_rps * 0.9 / controllers, now)
@@ -216,24 +222,31 @@
                 return entries, first
             since = page.items[-1].key
 
+    def set_rates(self, rps: float, write_rps: float) -> None:
+        """The service's limits have changed; each controller keeps to its share."""
+        self.requests.rate = rps * 0.9 / self.controllers
+        self.changes.rate = write_rps * 0.9 / self.controllers
+
     async def commit(self, txn: Txn, timeout_s: float | None = None,
-                     urgent: bool = False) -> int:
+                     ahead_s: float = 0.0) -> int:
         """Apply; the revision. Conflict, NoLease, Unavailable or Unknown otherwise.
 
-        Urgent is what users and replicas wait for: the outcomes of a job of thousands of
-        short tasks once delayed submissions.
+        `ahead_s` is for what users and replicas wait for: the outcomes of a job of
+        thousands of short tasks once delayed submissions.
         """
         body: dict[str, Any] = {"when": [{"key": k, "key_rev": r} for k, r in txn.when.items()]}
         if txn.writes:
             body["writes"] = txn.writes
         status, payload = await self._call("POST", "/commit", body, changes=len(txn.writes),
-                                           timeout_s=timeout_s, ahead_s=URGENT_S if urgent else 0.0)
+                                           timeout_s=timeout_s, ahead_s=ahead_s)
         if status == 200:
             return int(self._decode(payload, _Revision).rev)
         if status == 409:
             raise Conflict(self._decode(payload, _Failed).failed)
         if b"no such lease" in payload:
             raise NoLease
+        if status in (400, 413):
+            raise TooLarge(f"{status} {payload[:200]!r}")
         raise Unavailable(f"{status} {payload[:200]!r}")
 
     async def lease(self, ttl_s: float) -> int:
--- a/tests/world.py
+++ b/tests/world.py
@@ -68,6 +68,7 @@
     """Run `main` in simulated time."""
     clock = Clock()
     monkeypatch.setattr(time, "monotonic", clock)
+    monkeypatch.setattr(time, "time", lambda: clock() + 1e9)
     kernel = curio.Kernel(selector=JumpSelector(clock), debug=False)
     with kernel:
         return kernel.run(main, clock)
