--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -10,7 +10,7 @@
 
 from clayport import peerwire
 
-from .world import Clock, World, job, simulate
+from .world import SETTINGS, Clock, World, job, simulate
 
 JOBS: list[tuple[dict[str, Any], float]] = [
     ({"pieces": 6}, 6.0),
@@ -85,6 +85,108 @@
         await world.start(label)
 
 
+async def upgrade(world: World) -> None:
+    """The version before is replaced, a process at a time; later the state service takes
+    less. One that crashes before its turn comes back old."""
+    await curio.sleep(world.rng.uniform(15.0, 30.0))
+    for label in world.labels:
+        await world.crash(label)
+        await curio.sleep(world.rng.uniform(1.0, 4.0))
+        world.old.discard(label)
+        if label not in world.controllers:
+            await world.start(label)
+        await curio.sleep(world.rng.uniform(0.0, 8.0))
+    world.upgraded_at = world.clock()
+
+
+async def lower(world: World) -> None:
+    """Moments after all are new, with whatever is still to be moved."""
+    while not any(c.upgraded and c.serving and not any(
+            h.wide or h.size > c.narrow_size < h.job.tasks for h in c.dispatch.homes.values())
+            for c in world.controllers.values()):
+        await curio.sleep(0.2)
+    await curio.sleep(world.rng.uniform(0.0, 20.0))
+    world.state.limits.update(LOWER)
+    world.refused.clear()
+
+
+async def pipeline(world: World, first: int, cancel: bool) -> None:
+    """A chain with a diamond in it, submitted one after another."""
+    number = [first]
+
+    async def one(*needs: str, **fields: Any) -> str:
+        value = job(number[0], **fields, prereqs=list(needs) or None)
+        number[0] += 1
+        await world.submit(value, world.rng.uniform(2.0, 6.0))
+        return str(value["id"])
+    a = await one(rank="best_effort", pieces=40)
+    b = await one(a, pieces=2)
+    c = await one(a, shape="ensemble", pieces=2, together=True, loaners=False)
+    if cancel and world.rng.random() < 0.5:
+        await curio.spawn(world.abort, world.rng.choice((a, b)), daemon=True)
+    d = await one(b, c, rank="high", due_s=60.0)
+    if cancel and world.rng.random() < 0.7:
+        await curio.sleep(world.rng.uniform(0.0, 10.0))
+        await curio.spawn(world.abort, world.rng.choice((a, b, c, d)), daemon=True)
+
+
+PIPELINES_A_DAY = 5
+
+
+async def mixed(clock: Clock, seed: int, controllers: int) -> World:
+    """A day on which the version before is replaced."""
+    world = World(clock, seed, controllers)
+    world.old.update(world.labels)
+    for label in world.labels:
+        await world.start(label)
+    for routine in (world.spawner, world.poll, world.watch_rules):
+        await curio.spawn(routine, daemon=True)
+    await curio.spawn(trouble, world, clock() + 110.0, daemon=True)
+    await curio.spawn(upgrade, world, daemon=True)
+    await curio.spawn(lower, world, daemon=True)
+    # Arrays that run before, while and after they are moved.
+    for number, pieces in enumerate((200, 3, 150)):
+        await curio.spawn(world.submit, job(number, pieces=pieces, vcpus=1.0), 15.0, daemon=True)
+    for number in range(3, 15):
+        fields, run_s = JOBS[number % len(JOBS)]
+        await curio.spawn(world.submit, job(number, **fields), run_s, daemon=True)
+        await curio.sleep(world.rng.uniform(0.2, 3.0))
+    while clock() < world.upgraded_at:
+        await curio.sleep(1.0)
+    await curio.spawn(world.submit, job(15, pieces=120, vcpus=1.0), 8.0, daemon=True)
+    lines = [await curio.spawn(pipeline, world, 100 * (n + 1), n % 2 == 0, daemon=True)
+             for n in range(PIPELINES_A_DAY)]
+    end = clock() + 400.0
+    while clock() < end and not world.broken:
+        await curio.sleep(2.0)
+        finite = [i for i in world.accepted if world.jobs[i]["shape"] != "daemon"]
+        if all(t.terminated for t in lines) and all(
+                world.told.get(i) in ("done", "cancelled") for i in finite):
+            break
+    if not world.broken:
+        await curio.sleep(40.0)
+    return world
+
+
+LOWER = {"value_kb": 2.0, "txn_ops": 5}
+
+
+@pytest.mark.parametrize("seed, controllers", [(s, 3) for s in range(21, 27)] + [(27, 5)])
+def test_rules_hold_while_the_version_before_is_replaced(
+        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, seed: int,
+        controllers: int) -> None:
+    monkeypatch.setitem(SETTINGS, "state", {**SETTINGS["state"], "next": LOWER})
+    world = simulate(monkeypatch, lambda clock: mixed(clock, seed, controllers))
+    assert world.broken == []
+    assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
+    assert world.refused == [] and len(world.accepted) == 16 + 4 * PIPELINES_A_DAY
+    waiting = {i: world.told.get(i) for i in world.accepted
+               if world.jobs[i]["shape"] != "daemon"
+               and world.told.get(i) not in ("done", "cancelled")}
+    assert waiting == {}, "all work gets done once things are calm"
+    assert any(".0" in k for k in world.moved), "something was moved"
+
+
 async def day(clock: Clock, seed: int, troubled: bool, controllers: int = 3) -> World:
     world = World(clock, seed, controllers)
     for label in world.labels:
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import math
 import random
 import selectors
 import time
@@ -85,6 +86,7 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.down_until = 0.0
         self.next_lease = 1
+        self.limits = {k: v for k, v in SETTINGS["state"].items() if k != "next"}
 
     def change(self, key: str, value: Any, lease: int | None, rev: int) -> None:
         if value is None:
@@ -146,15 +148,18 @@
         raise AssertionError(path)
 
     def commit(self, body: Any) -> tuple[int, Any]:
-        settings = SETTINGS["state"]
         writes = body.get("writes", [])
-        assert len(writes) <= settings["txn_ops"]
-        assert len(body["when"]) <= 4 * settings["txn_ops"]
-        assert len(json.dumps(body)) <= 64 * 1024
+        most = self.limits["txn_ops"]
+        if len(writes) > most or len(body["when"]) > 4 * most \
+                or len(json.dumps(body)) > 64 * 1024:
+            self.world.refused.append(f"transaction of {len(writes)} {body}")
+            return 400, {"error": "too large"}
         for write in writes:
             if write.get("hold") is not None and write["hold"] not in self.leases:
                 return 400, {"error": "no such lease"}
-            assert len(json.dumps(write.get("data"))) <= settings["value_kb"] * 1024
+            if len(json.dumps(write.get("data"))) > self.limits["value_kb"] * 1024:
+                self.world.refused.append(f"value of {write}")
+                return 400, {"error": "too large"}
         failed = [c["key"] for c in body["when"]
                   if self.keys.get(c["key"], (None, 0))[1] != c["key_rev"]]
         if failed:
@@ -162,6 +167,9 @@
         if writes:
             self.rev += 1
         for write in writes:
+            key = write.get("write", "")
+            if key.startswith("run/") and "." in key:
+                self.world.moved.add(key)
             if "write" in write:
                 self.change(write["write"], write["data"], write.get("hold"), self.rev)
             else:
@@ -273,7 +281,10 @@
     def finish(self, key: tuple[str, int], task: Task) -> None:
         job_id, _, number = key[0].partition("/")
         self.world.left(self, key)
-        self.world.results[job_id].add(int(number))
+        whole = self.world.jobs[job_id]
+        # Gangs complete together: if one task is done, all are.
+        self.world.results[job_id].update(range(whole["pieces"]) if whole["shape"] == "ensemble"
+                                          else [int(number)])
         task.state, task.why = "exited", "done"
 
     async def run(self) -> None:
@@ -316,6 +327,20 @@
         return 200, self.report()
 
 
+def as_before(writes: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """What the version before writes: no version, no times, no sizes in keys."""
+    kept = []
+    for write in writes:
+        key = write.get("write", write.get("remove"))
+        if key.startswith("c/version/"):
+            continue
+        assert not (key.startswith("run/") and "." in key)
+        if isinstance(write.get("data"), dict) and key.startswith(("c/live/", "end/")):
+            write["data"] = {k: v for k, v in write["data"].items() if k != "t"}
+        kept.append(write)
+    return kept
+
+
 class World:
     """Everything outside the controllers, and the Rules."""
 
@@ -336,12 +361,17 @@
         self.run_s: dict[str, float] = {}
         self.results: dict[str, set[int]] = {}
         self.accepted: set[str] = set()
+        self.accepted_at: dict[str, float] = {}
         self.cancelled: dict[str, float] = {}
         self.told: dict[str, str] = {}
         self.broken: list[str] = []
         self.machine_number = 0
         self.rentals: dict[str, list[str]] = {}
         self.launches = 0
+        self.moved: set[str] = set()  # keys of chunks that say their size
+        self.refused: list[str] = []  # what was larger than the state service takes
+        self.old: set[str] = set()  # controllers of the version before
+        self.upgraded_at = math.inf  # when the last of them had gone
 
     # -- the Rules -------------------------------------------------------
 
@@ -353,6 +383,9 @@
         since = self.cancelled.get(job_id)
         if since is not None and self.clock() - since > 35.0:
             self.broken.append(f"ran_cancelled {task} starts on {worker.name}")
+        for need in job.get("prereqs") or ():
+            if len(self.results[need]) < self.jobs[need]["pieces"]:
+                self.broken.append(f"too_early {task} before {need}")
         for other in self.workers.values():
             if other is not worker and any(k[0] == task for k in other.on()):
                 self.broken.append(f"ran_twice {task} on {worker.name} and {other.name}")
@@ -395,6 +428,18 @@
             for _, _, task in members:
                 task.state, task.until = "running", now + self.run_s[job_id]
 
+    def orphaned(self, job_id: str, status: str) -> None:
+        """Whether a job is called queued or running although one that it needs, directly or
+        through others, was cancelled long ago."""
+        todo = [job_id]
+        while todo:
+            for need in self.jobs[todo.pop()].get("prereqs") or ():
+                since = self.cancelled.get(need)
+                if since is not None and status in ("queued", "running") and self.clock() - max(
+                        since, self.accepted_at.get(job_id, math.inf)) > 35.0:
+                    self.broken.append(f"orphaned {job_id} needs {need}: {status}")
+                todo.append(need)
+
     async def watch_rules(self) -> None:
         while True:
             await curio.sleep(0.5)
@@ -481,6 +526,8 @@
                     return await world.watch(source, path)
 
                 def serve() -> Any:
+                    if host == "state" and path == "/commit" and source in world.old:
+                        value["writes"] = as_before(value.get("writes", []))
                     if host == "state":
                         return world.state.handle(method, path, value, world.clock())
                     if host == "cloud":
@@ -578,6 +625,8 @@
         c.fleet.client = lambda address: self.client(label, address.split(":")[0])  # type: ignore
         for peer in c.peers.values():
             self._link(label, peer)
+        if label in self.old:
+            c._count_versions = lambda: None  # type: ignore[method-assign]
         self.controllers[label] = c
         self.routines[label] = await curio.spawn(self._run(c), daemon=True)
 
@@ -657,6 +706,7 @@
             status, _ = await self.user(self.rng.choice(self.labels), "POST", "/api/jobs", job)
             if status in (200, 201):
                 self.accepted.add(job["id"])
+                self.accepted_at.setdefault(job["id"], self.clock())
                 return
             if status in (400, 422) and job["id"] in self.accepted:
                 self.broken.append(f"forgotten {job['id']}: {status}")
@@ -696,6 +746,7 @@
                     self.broken.append(f"forgotten {job_id}")
                 elif status == 200 and (told == self.told.get(job_id)
                                         or answer["status"] in ("done", "cancelled")):
+                    self.orphaned(job_id, answer["status"])
                     self.note(job_id, answer["status"])
             status, _ = await self.user(self.rng.choice(self.labels), "GET", "/api/jobs/j-999999")
             if status == 200:
