--- a/clayport/server.py
+++ b/clayport/server.py
@@ -880,6 +880,12 @@
                 log.exception("event=duty-failed duty=%s", routine.__name__)
             await curio.sleep(self.jitter(self.ttl_s / 3))
 
+    def duties(self) -> tuple[Callable[..., Coroutine[Any, Any, None]], ...]:
+        """The long-lived routines besides the listeners and those for each controller."""
+        return (self.keep_awake, self.follow, self.keep_lease, self.keep_members,
+                self.keep_prereqs, self.keep_catalogue, self.picture.refresh,
+                self.dispatch.place_all, self.fleet.watch_silence, self.provisioner.run)
+
     async def run(self) -> None:
         """All routines until one fails; the rest is cancelled in order then."""
         s, w = self.settings, self.settings.cluster.workers
@@ -893,9 +899,6 @@
                 await group.spawn(self.duty, self.keep_peers, peer)
             for label in s.labels:
                 await group.spawn(self.duty, self.fleet.tell, label)
-            for routine in (self.keep_awake, self.follow, self.keep_lease, self.keep_members,
-                            self.keep_prereqs,
-                            self.keep_catalogue, self.picture.refresh, self.dispatch.place_all,
-                            self.fleet.watch_silence, self.provisioner.run):
+            for routine in self.duties():
                 await group.spawn(self.duty, routine)
             log.info("label=%s event=started incarnation=%s", s.label, self.incarnation)
--- /dev/null
+++ b/tests/test_pipelines.py
@@ -0,0 +1,458 @@
+"""Jobs that wait for others: what is ready, doomed, urgent; what users may name; and how the
+records of one version are found by the other."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+
+from clayport import peerwire
+from clayport.config import ConfigError, parse
+from clayport.jobs import (
+    HomeJob,
+    chunk_key,
+    end_key,
+    end_value,
+    ended,
+    fitted,
+    live_key,
+    live_value,
+    parse_chunk_key,
+)
+from clayport.model import Chunk, Job, chunk_size
+from clayport.pipelines import Pipelines
+from clayport.server import Controller
+
+from .world import SETTINGS, Clock, World, job, simulate
+
+
+def made(number: int, *needs: int, **fields: Any) -> Job:
+    return msgspec.convert(job(number, prereqs=[f"j-{n:06d}" for n in needs] or None, **fields),
+                           Job)
+
+
+def name(number: int) -> str:
+    return f"j-{number:06d}"
+
+
+# -- the graph ---------------------------------------------------------------
+
+# Steps: (job, needs...) is accepted, "d3" job 3 is done, "c3" it is cancelled.
+@pytest.mark.parametrize("steps, waiting, doomed", [
+    ([(1,), (2, 1)], {2}, set()),
+    ([(1,), (2, 1), "d1"], set(), set()),
+    ([(1,), "d1", (2, 1)], set(), set()),
+    ([(2, 1), "d1"], set(), set()),                       # seen before what it needs
+    ([(2, 1), (1,), "d1"], set(), set()),
+    ([(1,), (2,), (3, 1, 2), "d1"], {3}, set()),
+    ([(1,), (2,), (3, 1, 2), "d1", "d2"], set(), set()),
+    ([(1,), (2, 1, 1), "d1"], set(), set()),              # named twice
+    ([(1,), (2, 1), "c1"], {2}, {2}),
+    ([(1,), "c1", (2, 1)], {2}, {2}),
+    ([(1,), (2, 1), (3, 2), (4, 3), "c1"], {2, 3, 4}, {2, 3, 4}),
+    ([(1,), (2, 1), (3, 1), (4, 2, 3), "c2"], {3, 4}, {4}),   # the other branch goes on
+    ([(1,), (2, 1), (3, 2), "c1", (4, 3)], {2, 3, 4}, {2, 3, 4}),
+    ([(1,), (3, 2), "c1", (2, 1)], {2, 3}, {2, 3}),       # the link between comes last
+    ([(1,), (2, 1), "c1", "c2"], set(), set()),
+    ([(1,), (2, 1), "c1", "d1"], {2}, {2}),               # final records never change
+    ([(1,), (2, 1), "c2"], set(), set()),                 # what it needs is left alone
+])
+def test_ready_and_doomed(steps: list[Any], waiting: set[int], doomed: set[int]) -> None:
+    pipes = Pipelines(1.0, 0.0)
+    for step in steps:
+        if isinstance(step, str):
+            pipes.end(name(int(step[1:])), "done" if step[0] == "d" else "cancelled", 5.0)
+        else:
+            pipes.add(made(*step), 1.0)
+    assert {n for n in pipes.links if pipes.waiting(n)} == {name(n) for n in waiting}
+    assert pipes.doomed == {name(n) for n in doomed}
+
+
+def test_wide_and_deep_graphs_cost_what_they_touch() -> None:
+    pipes = Pipelines(1.0, 0.0)
+    pipes.add(made(0), 0.0)
+    for n in range(1, 61):
+        pipes.add(made(n, n - 1), 0.0)
+    for n in range(100, 600):
+        pipes.add(made(n, 0), 0.0)
+    ready, doomed, _ = pipes.end(name(0), "cancelled", 1.0)
+    assert not ready and len(doomed) == 560
+    for found in doomed:
+        pipes.end(found, "cancelled", 2.0)
+    assert not pipes.links and not pipes.followers and not pipes.doomed
+
+
+LAST = {"rank": "high", "due_s": 100.0, "guess_s": 8.0, "image_gb": 1.0}
+
+
+@pytest.mark.parametrize("jobs, ends, found", [
+    # job: (rank, time left from when it was ready); a run of 8 s and a fetch of 1 s each
+    ([made(1), made(2, 1), made(3, 2, **LAST)], {}, {1: (2, 82.0), 2: (2, 91.0), 3: (2, 100.0)}),
+    ([made(3, 2, **LAST), made(2, 1), made(1)], {}, {1: (2, 82.0), 2: (2, 91.0), 3: (2, 100.0)}),
+    ([made(1), made(2, 1), made(3, 2, **LAST)], {1: 30.0}, {2: (2, 61.0), 3: (2, 100.0)}),
+    # One serves two: the more urgent counts, and when that one has gone the other.
+    ([made(1), made(2, 1, **LAST), made(3, 1, **{**LAST, "due_s": 40.0})], {},
+     {1: (2, 31.0), 2: (2, 100.0), 3: (2, 40.0)}),
+    ([made(1), made(2, 1, **LAST), made(3, 1, **{**LAST, "due_s": 40.0})], {3: 5.0},
+     {1: (2, 91.0), 2: (2, 100.0)}),
+    ([made(1), made(2, 1, **LAST)], {2: 5.0}, {1: (1, None)}),
+    # Its own deadline, or its class's time, may come first.
+    ([made(1, due_s=20.0), made(2, 1, **LAST)], {}, {1: (2, 20.0), 2: (2, 100.0)}),
+    ([made(1, jobclass="timed"), made(2, 1, **LAST)], {}, {1: (2, 50.0), 2: (2, 100.0)}),
+    # What asks for nothing changes nothing.
+    ([made(1, rank="production"), made(2, 1)], {}, {1: (3, None), 2: (1, None)}),
+])
+def test_urgency_reaches_back(jobs: list[Job], ends: dict[int, float],
+                              found: dict[int, tuple[int, float | None]]) -> None:
+    pipes = Pipelines(1.0, 0.0)
+    for one in jobs:
+        pipes.add(one, 0.0)
+    for number, at in ends.items():
+        pipes.end(name(number), "done" if number == 1 else "cancelled", at)
+    views = {n: pipes.view(name(n), {"timed": 50.0}) for n in found}
+    assert {n: (v.rank, v.deadline_s) for n, v in views.items()} == found
+
+
+def test_records_that_name_each_other_end_nothing() -> None:
+    pipes = Pipelines(1.0, 0.0)
+    pipes.add(made(1, 2, due_s=9.0), 0.0)
+    pipes.add(made(2, 1), 0.0)
+    assert math.isfinite(pipes.links[name(2)].due)
+
+
+# -- what users may name -----------------------------------------------------
+
+
+def controller(world: World) -> Controller:
+    return next(c for c in world.controllers.values() if c.serving)
+
+
+async def settled(clock: Clock, controllers: int = 1, **kept: Any) -> World:
+    world = World(clock, 1, controllers)
+    for label in world.labels:
+        await world.start(label)
+    await curio.spawn(world.spawner, daemon=True)
+    while not all(c.serving and c.types for c in world.controllers.values()):
+        await curio.sleep(0.1)
+    return world
+
+
+@pytest.mark.parametrize("prereqs, status", [
+    (None, 201), ([], 201), (["j-000001"], 201), (["j-000001", "j-000001"], 201),
+    (["j-000002"], 201),                       # done
+    (["j-000003"], 201),                       # cancelled
+    (["j-000009"], 422),                       # never accepted
+    (["j-000001", "j-000009"], 422), (["j-000008", "j-000009"], 422),
+    (["j-000100"], 422),                       # itself
+    (["j-000004"], 422),                       # a service would never be done
+    (["elsewhere"], 400), ("j-000001", 400), ([1], 400), ([None], 400), ({}, 400),
+    ([f"j-{n:06d}" for n in range(1000)], 400),    # no record would hold it
+    ([f"j-{n:06d}" for n in range(1001)], 400),
+])
+def test_what_a_submission_may_name(monkeypatch: pytest.MonkeyPatch, prereqs: Any, status: int
+                                    ) -> None:
+    async def main(clock: Clock) -> list[int]:
+        world = await settled(clock)
+        c = controller(world)
+        for number, fields in ((1, {}), (2, {}), (3, {}), (4, {"shape": "daemon"})):
+            await world.submit(job(number, **fields), 1e9)
+        world.state.commit({"when": [], "writes": [
+            {"remove": live_key(name(2))}, {"write": end_key(name(2)), "data": {"s": "done"}}]})
+        await world.abort(name(3))
+        await curio.sleep(0.5)
+        body = msgspec.json.encode(job(100, prereqs=prereqs))
+        found = []
+        for forget in (False, True):
+            if forget:  # as after a restart, and before its watch has caught up
+                if status == 201:
+                    world.state.commit({"when": [], "writes": [
+                        {"remove": live_key(name(100))}, {"remove": end_key(name(100))}]})
+                for known in (c.live, c.ended, c.pipes.links, c.pipes.ends):
+                    known.clear()
+            found.append((await c.api.handle("POST", "/api/jobs", body))[0])
+        # A repeated submission is not refused, whatever it says by now.
+        found.append((await c.api.handle("POST", "/api/jobs", body))[0])
+        return found
+    again = 200 if status == 201 else status
+    assert simulate(monkeypatch, main) == [status, status, again]
+
+
+def test_prereqs_are_refused_until_all_are_new(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The version in production would start the job at once."""
+    async def main(clock: Clock) -> Any:
+        world = World(clock, 1, 2)
+        world.old.add("c1")
+        for label in world.labels:
+            await world.start(label)
+        await curio.sleep(20.0)
+        await world.submit(job(1), 1e9)
+        body = msgspec.json.encode(job(2, prereqs=[name(1)]))
+        before = await world.controllers["c0"].api.handle("POST", "/api/jobs", body)
+        for old in (True, False):  # one that ends before its turn comes back old
+            await world.crash("c1")
+            await curio.sleep(2.0)
+            if not old:
+                world.old.clear()
+            await world.start("c1")
+            await curio.sleep(20.0)
+            assert [c.upgraded for c in world.controllers.values()] == [not old] * 2
+        after = await world.controllers["c0"].api.handle("POST", "/api/jobs", body)
+        return before[0], before[2], after[0]
+    assert simulate(monkeypatch, main) == (503, [("Retry-After", "1")], 201)
+
+
+# -- cancellation ------------------------------------------------------------
+
+
+@pytest.mark.parametrize("scene", ["crash", "crash_all", "outage", "late"])
+def test_cancellation_reaches_all_that_need_the_job(monkeypatch: pytest.MonkeyPatch, scene: str
+                                                    ) -> None:
+    """Whoever is home to them cancels them, from the records alone."""
+    async def main(clock: Clock) -> World:
+        world = await settled(clock, 3)
+        await curio.spawn(world.watch_rules, daemon=True)
+        await world.submit(job(0, pieces=200), 1e9)
+        for n in range(1, 31):
+            await world.submit(job(n, prereqs=[name(n - 1)]), 1.0)
+        for n in range(100, 160):
+            await world.submit(job(n, prereqs=[name(0), name(1)]), 1.0)
+        if scene != "late":
+            await world.abort(name(0))
+        told = clock()
+        if scene == "crash":
+            await world.crash(world.labels[0])
+        elif scene == "crash_all":
+            for label in world.labels:
+                await world.crash(label)
+            for label in world.labels:
+                await world.start(label)
+        elif scene == "outage":
+            world.state.outage(clock(), 12.0)
+        else:
+            await curio.spawn(world.abort, name(0), daemon=True)
+            await world.submit(job(200, prereqs=[name(30)]), 1.0)
+            told = clock()
+        while clock() < told + 30.0:
+            await curio.sleep(1.0)
+            if not any(k.startswith("c/live/") for k in world.state.keys):
+                break
+        ends = {k: v[0]["s"] for k, v in world.state.keys.items() if k.startswith("end/")}
+        assert set(ends.values()) == {"cancelled"} and len(ends) == len(world.accepted)
+        return world
+    assert simulate(monkeypatch, main).broken == []
+
+
+def test_a_missed_notice_delays_a_job_by_a_bounded_moment(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main(clock: Clock) -> float:
+        world = await settled(clock)
+        c = controller(world)
+        await world.submit(job(1, pieces=1), 5.0)
+        await world.submit(job(2, prereqs=[name(1)], pieces=1), 5.0)
+        monkeypatch.setattr(c, "_apply", lambda change: None)  # the watch tells nothing more
+        await curio.sleep(1.0)
+        c.dispatch.homes[name(1)].ended = "done"  # another home would have done it
+        world.state.commit({"when": [], "writes": [
+            {"remove": live_key(name(1))}, {"write": end_key(name(1)), "data": {"s": "done"}}]})
+        world.results[name(1)] = {0}
+        before = clock()
+        while c.dispatch.homes[name(2)].blocked:
+            await curio.sleep(0.5)
+        return clock() - before
+    assert simulate(monkeypatch, main) < 20.0
+
+
+# -- records and frames that the versions share ------------------------------
+
+# As the version before writes them, byte for byte.
+BEFORE = {
+    "live": '{"j":{"id":"j-000001","jobclass":"batch","owner":"free","shape":"sweep",'
+            '"rank":"normal","pieces":200,"vcpus":2.0,"cards":0.0,"ram_gb":4.0,"bundle":"img-1",'
+            '"image_gb":1.0,"together":false,"scatter":false,"loaners":true,"guess_s":8.0,'
+            '"snapshot_every_s":0.0,"snapshot_s":0.0,"flavors":null,"site":null,"due_s":null,'
+            '"aimless":false}}',
+    "chunk": '{"a":[[131,4,"i-000001"],[199,5,"i-000002"]],"d":[[132,140],[150,150]],"n":5}',
+    "done": '{"s":"done"}',
+    "cancelled": '{"s":"cancelled","j":{"id":"j-000001"}}',
+}
+
+
+def test_records_of_the_version_before_are_read() -> None:
+    read = msgspec.convert(json.loads(BEFORE["live"])["j"], Job)
+    assert (read.tasks, read.prereqs, read.deadline_s) == (200, None, None)
+    chunk = Chunk.parse(json.loads(BEFORE["chunk"]), 7)
+    assert chunk.assigned == {131: (4, "i-000001"), 199: (5, "i-000002")}
+    assert json.dumps(chunk.value(), separators=(",", ":")) == BEFORE["chunk"]
+    assert [ended(json.loads(BEFORE[k])) for k in ("done", "cancelled")] == [
+        ("done", None), ("cancelled", None)]
+
+
+def test_records_written_now_are_what_the_version_before_reads() -> None:
+    """It takes these keys, whatever else there is, and no others."""
+    value = live_value(made(1), 5.0)
+    needed = {k for k, v in json.loads(BEFORE["live"])["j"].items()
+              if v is not None and k != "aimless"}
+    assert needed <= set(value["j"]) and set(value) == {"j", "t"}
+    assert end_value("done", 5.0) == {"s": "done", "t": 5.0}
+    hj = HomeJob(made(1, pieces=200), 1, chunk_size(8.0), 0.0)
+    assert [hj.key(i) for i in (0, 1)] == ["run/j-000001/00000", "run/j-000001/00001"]
+    assert hj.size == 131
+
+
+@pytest.mark.parametrize("raw, kind, values", [
+    ("c1a702010000000100000030" "000000026330" "0000000000000003" "01" "0000000000000007"
+     "00000001" "000000016a" "00000002" "4000000000000000" "00000000",
+     peerwire.PING, ("c0", 3, True, 7, [("j", 2, 2.0, "")])),
+    ("c1a702020000000100000017" "000000026330" "0000000000000003" "01" "0000000000000007",
+     peerwire.PONG, ("c0", 3, True, 7)),
+    ("c1a70203000000010000002b" "0000000000000003" "000000086a2d303030303031" "0000000000000002"
+     "00000001" "00000003692d31" "00000005",
+     peerwire.RESERVE, (3, "j-000001", 2, [("i-1", 5)])),
+    ("c1a702040000000100000006" "01" "00000001" "01", peerwire.RESERVED, (True, [(True,)])),
+    ("c1a702050000000100000029" "0000000000000003" "00000001" "00000003692d31"
+     "0000000a6a2d3030303030312f35" "0000000000000002",
+     peerwire.LAUNCH, (3, [("i-1", "j-000001/5", 2)])),
+    ("c1a702060000000100000032" "0000000000000003" "00000001" "00000003692d31"
+     "0000000a6a2d3030303030312f35" "0000000000000002" "3ff8000000000000" "00",
+     peerwire.STOP, (3, [("i-1", "j-000001/5", 2, 1.5, False)])),
+    ("c1a702080000000100000001" "01", peerwire.ACK, (True,)),
+    ("c1a70209000000010000000c" "0000000000000003" "00000000", peerwire.STATES, (3, [])),
+    ("c1a7020d0000000100000019" "000000086a2d303030303031" "0000000963616e63656c6c6564",
+     peerwire.ENDED, ("j-000001", "cancelled")),
+])
+def test_frames_are_those_of_the_version_before(raw: str, kind: int, values: Any) -> None:
+    """It drops a connection that brings another version, kind, or bytes left over."""
+    frame = bytes.fromhex(raw)
+    found, number, size = peerwire.decode_header(frame[:peerwire.HEADER.size])
+    body = frame[peerwire.HEADER.size:]
+    assert (found, size) == (kind, len(body))
+    assert peerwire.decode_body(kind, body) == values
+    assert peerwire.encode(kind, number, values) == frame
+
+
+@pytest.mark.parametrize("key, found", [
+    ("run/j-000001/00003", ("j-000001", 0, 3)), ("run/j-000001/32.00003", ("j-000001", 32, 3)),
+    ("run/j-000001", None), ("run/j-000001/x", None), ("run/j-000001/x.3", None),
+])
+def test_keys_of_chunks(key: str, found: tuple[str, int, int] | None) -> None:
+    if found is None:
+        with pytest.raises(ValueError):
+            parse_chunk_key(key)
+    else:
+        assert parse_chunk_key(key) == found
+        assert chunk_key(found[0], found[2], found[1]) == key
+
+
+# -- narrower chunks ---------------------------------------------------------
+
+
+class Store:
+    """Records and revisions, changed by transactions, within limits."""
+
+    def __init__(self) -> None:
+        self.rev, self.keys = 10, {}  # type: ignore[var-annotated]
+
+    def commit(self, txn: Any, ops: int, value_kb: float) -> int:
+        for key, rev in txn.when.items():
+            assert key == "c/generation" or self.keys.get(key, (None, 0))[1] == rev, key
+        assert 0 < len(txn.writes) <= ops and len(txn.when) <= 4 * ops
+        self.rev += 1
+        for write in txn.writes:
+            if "remove" in write:
+                del self.keys[write["remove"]]
+            else:
+                assert len(json.dumps(write["data"])) <= value_kb * 1024
+                self.keys[write["write"]] = (json.loads(json.dumps(write["data"])), self.rev)
+        return self.rev
+
+    def home(self, pieces: int, value_kb: float) -> HomeJob:
+        hj = HomeJob(made(1, pieces=pieces), 1, chunk_size(value_kb), 0.0)
+        hj.load_all({parse_chunk_key(k)[1:]: Chunk.parse(v, r) for k, (v, r) in self.keys.items()})
+        return hj
+
+
+def tasks_of(hj: HomeJob) -> tuple[dict[int, tuple[int, str]], set[int], int]:
+    return ({n: (a, m) for n, a, m in hj.assignments()},
+            {n for c in hj.chunks.values() for n in c.done}, hj.attempt)
+
+
+@pytest.mark.parametrize("value_kb, least_kb, ops", [(32.0, 2.0, 10), (8.0, 2.0, 5), (8.0, 1.0, 4)])
+@pytest.mark.parametrize("ends_after", [0, 1, 2, 3, 7, 12, 100])
+def test_a_move_that_ends_anywhere_goes_on(value_kb: float, least_kb: float, ops: int,
+                                           ends_after: int) -> None:
+    """Task for task, whatever has been written when its controller ends."""
+    pieces, store = 1200, Store()
+    hj = store.home(pieces, value_kb)
+    for index in range(0, pieces // hj.size + 1):
+        chunk = hj.chunks[index] = Chunk()
+        chunk.last_attempt = 9 if index == 2 else 3
+        numbers = range(index * hj.size, min(pieces, (index + 1) * hj.size))
+        if index == 2:
+            continue  # all of it gone, but for the attempts used
+        chunk.assigned = {n: (3, f"i-{n:06d}") for n in numbers if n % 3 == 1}
+        chunk.done = {n for n in numbers if n % 5 == 0 and n % 3 != 1}
+        store.keys[hj.key(index)] = (chunk.value(), 10)
+    if 2 in hj.chunks:
+        store.keys[hj.key(2)] = (hj.chunks[2].value(), 10)
+    narrow = chunk_size(least_kb)
+    whole = tasks_of(store.home(pieces, value_kb))
+    steps = 0
+    for _ in range(2):  # the second home finishes what the first began
+        hj = store.home(pieces, value_kb)
+        assert tasks_of(hj) == whole
+        hj.narrow(narrow)
+        assert tasks_of(hj) == whole and hj.size == narrow
+        moved: set[int] = set()
+        while hj.wide and (steps < ends_after or _):
+            txn, chunks, gone = hj.move_txn(1, ops, moved)
+            hj.committed(chunks, store.commit(txn, ops, least_kb))
+            moved.update(chunks)
+            for key in gone:
+                del hj.wide[key]
+            steps += 1
+    hj = store.home(pieces, value_kb)
+    assert tasks_of(hj) == whole and not hj.wide and hj.layout == narrow
+    assert not hj.narrow(narrow)
+
+
+def test_what_fits_anyway_is_not_moved() -> None:
+    hj = HomeJob(made(1, pieces=30), 1, chunk_size(32.0), 0.0)
+    hj.load_all({(0, 0): Chunk()})
+    assert not hj.narrow(chunk_size(2.0)) and hj.key(0) == "run/j-000001/00000"
+
+
+def test_a_description_that_no_longer_fits_can_be_cancelled() -> None:
+    """Accepted while the state service took more; else its tasks would run on."""
+    desc = live_value(made(1, flavors=[f"type-{n:020d}" for n in range(64)]), 0.0)["j"]
+    value = end_value("cancelled", 5.0, desc)
+    assert len(json.dumps(value)) > 2048 and fitted(value, 8.0) == value
+    small = fitted(value, 2.0)
+    assert len(json.dumps(small)) < 2048
+    kept = msgspec.convert(small["j"], Job)
+    assert (kept.team, kept.cpus, kept.tasks) == ("free", 2.0, 3)
+
+
+@pytest.mark.parametrize("coming, least, error", [
+    (None, (250.0, 100.0, 8.0, 16), ""), ({}, (250.0, 100.0, 8.0, 16), ""),
+    ({"value_kb": 2.0, "txn_ops": 5, "write_rps": 70.0}, (250.0, 70.0, 2.0, 5), ""),
+    ({"value_kb": 64.0, "rps": 300.0}, (250.0, 100.0, 8.0, 16), ""),
+    ({"else": 1}, (250.0, 100.0, 8.0, 16), ""),
+    ({"txn_ops": 3}, None, "txn_ops"), ({"value_kb": 0}, None, "value_kb"),
+    ({"write_rps": "many"}, None, "write_rps"), ([], None, "next"),
+])
+def test_limits_to_come(coming: Any, least: Any, error: str) -> None:
+    state = {**SETTINGS["state"], "next": coming}
+    raw = json.dumps({
+        "label": "c0", "bind": "127.0.0.1:1", "peer_bind": "127.0.0.1:2", "members": [],
+        "services": {"cloud": "cloud:1", "state": "state:1"},
+        "cluster": {"size": 1, **SETTINGS, "state": state}}).encode()
+    if error:
+        with pytest.raises(ConfigError, match=error):
+            parse(raw)
+    else:
+        found = parse(raw).cluster.state.least()
+        assert (found.rps, found.write_rps, found.value_kb, found.txn_ops) == least
--- a/tests/world.py
+++ b/tests/world.py
@@ -657,9 +657,7 @@
 
     async def _run(self, c: Controller) -> None:
         """The controller's duties without its listeners. Its crash cancels them all."""
-        duties: list[Any] = [await curio.spawn(c.duty, r, daemon=True) for r in (
-            c.keep_awake, c.follow, c.keep_lease, c.keep_members, c.keep_catalogue,
-            c.picture.refresh, c.dispatch.place_all, c.fleet.watch_silence, c.provisioner.run)]
+        duties: list[Any] = [await curio.spawn(c.duty, r, daemon=True) for r in c.duties()]
         for peer in c.peers.values():
             duties.append(await curio.spawn(c.duty, c.keep_peers, peer, daemon=True))
         for label in self.labels:
