--- a/clayport/pipelines.py
+++ b/clayport/pipelines.py
@@ -49,6 +49,8 @@
         self.followers: dict[str, set[str]] = {}
         self.ends: OrderedDict[str, tuple[str, float]] = OrderedDict()
         self.doomed: set[str] = set()
+        # Jobs that others wait for and of which nothing is known here.
+        self.missing: dict[str, None] = {}
 
     def takes(self, job: Job) -> float:
         """How long a job is expected to take once it is ready."""
@@ -59,6 +61,7 @@
         if job.id in self.links or job.id in self.ends:
             return set()
         link = self.links[job.id] = Link(job, submitted)
+        self.missing.pop(job.id, None)
         for name in dict.fromkeys(job.prereqs or ()):
             status, at = self.ends.get(name, ("", 0.0))
             self.followers.setdefault(name, set()).add(job.id)
@@ -66,6 +69,8 @@
                 link.ready = max(link.ready, at)
             else:
                 link.needs.add(name)
+                if not status and name not in self.links:
+                    self.missing[name] = None
                 if status or name in self.doomed:
                     self.doomed.add(job.id)
         changed: set[str] = set()
@@ -141,6 +146,7 @@
         while len(self.ends) > ENDS_MOST:
             self.ends.popitem(last=False)
         link = self.links.pop(name, None)
+        self.missing.pop(name, None)
         self.doomed.discard(name)
         ready: list[str] = []
         doomed: list[str] = []
@@ -161,6 +167,7 @@
                 self.followers.get(need, set()).discard(name)
                 if not self.followers.get(need):
                     self.followers.pop(need, None)
+                    self.missing.pop(need, None)
             self._down(link.needs, changed)
         return ready, doomed, changed
 
@@ -169,12 +176,6 @@
         link = self.links.get(name)
         return link is not None and bool(link.needs)
 
-    def unknown(self) -> list[str]:
-        """Jobs that others wait for and of which nothing is known here."""
-        found = {n: None for link in self.links.values() for n in link.needs
-                 if n not in self.links and n not in self.ends}
-        return list(found)
-
     def view(self, name: str, limits: dict[str, float]) -> Job:
         """The job as it is to be scheduled: with the rank of all that need it, and with the
         time that they leave it, counted from when it was ready."""
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -450,10 +450,11 @@
         before this process began, or accepted a moment ago. And ask again, many in one
         request, whether those that are taken to be live still are: a missed notice must
         not delay what waits for it for long."""
-        pause_s = 4 * self.ttl_s
+        again_at = 0.0
         while True:
-            await self.wait("prereqs", pause_s)
-            for name in self.pipes.unknown():
+            await self.wait("prereqs", self.jitter(
+                self.ttl_s / 4 if self.pipes.missing else 2 * self.ttl_s))
+            for name in list(self.pipes.missing):
                 if name in self.ended:
                     self._end_of(name, self.ended[name], time.monotonic())
                     continue
@@ -463,8 +464,10 @@
                     break
                 if entry is not None:
                     self._note_end(name, entry.value)
-            pause_s = self.jitter(self.ttl_s / 4) if self.pipes.unknown() else 4 * self.ttl_s
             await self.flush()
+            if time.monotonic() < again_at:
+                continue
+            again_at = time.monotonic() + 4 * self.ttl_s
             for name in sorted(self._awaited()):
                 known = self.live.get(name)
                 try:
