--- a/clayport/api.py
+++ b/clayport/api.py
@@ -88,7 +88,7 @@
         entry = await core.store.get(end_key(job), timeout_s)
         if entry is None:
             return None
-        core.note_end(job, *ended(entry.value))
+        core.mirror.note_end(job, *ended(entry.value))
         return str(entry.value["s"])
 
     async def _answer(self, job: str, status: str) -> dict[str, Any]:
@@ -183,7 +183,7 @@
                 await curio.sleep(core.jitter(0.1))
         log.info("job=%s event=accepted class=%s kind=%s tasks=%d", job.id, job.job_class,
                  job.kind, job.tasks)
-        core.note_live(job, rev, core.since(submitted))
+        core.mirror.note_live(job, rev, core.mirror.since(submitted))
         return 201, {"id": job.id, "status": "queued"}
 
     async def _unsuitable(self, names: list[str]) -> str:
@@ -247,7 +247,7 @@
                 await curio.sleep(core.jitter(0.1))
                 continue
             log.info("job=%s event=cancelled", job)
-            core.note_end(job, "cancelled", at)
-            core.tell_end(job, "cancelled")
+            core.mirror.note_end(job, "cancelled", at)
+            core.mirror.tell_end(job, "cancelled")
             return 200, {"id": job, "status": "cancelled"}
         raise Unavailable("not settled in time")
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -277,7 +277,7 @@
                 if kind is None or not replicas:
                     return
                 room = core.owner.room(m)
-                if not drain and core.dispatch.policy().blocked(room, kind) <= 0:
+                if not drain and core.placer.policy().blocked(room, kind) <= 0:
                     return
                 for key, job in replicas:
                     if await self._movable(m, key, job, drain):
@@ -298,7 +298,7 @@
         number = split_task(key[0])[1]
         home = core.generation.place(job.id)
         if home == core.label:
-            return core.dispatch.movable(job.id, number, m.name, drain)
+            return core.placer.movable(job.id, number, m.name, drain)
         try:
             return bool((await core.peers[home].call(
                 peerwire.MOVE, (core.generation.number, job.id, number, m.name,
--- /dev/null
+++ b/clayport/mirror.py
@@ -0,0 +1,315 @@
+"""What this controller knows of the records under `c/` and of how jobs ended, and what
+follows from a change: who may take part, which jobs are there, ready, or to be cancelled."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
+
+import curio
+import msgspec
+
+from . import peers, peerwire
+from .jobs import GENERATION_KEY, end_key, ended, live_key
+from .membership import Generation
+from .model import Job
+from .statestore import Change, Compacted, Conflict, Txn, Unavailable, Unknown
+
+if TYPE_CHECKING:
+    from .server import Controller
+
+log = logging.getLogger("clayport.mirror")
+
+NODE_PREFIX, LIVE_PREFIX, CLASS_PREFIX = "c/node/", "c/live/", "c/class/"
+# What a controller understands, by its label; kept for good, since one that has been
+# upgraded never comes back old. The first versions ignore the keys and write none.
+VERSION_PREFIX = "c/version/"
+# 2: prereqs, times in records, sizes in the keys of chunks.
+FORMAT = 2
+# Ended jobs kept in memory so that polls for them need no read.
+ENDED_MOST = 20_000
+CLASSES_MOST = 100
+
+
+class Mirror:
+    """The routines that keep the controller's picture of the records."""
+
+    def __init__(self, core: Controller) -> None:
+        self.core = core
+
+    # -- versions ---------------------------------------------------------
+
+    def count_versions(self) -> None:
+        """Whether every controller of the settings, present or not, understands FORMAT.
+
+        And whether the generation began after the last of them had said so: what their
+        predecessors have on its way fails under it. Once true, it stays.
+        """
+        core = self.core
+        found = [core.versions.get(label, (0, 0)) for label in core.settings.labels]
+        if core.upgraded or any(number < FORMAT for number, _ in found) \
+                or core.generation.rev <= max(rev for _, rev in found):
+            return
+        core.upgraded = True
+        core.bounds = core.settings.cluster.state.least()
+        core.store.set_rates(core.bounds.rps, core.bounds.write_rps)
+        core.api.lookups.most = 4 * core.bounds.txn_ops
+        log.info("event=upgraded format=%d value_kb=%g txn_ops=%d write_rps=%g", FORMAT,
+                 core.bounds.value_kb, core.bounds.txn_ops, core.bounds.write_rps)
+        for hj in core.dispatch.homes.values():
+            core.signal(hj.name)
+
+    # -- the mirror ------------------------------------------------------
+
+    async def follow(self) -> None:
+        """Mirror the generation, the controllers present and the live jobs."""
+        core = self.core
+        rev = 0
+        while True:
+            try:
+                if core.rescan:
+                    rev = await self._scan()
+                changes, rev = await core.store.watch("c/", rev, core.ttl_s)
+                for change in changes:
+                    self._apply(change)
+                if not core.upgraded:
+                    self.count_versions()
+                await core.flush()
+            except Compacted:
+                core.rescan = True
+            except (Unavailable, Unknown) as exc:
+                log.debug("event=watch-lost cause=%s", exc)
+                await curio.sleep(core.jitter(core.ttl_s / 8))
+            except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
+                log.error("event=malformed-state cause=%r", exc)
+                await curio.sleep(core.jitter(core.ttl_s / 8))
+
+    async def _scan(self) -> int:
+        core = self.core
+        woke = core.woke
+        entries, rev = await core.store.scan("c/")
+        core.confirmed = woke
+        core.rescan = woke != core.woke
+        keys = {e.key for e in entries}
+        for label in [n for n in core.nodes if NODE_PREFIX + n not in keys]:
+            del core.nodes[label]
+        for entry in entries:
+            self._put(entry.key, entry.value, entry.rev)
+        for job, (_, since) in list(core.live.items()):
+            if LIVE_PREFIX + job not in keys and since <= rev:
+                self._gone_live(job)
+        core.state_known = True
+        self.count_versions()
+        core.signal("members")
+        core.signal("prereqs")
+        await core.flush()
+        return rev
+
+    def _apply(self, change: Change) -> None:
+        core = self.core
+        if change.put is not None:
+            self._put(change.put, change.value, change.rev)
+        elif change.delete is not None:
+            if change.delete.startswith(NODE_PREFIX):
+                label = change.delete[len(NODE_PREFIX):]
+                core.nodes.pop(label, None)
+                if label == core.label:
+                    core.lease = None
+                    core.signal("lease")
+                core.signal("members")
+            elif change.delete.startswith(LIVE_PREFIX):
+                self._gone_live(change.delete[len(LIVE_PREFIX):])
+
+    def _put(self, key: str, value: Any, rev: int) -> None:
+        core = self.core
+        try:
+            if key == GENERATION_KEY:
+                if rev > core.generation.rev:
+                    core.begin(Generation.parse(value, rev))
+                core.signal("members")
+            elif key.startswith(NODE_PREFIX):
+                core.nodes[key[len(NODE_PREFIX):]] = str(value["inc"])
+                core.signal("members")
+            elif key.startswith(VERSION_PREFIX):
+                core.versions[key[len(VERSION_PREFIX):]] = (int(value["format"]), rev)
+            elif key.startswith(CLASS_PREFIX):
+                known = core.judged(msgspec.convert(value["j"], Job))
+                core.classes[known.job_class] = known
+            elif key.startswith(LIVE_PREFIX):
+                self.note_live(core.judged(msgspec.convert(value["j"], Job)), rev,
+                               self.since(value.get("t")))
+        except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
+            log.error("key=%s event=malformed-value cause=%r", key, exc)
+
+    def since(self, at: float | None) -> float:
+        """A time of day in a record as this process's clock has it; now where it says none.
+
+        As the nodes' times of day differ by up to the settings' bound, what may have been
+        now was now: a start that is due within two seconds must not be a second late by it.
+        """
+        now = time.monotonic()
+        if at is None:
+            return now
+        return now - max(0.0, time.time() - at - self.core.settings.cluster.clock_error_ms / 500)
+
+    def note_live(self, job: Job, rev: int, submitted: float) -> None:
+        """A job is accepted; its home sets to work."""
+        core = self.core
+        if job.id in core.live or job.id in core.ended:
+            return
+        changed = core.pipes.add(job, submitted)
+        core.live[job.id] = (core.pipes.view(job.id, core.finish_limits), rev)
+        self._review(changed)
+        if core.pipes.waiting(job.id):
+            core.signal("prereqs")
+        elif core.state_known:
+            core.arrivals.note(job, time.monotonic())
+        if job.gpus > 0 and job.job_class not in core.classes \
+                and len(core.classes) < CLASSES_MOST and job.job_class.isascii() \
+                and job.job_class.replace("-", "").replace("_", "").isalnum():
+            core.classes[job.job_class] = job
+            core.spawn(self._remember(job))
+        if core.serving and core.generation.place(job.id) == core.label \
+                and job.id not in core.dispatch.homes:
+            core.home(core.live[job.id][0], rev, {}, "")
+            core.signal("place")
+
+    def _review(self, changed: Iterable[str]) -> None:
+        """Jobs whose urgency has changed, by what needs them."""
+        core = self.core
+        for name in changed:
+            if name in core.live:
+                job = core.pipes.view(name, core.finish_limits)
+                core.live[name] = (job, core.live[name][1])
+                hj = core.dispatch.homes.get(name)
+                if hj is not None:
+                    hj.job = job
+                    core.signal("place")
+
+    def _ready(self, name: str) -> None:
+        """All jobs that this one needs are done, as their final records say."""
+        core = self.core
+        job = core.live[name][0]
+        if core.state_known:
+            core.arrivals.note(job, time.monotonic())
+        hj = core.dispatch.homes.get(name)
+        if hj is not None and not hj.ended:
+            hj.since = core.pipes.links[name].ready
+            hj.blocked = False
+            log.info("job=%s event=ready", name)
+            core.signal("place")
+
+    async def keep_prereqs(self) -> None:
+        """Look up jobs that others wait for and of which nothing is known here: ended
+        before this process began, or accepted a moment ago. And ask again, many in one
+        request, whether those that are taken to be live still are: a missed notice must
+        not delay what waits for it for long."""
+        core = self.core
+        again_at = 0.0
+        while True:
+            await core.wait("prereqs", core.jitter(
+                core.ttl_s / 4 if core.pipes.missing else 2 * core.ttl_s))
+            for name in list(core.pipes.missing):
+                if name in core.ended:
+                    self._end_of(name, core.ended[name], time.monotonic())
+                    continue
+                try:
+                    entry = await core.store.get(end_key(name))
+                except (Unavailable, Unknown):
+                    break
+                if entry is not None:
+                    self._note_end(name, entry.value)
+            await core.flush()
+            if time.monotonic() < again_at:
+                continue
+            again_at = time.monotonic() + 4 * core.ttl_s
+            for name in sorted(self._awaited()):
+                known = core.live.get(name)
+                try:
+                    if known is not None and not await core.api.lookups.unchanged(
+                            live_key(name), known[1]):
+                        self._gone_live(name)
+                except Unavailable:
+                    break
+
+    def _awaited(self) -> set[str]:
+        """Live jobs that jobs at home here wait for."""
+        return {need for name, hj in self.core.dispatch.homes.items() if hj.blocked
+                and name in self.core.pipes.links for need in self.core.pipes.links[name].needs}
+
+    async def _remember(self, job: Job) -> None:
+        key = CLASS_PREFIX + job.job_class
+        try:
+            await self.core.store.commit(Txn().require(key, 0).put(
+                key, {"j": msgspec.to_builtins(msgspec.structs.replace(job, prereqs=None))}))
+        except (Conflict, Unavailable, Unknown):
+            pass  # a hint only
+
+    def _gone_live(self, job: str) -> None:
+        if job in self.core.live and job not in self.core.ended:
+            self.core.spawn(self._learn(job))
+
+    async def _learn(self, job: str) -> None:
+        core = self.core
+        while job in core.live:
+            try:
+                entry = await core.store.get(end_key(job))
+            except (Unavailable, Unknown):
+                await curio.sleep(core.jitter(core.ttl_s / 6))
+                continue
+            if entry is not None:
+                self._note_end(job, entry.value)
+            return
+
+    def _note_end(self, job: str, record: Any) -> None:
+        """A final record was read."""
+        try:
+            self.note_end(job, *ended(record))
+        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+            log.error("key=%s event=malformed-value cause=%r", end_key(job), exc)
+
+    def _end_of(self, job: str, status: str, at: float) -> None:
+        """What the end of a job means for those that need it, and for what it needed."""
+        ready, doomed, changed = self.core.pipes.end(job, status, at)
+        self._review(changed)
+        for name in ready:
+            self._ready(name)
+        for name in doomed:
+            hj = self.core.dispatch.homes.get(name)
+            if hj is not None:
+                self.core.signal(hj.name)
+
+    def note_end(self, job: str, status: str, at: float | None = None) -> None:
+        """A job is over, as committed (at that time of day)."""
+        core = self.core
+        self._end_of(job, status, self.since(at))
+        core.ended[job] = status
+        while len(core.ended) > ENDED_MOST:
+            core.ended.popitem(last=False)
+        core.owner.ended(job, status)
+        known = core.live.pop(job, None)
+        hj = core.dispatch.homes.get(job)
+        if known is not None:
+            core.descs[job] = known[0]
+            while len(core.descs) > ENDED_MOST // 10:
+                core.descs.pop(next(iter(core.descs)))
+        if hj is not None and not hj.ended:
+            hj.ended = status
+            hj.kill_at = 0.0
+            core.signal(hj.name)
+
+    def tell_end(self, job: str, status: str) -> None:
+        """Tell the peers too: a state outage may follow before their watch does."""
+        for peer in self.core.peers.values():
+            self.core.spawn(self._tell_end(peer, job, status))
+
+    async def _tell_end(self, peer: peers.Peer, job: str, status: str) -> None:
+        end = time.monotonic() + self.core.settings.cluster.workers.cancel_s
+        while time.monotonic() < end:
+            try:
+                await peer.call(peerwire.ENDED, (job, status))
+                return
+            except peers.PeerError:
+                await curio.sleep(self.core.jitter(self.core.ttl_s / 2))
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -110,9 +110,9 @@
             kind = types.get(boot.kind[0])
             if kind is not None and now - boot.since < LATE * kind.boot_s:
                 supply.append(empty_room(kind, boot.name, boot.kind[1], boot.kind[2]))
-        waiting = core.dispatch.all_demand()
+        waiting = core.placer.all_demand()
         demand = [n for n in waiting if not n.job.filler]
-        policy = core.dispatch.policy()
+        policy = core.placer.policy()
         spare = spare_room([j for j, _ in core.live.values()], core.arrivals, observed,
                            core.urgent, now)
         cpus = sum(types[r.type].cpus - r.lasting
@@ -156,9 +156,9 @@
                  policy: Policy) -> list[Kind]:
         """Machines for work without any aim: only once nothing else lacks any, within its
         share, and ordinary ones only if it can't be had otherwise."""
-        dispatch = self.core.dispatch
-        quiet = dispatch.quiet()
-        fill = math.inf if quiet else dispatch.fill_cpus(rooms)
+        placer = self.core.placer
+        quiet = placer.quiet()
+        fill = math.inf if quiet else placer.fill_cpus(rooms)
         wanted: list[Kind] = []
         ordinary = {(t.name, z, False) for t in self.core.types for z in t.zones}
         for need in waiting:
@@ -167,7 +167,7 @@
             tasks = int(min(need.tasks, fill / max(need.job.cpus, 0.1)))
             fill -= tasks * need.job.cpus
             refused, room = set(self.refused), supply
-            if not quiet and need.age_s < dispatch.long_s:
+            if not quiet and need.age_s < placer.long_s:
                 if need.job.spot:
                     refused |= ordinary
                 room = [r for r in supply if r.spot or not r.idle]
@@ -196,7 +196,7 @@
                 row[1] += types[room.type].cpus
                 row[2] += types[room.type].cpus - room.cpus
         waiting: dict[str, int] = {}
-        for need in self.core.dispatch.all_demand():
+        for need in self.core.placer.all_demand():
             name = need.job.job_class
             waiting[name] = waiting.get(name, 0) + need.tasks
         log.debug("event=fleet booting=%d waiting=%s %s", len(self.boots), waiting,
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -7,7 +7,7 @@
 import secrets
 import time
 from collections import OrderedDict
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import curio
@@ -19,18 +19,18 @@
 from .config import Settings, endpoint
 from .dispatch import Dispatch
 from .fleet import Fleet
-from .jobs import GENERATION_KEY, HomeJob, end_key, ended, live_key, parse_chunk_key
+from .jobs import GENERATION_KEY, HomeJob, end_key, ended, parse_chunk_key
 from .membership import NOBODY, Generation, should_leave, successor
+from .mirror import FORMAT, NODE_PREFIX, VERSION_PREFIX, Mirror
 from .model import SERVICE, Chunk, Job, MachineType, chunk_size
 from .picture import Picture
 from .pipelines import Pipelines
 from .placement import Room
+from .placer import Placer
 from .provisioning import LINE, Arrivals, remaining, slack
 from .renting import Provisioner
 from .statestore import (
     LEASE_S,
-    Change,
-    Compacted,
     Conflict,
     NoLease,
     StateStore,
@@ -42,16 +42,6 @@
 
 log = logging.getLogger("clayport.server")
 
-NODE_PREFIX, LIVE_PREFIX, CLASS_PREFIX = "c/node/", "c/live/", "c/class/"
-# What a controller understands, by its label; kept for good, since one that has been
-# upgraded never comes back old. The first versions ignore the keys and write none.
-VERSION_PREFIX = "c/version/"
-# 2: prereqs, times in records, sizes in the keys of chunks.
-FORMAT = 2
-# Ended jobs kept in memory so that polls for them need no read.
-ENDED_MOST = 20_000
-CLASSES_MOST = 100
-
 
 class Controller:
     """The state shared by the routines of one process, and membership itself."""
@@ -126,7 +116,9 @@
         self.owner = Owner(self.job_of, self._emit, 0.5 * c.workers.lease_s,
                            0.3 * c.workers.lease_s)
         self.fleet = Fleet(self)
+        self.mirror = Mirror(self)
         self.picture = Picture(self)
+        self.placer = Placer(self)
         self.dispatch = Dispatch(self)
         self.provisioner = Provisioner(self)
         self.api = Api(self)
@@ -291,273 +283,9 @@
         """Somebody acts under a newer generation than we know: look at once."""
         self.rescan = True
 
-    # -- versions ---------------------------------------------------------
-
-    def _count_versions(self) -> None:
-        """Whether every controller of the settings, present or not, understands FORMAT.
-
-        And whether the generation began after the last of them had said so: what their
-        predecessors have on its way fails under it. Once true, it stays.
-        """
-        found = [self.versions.get(label, (0, 0)) for label in self.settings.labels]
-        if self.upgraded or any(number < FORMAT for number, _ in found) \
-                or self.generation.rev <= max(rev for _, rev in found):
-            return
-        self.upgraded = True
-        self.bounds = self.settings.cluster.state.least()
-        self.store.set_rates(self.bounds.rps, self.bounds.write_rps)
-        self.api.lookups.most = 4 * self.bounds.txn_ops
-        log.info("event=upgraded format=%d value_kb=%g txn_ops=%d write_rps=%g", FORMAT,
-                 self.bounds.value_kb, self.bounds.txn_ops, self.bounds.write_rps)
-        for hj in self.dispatch.homes.values():
-            self.signal(hj.name)
-
-    # -- the mirror ------------------------------------------------------
-
-    async def follow(self) -> None:
-        """Mirror the generation, the controllers present and the live jobs."""
-        rev = 0
-        while True:
-            try:
-                if self.rescan:
-                    rev = await self._scan()
-                changes, rev = await self.store.watch("c/", rev, self.ttl_s)
-                for change in changes:
-                    self._apply(change)
-                if not self.upgraded:
-                    self._count_versions()
-                await self.flush()
-            except Compacted:
-                self.rescan = True
-            except (Unavailable, Unknown) as exc:
-                log.debug("event=watch-lost cause=%s", exc)
-                await curio.sleep(self.jitter(self.ttl_s / 8))
-            except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
-                log.error("event=malformed-state cause=%r", exc)
-                await curio.sleep(self.jitter(self.ttl_s / 8))
-
-    async def _scan(self) -> int:
-        woke = self.woke
-        entries, rev = await self.store.scan("c/")
-        self.confirmed = woke
-        self.rescan = woke != self.woke
-        keys = {e.key for e in entries}
-        for label in [n for n in self.nodes if NODE_PREFIX + n not in keys]:
-            del self.nodes[label]
-        for entry in entries:
-            self._put(entry.key, entry.value, entry.rev)
-        for job, (_, since) in list(self.live.items()):
-            if LIVE_PREFIX + job not in keys and since <= rev:
-                self._gone_live(job)
-        self.state_known = True
-        self._count_versions()
-        self.signal("members")
-        self.signal("prereqs")
-        await self.flush()
-        return rev
-
-    def _apply(self, change: Change) -> None:
-        if change.put is not None:
-            self._put(change.put, change.value, change.rev)
-        elif change.delete is not None:
-            if change.delete.startswith(NODE_PREFIX):
-                label = change.delete[len(NODE_PREFIX):]
-                self.nodes.pop(label, None)
-                if label == self.label:
-                    self.lease = None
-                    self.signal("lease")
-                self.signal("members")
-            elif change.delete.startswith(LIVE_PREFIX):
-                self._gone_live(change.delete[len(LIVE_PREFIX):])
-
-    def _put(self, key: str, value: Any, rev: int) -> None:
-        try:
-            if key == GENERATION_KEY:
-                if rev > self.generation.rev:
-                    self._begin(Generation.parse(value, rev))
-                self.signal("members")
-            elif key.startswith(NODE_PREFIX):
-                self.nodes[key[len(NODE_PREFIX):]] = str(value["inc"])
-                self.signal("members")
-            elif key.startswith(VERSION_PREFIX):
-                self.versions[key[len(VERSION_PREFIX):]] = (int(value["format"]), rev)
-            elif key.startswith(CLASS_PREFIX):
-                known = self.judged(msgspec.convert(value["j"], Job))
-                self.classes[known.job_class] = known
-            elif key.startswith(LIVE_PREFIX):
-                self.note_live(self.judged(msgspec.convert(value["j"], Job)), rev,
-                               self.since(value.get("t")))
-        except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
-            log.error("key=%s event=malformed-value cause=%r", key, exc)
-
-    def since(self, at: float | None) -> float:
-        """A time of day in a record as this process's clock has it; now where it says none.
-
-        As the nodes' times of day differ by up to the settings' bound, what may have been
-        now was now: a start that is due within two seconds must not be a second late by it.
-        """
-        now = time.monotonic()
-        if at is None:
-            return now
-        return now - max(0.0, time.time() - at - self.settings.cluster.clock_error_ms / 500)
-
-    def note_live(self, job: Job, rev: int, submitted: float) -> None:
-        """A job is accepted; its home sets to work."""
-        if job.id in self.live or job.id in self.ended:
-            return
-        changed = self.pipes.add(job, submitted)
-        self.live[job.id] = (self.pipes.view(job.id, self.finish_limits), rev)
-        self._review(changed)
-        if self.pipes.waiting(job.id):
-            self.signal("prereqs")
-        elif self.state_known:
-            self.arrivals.note(job, time.monotonic())
-        if job.gpus > 0 and job.job_class not in self.classes \
-                and len(self.classes) < CLASSES_MOST and job.job_class.isascii() \
-                and job.job_class.replace("-", "").replace("_", "").isalnum():
-            self.classes[job.job_class] = job
-            self.spawn(self._remember(job))
-        if self.serving and self.generation.place(job.id) == self.label \
-                and job.id not in self.dispatch.homes:
-            self._home(self.live[job.id][0], rev, {}, "")
-            self.signal("place")
-
-    def _review(self, changed: Iterable[str]) -> None:
-        """Jobs whose urgency has changed, by what needs them."""
-        for name in changed:
-            if name in self.live:
-                job = self.pipes.view(name, self.finish_limits)
-                self.live[name] = (job, self.live[name][1])
-                hj = self.dispatch.homes.get(name)
-                if hj is not None:
-                    hj.job = job
-                    self.signal("place")
-
-    def _ready(self, name: str) -> None:
-        """All jobs that this one needs are done, as their final records say."""
-        job = self.live[name][0]
-        if self.state_known:
-            self.arrivals.note(job, time.monotonic())
-        hj = self.dispatch.homes.get(name)
-        if hj is not None and not hj.ended:
-            hj.since = self.pipes.links[name].ready
-            hj.blocked = False
-            log.info("job=%s event=ready", name)
-            self.signal("place")
-
-    async def keep_prereqs(self) -> None:
-        """Look up jobs that others wait for and of which nothing is known here: ended
-        before this process began, or accepted a moment ago. And ask again, many in one
-        request, whether those that are taken to be live still are: a missed notice must
-        not delay what waits for it for long."""
-        again_at = 0.0
-        while True:
-            await self.wait("prereqs", self.jitter(
-                self.ttl_s / 4 if self.pipes.missing else 2 * self.ttl_s))
-            for name in list(self.pipes.missing):
-                if name in self.ended:
-                    self._end_of(name, self.ended[name], time.monotonic())
-                    continue
-                try:
-                    entry = await self.store.get(end_key(name))
-                except (Unavailable, Unknown):
-                    break
-                if entry is not None:
-                    self._note_end(name, entry.value)
-            await self.flush()
-            if time.monotonic() < again_at:
-                continue
-            again_at = time.monotonic() + 4 * self.ttl_s
-            for name in sorted(self._awaited()):
-                known = self.live.get(name)
-                try:
-                    if known is not None and not await self.api.lookups.unchanged(
-                            live_key(name), known[1]):
-                        self._gone_live(name)
-                except Unavailable:
-                    break
-
-    def _awaited(self) -> set[str]:
-        """Live jobs that jobs at home here wait for."""
-        return {need for name, hj in self.dispatch.homes.items() if hj.blocked
-                and name in self.pipes.links for need in self.pipes.links[name].needs}
-
-    async def _remember(self, job: Job) -> None:
-        key = CLASS_PREFIX + job.job_class
-        try:
-            await self.store.commit(Txn().require(key, 0).put(
-                key, {"j": msgspec.to_builtins(msgspec.structs.replace(job, prereqs=None))}))
-        except (Conflict, Unavailable, Unknown):
-            pass  # a hint only
-
-    def _gone_live(self, job: str) -> None:
-        if job in self.live and job not in self.ended:
-            self.spawn(self._learn(job))
-
-    async def _learn(self, job: str) -> None:
-        while job in self.live:
-            try:
-                entry = await self.store.get(end_key(job))
-            except (Unavailable, Unknown):
-                await curio.sleep(self.jitter(self.ttl_s / 6))
-                continue
-            if entry is not None:
-                self._note_end(job, entry.value)
-            return
-
-    def _note_end(self, job: str, record: Any) -> None:
-        """A final record was read."""
-        try:
-            self.note_end(job, *ended(record))
-        except (KeyError, TypeError, ValueError, AttributeError) as exc:
-            log.error("key=%s event=malformed-value cause=%r", end_key(job), exc)
-
-    def _end_of(self, job: str, status: str, at: float) -> None:
-        """What the end of a job means for those that need it, and for what it needed."""
-        ready, doomed, changed = self.pipes.end(job, status, at)
-        self._review(changed)
-        for name in ready:
-            self._ready(name)
-        for name in doomed:
-            hj = self.dispatch.homes.get(name)
-            if hj is not None:
-                self.signal(hj.name)
-
-    def note_end(self, job: str, status: str, at: float | None = None) -> None:
-        """A job is over, as committed (at that time of day)."""
-        self._end_of(job, status, self.since(at))
-        self.ended[job] = status
-        while len(self.ended) > ENDED_MOST:
-            self.ended.popitem(last=False)
-        self.owner.ended(job, status)
-        known = self.live.pop(job, None)
-        hj = self.dispatch.homes.get(job)
-        if known is not None:
-            self.descs[job] = known[0]
-            while len(self.descs) > ENDED_MOST // 10:
-                self.descs.pop(next(iter(self.descs)))
-        if hj is not None and not hj.ended:
-            hj.ended = status
-            hj.kill_at = 0.0
-            self.signal(hj.name)
-
-    def tell_end(self, job: str, status: str) -> None:
-        """Tell the peers too: a state outage may follow before their watch does."""
-        for peer in self.peers.values():
-            self.spawn(self._tell_end(peer, job, status))
-
-    async def _tell_end(self, peer: peers.Peer, job: str, status: str) -> None:
-        end = time.monotonic() + self.settings.cluster.workers.cancel_s
-        while time.monotonic() < end:
-            try:
-                await peer.call(peerwire.ENDED, (job, status))
-                return
-            except peers.PeerError:
-                await curio.sleep(self.jitter(self.ttl_s / 2))
-
     # -- generations -----------------------------------------------------
 
-    def _begin(self, generation: Generation) -> None:
+    def begin(self, generation: Generation) -> None:
         self.generation = generation
         self.serving = False
         log.info("generation=%d event=begin members=%s", generation.number,
@@ -566,7 +294,7 @@
             self.signal(hj.name)
         self.dispatch.homes = {}
         self.dispatch.quotas.clear()
-        self.dispatch.demands.clear()
+        self.placer.demands.clear()
         self.picture.begin()
         self.fleet.outboxes.clear()
         self.owner.begin(generation, self.label)
@@ -595,7 +323,7 @@
                     entry = await self.store.get(end_key(job))
                     if entry is None:
                         continue
-                    self.note_end(job, *ended(entry.value))
+                    self.mirror.note_end(job, *ended(entry.value))
                     if "j" in entry.value:
                         orphans[job] = (self.judged(msgspec.convert(entry.value["j"], Job)),
                                         entry.value["s"])
@@ -603,10 +331,10 @@
                     return
                 for job, (desc, rev) in self.live.items():
                     if generation.place(job) == self.label and job not in unreadable:
-                        self._home(desc, rev, found.get(job, {}), "")
+                        self.home(desc, rev, found.get(job, {}), "")
                 for job, (desc, status) in orphans.items():
                     self.descs[job] = desc
-                    self._home(desc, 0, found[job], status)
+                    self.home(desc, 0, found[job], status)
                 self.serving = True
                 log.info("generation=%d event=serving jobs=%d", generation.number,
                          len(self.dispatch.homes))
@@ -620,7 +348,7 @@
                 log.error("event=malformed-state cause=%r", exc)
             await curio.sleep(self.jitter(self.ttl_s / 8))
 
-    def _home(self, job: Job, rev: int, chunks: dict[tuple[int, int], Chunk],
+    def home(self, job: Job, rev: int, chunks: dict[tuple[int, int], Chunk],
               ended: str) -> None:
         hj = HomeJob(job, rev, chunk_size(self.settings.cluster.state.value_kb),
                      time.monotonic(), ended, self.generation.number,
@@ -691,7 +419,7 @@
             try:
                 label, number, ok, rev = await peer.call(peerwire.PING, (
                     self.label, self.generation.number, not self.state_lost(now),
-                    self.owner.room_rev, self.dispatch.demand() if self.serving else []))
+                    self.owner.room_rev, self.placer.demand() if self.serving else []))
                 if label == peer.label:
                     self._heard(peer, number, ok, rev)
             except peers.PeerError as exc:
@@ -747,15 +475,15 @@
             peer = self.peers.get(label)
             if peer is not None:
                 self._heard(peer, number, ok, rev)
-                before = self.dispatch.demands.get(label)
-                self.dispatch.demands[label] = demand
+                before = self.placer.demands.get(label)
+                self.placer.demands[label] = demand
                 if demand and not before:
                     self.signal("demand")
             return peerwire.PONG, (self.label, self.generation.number,
                                    not self.state_lost(now), self.owner.room_rev)
         if kind == peerwire.ENDED:
             if values[1] in ("done", "cancelled") and values[0] not in self.ended:
-                self.note_end(values[0], values[1])
+                self.mirror.note_end(values[0], values[1])
             return peerwire.ACK, (True,)
         if kind == peerwire.INSPECT:
             return peerwire.ACK, (await self.fleet.inspect(values[0], values[1]),)
@@ -806,7 +534,7 @@
         elif kind == peerwire.EVACUATE:
             return peerwire.ACK, (self.fleet.evacuate(values[1], values[2]),)
         elif kind == peerwire.MOVE:
-            return peerwire.ACK, (self.dispatch.movable(*values[1:]),)
+            return peerwire.ACK, (self.placer.movable(*values[1:]),)
         elif kind == peerwire.DRAIN:
             return peerwire.ACK, (self.owner.drain(values[1]),)
         elif kind == peerwire.FENCE:
@@ -885,9 +613,9 @@
 
     def duties(self) -> tuple[Callable[..., Coroutine[Any, Any, None]], ...]:
         """The long-lived routines besides the listeners and those for each controller."""
-        return (self.keep_awake, self.follow, self.keep_lease, self.keep_members,
-                self.keep_prereqs, self.keep_catalogue, self.picture.refresh,
-                self.dispatch.place_all, self.fleet.watch_silence, self.provisioner.run)
+        return (self.keep_awake, self.mirror.follow, self.keep_lease, self.keep_members,
+                self.mirror.keep_prereqs, self.keep_catalogue, self.picture.refresh,
+                self.placer.place_all, self.fleet.watch_silence, self.provisioner.run)
 
     async def run(self) -> None:
         """All routines until one fails; the rest is cancelled in order then."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -12,10 +12,10 @@
 import pytest
 
 from clayport.config import parse
-from clayport.dispatch import DEMAND_MOST
 from clayport.jobs import HomeJob
 from clayport.membership import Generation
 from clayport.model import Job, MachineType, Piece, Report
+from clayport.placer import DEMAND_MOST
 from clayport.server import Controller
 from clayport.workers import Owner
 
@@ -56,7 +56,7 @@
 
     def look(self) -> None:
         """One pass of the placer and what it asks of the owner; nothing is started."""
-        self.c.dispatch._pass(self.now)
+        self.c.placer._pass(self.now)
         coros, self.c.coros = self.c.coros, []
 
         async def run() -> None:
@@ -90,7 +90,7 @@
                                                  fields: dict[str, Any], age: float,
                                                  grace: float) -> None:
     job = msgspec.convert(wire_job(1, **fields), Job)
-    assert min(10.0, Home(monkeypatch).c.dispatch._grace(job, age)) == grace
+    assert min(10.0, Home(monkeypatch).c.placer._grace(job, age)) == grace
 
 
 @pytest.mark.parametrize("fields, age, patient", [
@@ -152,7 +152,7 @@
 
     async def claim(job: Job, machines: list[str]) -> None:
         claims.append(job.id)
-    monkeypatch.setattr(home.c.dispatch, "_claim", claim)
+    monkeypatch.setattr(home.c.placer, "_claim", claim)
     home.c.live[SMALL.id] = (SMALL, 1)
     home.report("m1", "north", "accel", "j-000001/0")
     gang = msgspec.convert(wire_job(7, pieces=1, cards=1.0, owner="tight", shape="ensemble",
@@ -174,9 +174,9 @@
             each.take(SMALL)
     if not busy:
         rooms = rooms[2:]  # only the one of the other zone, which is not enough
-    from clayport.dispatch import Dispatch
     from clayport.placement import Spread
-    assert Dispatch._claimable(PAIR, rooms, Spread(PAIR, ())) == claimed
+    from clayport.placer import Placer
+    assert Placer._claimable(PAIR, rooms, Spread(PAIR, ())) == claimed
 
 
 def test_what_missed_its_start_comes_after_what_can_make_it(monkeypatch: pytest.MonkeyPatch
@@ -185,9 +185,9 @@
     home.c.wait_limits["batch"] = 30.0
     late, early = home.wait(PAIR), home.wait(SMALL)
     late.since -= 40.0
-    assert home.c.dispatch._order(early, home.now) < home.c.dispatch._order(late, home.now)
+    assert home.c.placer._order(early, home.now) < home.c.placer._order(late, home.now)
     late.since += 20.0
-    assert home.c.dispatch._order(late, home.now) < home.c.dispatch._order(early, home.now)
+    assert home.c.placer._order(late, home.now) < home.c.placer._order(early, home.now)
 
 
 def test_demand_beyond_its_bound_is_told_by_urgency(monkeypatch: pytest.MonkeyPatch,
@@ -197,10 +197,10 @@
     for number in range(DEMAND_MOST + 50):
         rank = "production" if number >= DEMAND_MOST else "normal"
         home.wait(msgspec.convert(wire_job(number, rank=rank), Job))
-    told = {row[0] for row in home.c.dispatch.demand()}
+    told = {row[0] for row in home.c.placer.demand()}
     assert len(told) == DEMAND_MOST
     assert {f"j-{n:06d}" for n in range(DEMAND_MOST, DEMAND_MOST + 50)} <= told
-    home.c.dispatch.demand()
+    home.c.placer.demand()
     assert sum("event=demand-bounded" in r.getMessage() for r in caplog.records) == 1
 
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -80,7 +80,7 @@
         home.report(name, "north", "plain")
     hj = home.wait(made(1, pieces=16))
     hj.errors = {"m1": 2, "m2": 1, "m3": 1}
-    assert home.c.dispatch.demand() == []
+    assert home.c.placer.demand() == []
     home.look()
     assert len(hj.starts) == 1 and hj.starts[0][1] != "m3"
 
@@ -141,7 +141,7 @@
     guest = home.wait(made(1, jobclass="unnamed", rank="best_effort", pieces=32))
     late = home.wait(made(2, rank="best_effort", pieces=4))
     late.since -= 500.0
-    assert home.c.dispatch._order(late, home.now) < home.c.dispatch._order(guest, home.now)
+    assert home.c.placer._order(late, home.now) < home.c.placer._order(guest, home.now)
     home.look()
     assert len(late.starts) == 4 and len(guest.starts) == 8  # a quarter of 64 CPUs
     used = {m for _, m in late.starts}
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -253,7 +253,7 @@
         c = controller(world)
         await world.submit(job(1, pieces=1), 5.0)
         await world.submit(job(2, prereqs=[name(1)], pieces=1), 5.0)
-        monkeypatch.setattr(c, "_apply", lambda change: None)  # the watch tells nothing more
+        monkeypatch.setattr(c.mirror, "_apply", lambda change: None)  # the watch tells nothing more
         await curio.sleep(1.0)
         c.dispatch.homes[name(1)].ended = "done"  # another home would have done it
         world.state.commit({"when": [], "writes": [
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -250,7 +250,7 @@
     silent to their new owners, who would have them returned."""
     from clayport.membership import Generation
     handler, c = api()
-    c._begin(Generation(3, {"c0": c.incarnation}, 7))
+    c.begin(Generation(3, {"c0": c.incarnation}, 7))
     c.serving, c.state_known = True, True
     report = {"host": "m1", "address": "m1:1", "flavor": "plain", "site": "north",
               "loaners": False, "tenure": 1, "counter": 1, "epoch": 0, "reclaim_in_s": None,
--- a/tests/world.py
+++ b/tests/world.py
@@ -626,7 +626,7 @@
         for peer in c.peers.values():
             self._link(label, peer)
         if label in self.old:
-            c._count_versions = lambda: None  # type: ignore[method-assign]
+            c.mirror.count_versions = lambda: None  # type: ignore[method-assign]
         self.controllers[label] = c
         self.routines[label] = await curio.spawn(self._run(c), daemon=True)
 
