--- a/clayport/api.py
+++ b/clayport/api.py
@@ -129,6 +129,9 @@
             job = core.judged(msgspec.json.decode(body, type=Job))
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
             return 400, {"error": str(exc)}
+        if not core.awake(time.monotonic()):
+            # It may have waited since before we stood still, and its user have left.
+            raise Unavailable("just awake")
         submitted = time.time()
         value = live_value(job, submitted)
         if len(msgspec.json.encode(value)) > core.settings.cluster.state.least().value_kb * 1024 \
--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -55,12 +55,14 @@
     @property
     def start_chunks(self) -> int:
         """Chunks that a transaction of starts may change, beside the quota."""
-        return max(1, self.core.bounds.txn_ops - 4)
+        ops = self.core.bounds.txn_ops
+        return max(ops - 4, min(3, ops - 1))
 
     @property
     def outcome_chunks(self) -> int:
         """The same for outcomes: also the quota, the live and the final record."""
-        return max(1, self.core.bounds.txn_ops - 4)
+        ops = self.core.bounds.txn_ops
+        return max(ops - 4, min(2, ops - 3))
 
     # -- one job ---------------------------------------------------------
 
--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -115,7 +115,8 @@
             if shape in full and not hj.errors:
                 starved = starved or not job.filler
                 continue
-            wanted = min(hj.pending, hj.size * max(1, core.bounds.txn_ops // 4))
+            wanted = min(hj.pending, hj.size * max(core.bounds.txn_ops // 4, min(
+                3, core.dispatch.start_chunks)))
             wanted = self._within_limit(job, wanted)
             if hj.at_fault and job.kind != GANG:
                 wanted = min(wanted, 1)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -213,6 +213,18 @@
         assert c.awake(home.now)
 
 
+def test_what_waited_while_we_stood_still_is_not_taken(monkeypatch: pytest.MonkeyPatch) -> None:
+    home = Home(monkeypatch)
+    home.c.ended["j-000001"] = "done"  # so that nothing has to be asked
+    body = msgspec.json.encode(wire_job(1))
+    found = []
+    for still_s in (0.0, 8.0, 0.0):
+        home.now += still_s
+        found.append(curio.run(home.c.api.handle, "POST", "/api/jobs", body)[0])
+        home.c.confirmed = home.c.woke
+    assert found == [200, 503, 200]
+
+
 @pytest.mark.parametrize("age, waiting, wanted", [
     (5.0, 25000, None),     # hardly begun: nothing to judge it by
     (100.0, 10000, None),   # 150 a second: done in time
