Machines whose exited tasks nobody cleared are closed, and hold up no others

Four idle machines are asked about in a round, always the same; a task that has exited, whose clear was lost, keeps its machine from being closed until the next generation.

--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -52,6 +52,8 @@
         self.took = Boots(20 * core.settings.cluster.workers.lease_s)
         self.returned: dict[str, float] = {}
         self.refused: dict[Kind, float] = {}
+        # Machines that their owners did not close, and until when they are not asked again.
+        self.held: dict[str, float] = {}
         self.emptied: dict[str, float] = {}  # when a machine was last to be emptied
         self.listed: dict[str, Listed] = {}
         self.sequence = 0
@@ -285,10 +287,11 @@
         needs = demand + spare
         # Cheap room that replicas on dear machines can still move to is kept.
         keep = sum(n.job.cpus * n.tasks for n in self._on_dear(rooms, policy))
+        self.held = {n: until for n, until in self.held.items() if now < until}
         hurried = [n for n in demand if not core.patient(n.job, n.age_s)]
         idle = [r for r in rooms if r.idle and r.type in types
                 and (r.tasks == 0 or r.open and not r.spot)
-                and r.machine not in self.returned
+                and r.machine not in self.returned and r.machine not in self.held
                 and (not r.open or now - r.idle_since > 0.5 * types[r.type].boot_s)]
         # Closed ones first: nothing will ever start there again.
         idle.sort(key=lambda r: (r.open, r.spot, -types[r.type].price))
@@ -304,6 +307,9 @@
                 continue
             if await core.ask_owner(peerwire.DRAIN, room.machine):
                 names.append(room.machine)
+            else:
+                # Four that are never closed would keep all others rented.
+                self.held[room.machine] = now + core.settings.cluster.workers.lease_s / 2
         if names:
             log.info("event=returned machines=%s cause=idle", names)
             await self._return(names, now)
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -468,6 +468,11 @@
             self.touch(name)
             return False
         if m.want or any(s[0] != "exited" for s in m.listed.values()):
+            # What has exited is told again: where the home's answer was lost, with nothing
+            # else to remind it, the machine was never given back.
+            for key in m.want:
+                if m.listed.get(key, ("",))[0] == "exited":
+                    m.told.pop(key, None)
             return False
         m.draining = True
         self.touch(name)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -391,3 +391,34 @@
     while more := hj.take(500, limit):
         found.update(more)
     assert found == set(everything)  # nothing is lost on the way
+
+
+def test_machines_that_are_not_closed_keep_no_others(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Only four idle ones are asked about in a round; the same four were, for minutes."""
+    home = Home(monkeypatch)
+    c, returned = home.c, []
+    job = made(1)
+    c.live[job.id] = (job, 1)
+    for number in range(6):
+        home.report(f"m{number}", "north", "plain")
+        if number < 4:
+            c.owner.reserve(job, [(f"m{number}", number)], 1, home.now)
+            c.owner.launch([(f"m{number}", f"j-000001/{number}", 1)])
+            home.report(f"m{number}", "north", "plain")
+            c.owner.machines[f"m{number}"].listed[(f"j-000001/{number}", 1)] = (
+                "exited", "done", False)
+
+    async def give_back(names: list[str]) -> None:
+        returned.extend(names)
+    monkeypatch.setattr(c.cloud, "give_back", give_back)
+    home.now += 1000.0
+    types = {t.name: t for t in c.types}
+
+    async def rounds() -> None:
+        for _ in range(3):
+            home.now += 1.0
+            c.owner.touch_all()
+            await c.provisioner._return_idle(list(c.picture.rooms().values()), types, [], [],
+                                             OPEN, home.now)
+    curio.run(rounds)
+    assert sorted(returned) == ["m4", "m5"]
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -272,3 +272,21 @@
     after = {k: rendezvous(k, ["a", "b"]) for k in keys}
     assert all(after[k] == before[k] for k in keys if before[k] != "c")
     assert all(60 < sum(v == m for v in before.values()) < 140 for m in "abc")
+
+
+def test_an_exited_task_that_nobody_cleared_is_told_again() -> None:
+    """Its home's answer was lost; the machine was kept rented until the next generation."""
+    b = Bench()
+    b.report()
+    b.launch()
+    b.owner.answered(b.machine, *b.owner.orders(b.machine))
+    done = (KEY, "exited", "done")
+    b.report(done)
+    told = len(b.events)
+    b.report(done)
+    assert len(b.events) == told and not b.owner.drain("m1")
+    b.report(done)
+    assert [e[1:5] for e in b.events[told:]] == [(*KEY, "exited", "done")]
+    b.owner.stop([("m1", *KEY, 0.0, True)])
+    b.report()
+    assert b.owner.drain("m1")
