--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -287,14 +287,15 @@
     def _stops(self, job: Job, age_s: float, patient: bool) -> int:
         """The highest rank that may be stopped for the job; -1: none.
 
-        What has its rank from a job that needs it stops what its own would, until it has
-        no time left for room to become free: of the tasks on a saturated fleet a tenth
-        were stopped for pipelines that had a minute to spare.
+        What has its rank from a job that needs it stops what its own would, and the lowest
+        rank, until it has no time left for room to become free: of the tasks on a saturated
+        fleet a tenth were stopped for pipelines that had a minute to spare. (Not even the
+        lowest was tried: they then took all free room, and made other work late.)
         """
         own = self.core.pipes.own_rank(job)
         limit = self.core.wait_limits.get(job.job_class)
         if own < job.rank and patient and (limit is None or age_s < limit / 2):
-            return own - 1
+            return max(own - 1, RANKS["best_effort"])
         return job.rank - 1
 
     def _grace(self, job: Job, age_s: float) -> float:
