--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -24,6 +24,7 @@
     live_value,
     parse_chunk_key,
 )
+from clayport.membership import Generation
 from clayport.model import Chunk, Job, chunk_size
 from clayport.pipelines import Pipelines
 from clayport.server import Controller
@@ -420,6 +421,24 @@
     assert not hj.narrow(narrow)
 
 
+def test_attempts_are_never_used_again_after_a_move() -> None:
+    """A worker that still lists an old attempt takes no notice of a launch of the same."""
+    store = Store()
+    empty = Chunk()
+    empty.last_attempt = 9
+    store.keys["run/j-000001/00000"] = (empty.value(), 10)
+    hj = store.home(500, 32.0)
+    moved: set[int] = set()
+    assert hj.narrow(32)
+    while hj.wide:
+        txn, chunks, gone = hj.move_txn(1, 5, moved)
+        hj.committed(chunks, store.commit(txn, 5, 2.0))
+        moved.update(chunks)
+        for key in gone:
+            del hj.wide[key]
+    assert store.home(500, 32.0).attempt == 9
+
+
 def test_what_fits_anyway_is_not_moved() -> None:
     hj = HomeJob(made(1, pieces=30), 1, chunk_size(32.0), 0.0)
     hj.load_all({(0, 0): Chunk()})
@@ -471,3 +490,24 @@
     assert job.rank == 2 and c.placer._stops(job, age, c.patient(job, age)) == stops
     last = c.pipes.view(name(2), {})
     assert c.placer._stops(last, 0.0, True) == 1
+
+
+@pytest.mark.parametrize("said, rev, upgraded", [
+    ({"c0": (2, 5), "c1": (2, 7)}, 8, True),
+    ({"c0": (2, 5), "c1": (2, 7)}, 7, False),  # may hold what the last one's
+    ({"c0": (2, 5), "c1": (2, 7)}, 6, False),  # predecessor has on its way
+    ({"c0": (2, 5)}, 9, False),                # silent, and perhaps old
+    ({"c0": (2, 5), "c1": (1, 6)}, 9, False),
+    ({"c0": (3, 5), "c1": (2, 7), "gone": (1, 8)}, 9, True),
+])
+def test_when_all_are_new(monkeypatch: pytest.MonkeyPatch, said: dict[str, tuple[int, int]],
+                          rev: int, upgraded: bool) -> None:
+    """Every controller of the settings, and a generation that began after they had said so."""
+    c = Home(monkeypatch).c
+    assert set(c.settings.labels) == {"c0", "c1"}
+    c.versions, c.generation = said, Generation(9, {"c0": "x"}, rev)
+    c.mirror.count_versions()
+    assert c.upgraded == upgraded
+    c.versions = {}
+    c.mirror.count_versions()
+    assert c.upgraded == upgraded  # once true, it stays
