--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, run by hand; nothing here is timed in CI."""
--- /dev/null
+++ b/bench/passes.py
@@ -0,0 +1,107 @@
+"""A placer's pass over many waiting jobs on a busy fleet, and the passes that follow reports.
+
+    python -m bench.passes [--jobs 10000] [--machines 639] [--passes 20]
+
+One controller without any network: it is home to all jobs and owner of no machine; the
+picture is filled as a peer's table would. The first pass looks at everything; before each
+of the others `REPORTS` machines are shown anew. It runs on earlier sources as well (with
+their own way to fill the picture), so that both are timed by the same lines.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import statistics
+import time
+
+from clayport.config import parse
+from clayport.jobs import HomeJob
+from clayport.membership import Generation
+from clayport.server import Controller
+
+from . import fleets
+
+REPORTS = 5
+
+
+def controller() -> Controller:
+    """One with the settings of a fleet, alone in its generation."""
+    cluster = {
+        "size": 1, "zones": ["a", "b"], "teams": [{"name": "team"}],
+        "objectives": [{"kind": "finished", "class": "sweep-normal", "within_s": 120.0,
+                        "share": 0.9},
+                       {"kind": "finished", "class": "sweep-best_effort", "within_s": 250.0,
+                        "share": 0.9}],
+        "workers": {"report_s": 2.5, "lease_s": 15.0, "gang_wait_s": 50.0, "gang_peer_s": 4.0,
+                    "cancel_s": 45.0},
+        "state": {"rps": 700.0, "write_rps": 300.0, "value_kb": 32.0, "txn_ops": 32},
+        "cloud": {"rps": 3.5, "list_lag_s": 3.0},
+        "machine_limits": {"core_share": 1.0, "mem_mb": 400.0, "max_sockets": 1000},
+        "clock_error_ms": 25.0}
+    core = Controller(parse(json.dumps({
+        "label": "host-0", "location": "a", "bind": "127.0.0.1:1", "peer_bind": "127.0.0.1:2",
+        "members": [], "services": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+        "cluster": cluster}).encode()))
+    core.types = fleets.TYPES
+    core.owner.types = {t.name: t for t in fleets.TYPES}
+    core.generation = Generation(1, {"host-0": "x"}, 1)
+    core.owner.begin(core.generation, "host-0")
+    return core
+
+
+def show(core: Controller, room: fleets.Room) -> None:
+    """As a refresh would."""
+    if hasattr(core, "index"):
+        core.index.add(room)
+    else:
+        core.rooms[room.machine] = room
+
+
+def one_pass(core: Controller) -> float:
+    """Seconds that it took; what it placed is dropped, so that all go on waiting."""
+    start = time.perf_counter()
+    core.placer._pass(time.monotonic())
+    took = time.perf_counter() - start
+    for hj in core.dispatch.homes.values():
+        hj.starts.clear()
+        hj.placing.clear()
+        hj.again.clear()
+        hj.cursor = 0
+    core.picture.inflight.clear()
+    for coro in core.coros:
+        coro.close()
+    core.coros.clear()
+    core.raised.clear()
+    return took
+
+
+def main() -> None:
+    args = argparse.ArgumentParser(description="Time a placer's passes.")
+    args.add_argument("--jobs", type=int, default=10_000)
+    args.add_argument("--machines", type=int, default=639)
+    args.add_argument("--passes", type=int, default=20)
+    chosen = args.parse_args()
+    rng = random.Random(1)
+    core = controller()
+    there = fleets.rooms(chosen.machines, rng)
+    for room in there:
+        show(core, room)
+    for job in fleets.jobs(chosen.jobs, rng):
+        job = core.judged(job)
+        core.live[job.id] = (job, 1)
+        core.dispatch.homes[job.id] = HomeJob(job, 1, 500, time.monotonic())
+    first = one_pass(core)
+    later = []
+    for _ in range(chosen.passes):
+        for room in rng.sample(there, REPORTS):
+            show(core, room)
+        later.append(one_pass(core))
+    print(f"{chosen.jobs} jobs, {chosen.machines} machines: first pass {first * 1e3:.1f} ms, "
+          f"later ones {statistics.median(later) * 1e3:.1f} ms "
+          f"({min(later) * 1e3:.1f} to {max(later) * 1e3:.1f})")
+
+
+if __name__ == "__main__":
+    main()
--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -242,7 +242,7 @@
             # Not tried again before the picture of it is renewed.
             room = core.rooms.get(machine)
             if room is not None and room.owner != core.label:
-                room.open = False
+                room.close()
         if declined:
             core.signal("starved")
             self.core.picture.starved = True
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -6,12 +6,13 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Container, Iterable
+from collections.abc import Collection, Container, Iterable
 from typing import Any
 
 import msgspec
 
 from .model import ARRAY, ASSIGNED_BYTES, GANG, SERVICE, TXN_BYTES, Chunk, Job
+from .placement import shape
 from .statestore import Txn
 from .workers import GONE
 
@@ -92,6 +93,7 @@
         self.left: set[str] = set()  # machines that a gang's present attempt has lost
         self.closed = False
         self.look_at = now
+        self._group: tuple[Job, tuple[Any, ...]] | None = None
         self.silent: set[tuple[int, int]] = set()
 
     def load(self, chunks: dict[int, Chunk]) -> None:
@@ -194,6 +196,15 @@
     def key(self, index: int) -> str:
         return chunk_key(self.job.id, index, self.layout)
 
+    @property
+    def group(self) -> tuple[Any, ...]:
+        """Equal for jobs that can use the same room: what one found no room for, none does."""
+        if self._group is None or self._group[0] is not self.job:
+            job = self.job
+            self._group = (job, (*shape(job), job.one_zone, job.spread,
+                                 job.tasks if job.kind == GANG else 0))
+        return self._group[1]
+
     def recount(self) -> None:
         self.done = sum(len(c.done) for c in self.chunks.values())
         self.proven = self.proven or self.done > 0
@@ -336,7 +347,7 @@
             return JOB_AT_FAULT
         return MACHINE_AT_FAULT if self.proven or self.running > sum(self.errors.values()) else OK
 
-    def avoided(self) -> Container[str]:
+    def avoided(self) -> Collection[str]:
         """Machines that the job keeps off: where it failed, or, when that was its own fault,
         where it failed last."""
         return set(list(self.errors)[-1:]) if self.at_fault else self.errors
--- /dev/null
+++ b/clayport/limits/__init__.py
@@ -0,0 +1,15 @@
+"""Limits on what a client asks: when to ask again, how much at once, and what not to take on.
+
+Every client (state service, cloud, peers, workers) goes by the same decisions, and the
+controller's own door goes by the same backlog. `retry`, `inflight` and `door` are pure:
+they get the time and answer with seconds. `gate` makes routines wait. Nothing here knows
+what is asked of whom. No rule of safety rests on any of it: what it decides is when, never
+whether something has happened.
+"""
+
+from .door import Door
+from .gate import Gate
+from .inflight import Inflight
+from .retry import Attempt, Budget, Deadline, Retries
+
+__all__ = ["Attempt", "Budget", "Deadline", "Door", "Gate", "Inflight", "Retries"]
--- /dev/null
+++ b/clayport/limits/gate.py
@@ -0,0 +1,79 @@
+"""Routines that wait for their turn at a bounded server."""
+
+from __future__ import annotations
+
+import heapq
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import curio
+
+from .inflight import Inflight
+from .retry import Deadline
+
+
+class Closed(Exception):
+    """The turn would not come in time: nothing was sent."""
+
+
+class Passage:
+    """What a request says of how it went, before it leaves the gate."""
+
+    __slots__ = ("served", "began")
+
+    def __init__(self, began: float) -> None:
+        self.began = began
+        self.served = False
+
+
+class Gate:
+    """At most as many requests at a time as `inflight` allows; the rest wait in line, those
+    with the larger `ahead` first. What is in line longer than it can wait leaves it."""
+
+    def __init__(self, inflight: Inflight, longest_s: float) -> None:
+        self.inflight, self.longest_s = inflight, longest_s
+        self.line: list[tuple[float, int, curio.Event]] = []
+        self.number = 0
+
+    @asynccontextmanager
+    async def passing(self, ahead: float = 0.0, deadline: Deadline | None = None
+                      ) -> AsyncIterator[Passage]:
+        """Closed if no turn comes; `served` is to be set once an answer has come."""
+        if self.inflight.full:
+            await self._wait(ahead, deadline or Deadline())
+        else:
+            self.inflight.enter()
+        passage = Passage(time.monotonic())
+        try:
+            yield passage
+        finally:
+            now = time.monotonic()
+            self.inflight.leave(now, now - passage.began, passage.served)
+            await self._admit()
+
+    async def _wait(self, ahead: float, deadline: Deadline) -> None:
+        event = curio.Event()
+        self.number += 1
+        entry = (-ahead, self.number, event)
+        heapq.heappush(self.line, entry)
+        limit = deadline.left(time.monotonic(), self.longest_s)
+        try:
+            await curio.timeout_after(limit, event.wait)
+        except BaseException as exc:
+            if event.is_set():
+                # Let in just as it left: its place goes to the next.
+                self.inflight.flying -= 1
+                await self._admit()
+            elif entry in self.line:
+                self.line.remove(entry)
+                heapq.heapify(self.line)
+            if isinstance(exc, curio.TaskTimeout):
+                raise Closed(f"no turn in {limit:.1f} s") from None
+            raise
+
+    async def _admit(self) -> None:
+        while self.line and not self.inflight.full:
+            _, _, event = heapq.heappop(self.line)
+            self.inflight.enter()
+            await event.set()
--- a/clayport/mirror.py
+++ b/clayport/mirror.py
@@ -161,6 +161,7 @@
             return
         changed = core.pipes.add(job, submitted)
         core.live[job.id] = (core.pipes.view(job.id, core.finish_limits), rev)
+        core.placer.learn(core.live[job.id][0])
         self._review(changed)
         if core.pipes.waiting(job.id):
             core.signal("prereqs")
--- a/clayport/picture.py
+++ b/clayport/picture.py
@@ -5,12 +5,13 @@
 import logging
 import math
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING, Any
 
 import curio
 
 from . import peerwire
+from .index import Index
 from .model import Job
 from .peers import PeerError
 from .placement import Room
@@ -45,7 +46,12 @@
         self.own_rev = -1
         self.stale.clear()
 
-    def rooms(self) -> dict[str, Room]:
+    def index(self) -> Index:
+        """The snapshot, indexed, as it is now."""
+        self.rooms()
+        return self.core.index
+
+    def rooms(self) -> Mapping[str, Room]:
         """The snapshot; our own machines in it are always as their reports say."""
         core, owner = self.core, self.core.owner
         ours = [n for n in self.stale if n in owner.machines]
@@ -73,10 +79,10 @@
             removed = [n for n, r in core.rooms.items() if r.owner == owner]
         for name in removed:
             if name in core.rooms and core.rooms[name].owner == owner:
-                del core.rooms[name]
+                core.index.remove(name)
         shown = set()
         for room in rooms:
-            core.rooms[room.machine] = room
+            core.index.add(room)
             core.zones[room.machine] = room.zone  # never changes
             shown.add(room.machine)
         # What was placed and isn't reserved yet stays subtracted.
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -4,13 +4,12 @@
 
 import copy
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Container, Iterable
 from typing import Any
-from zlib import crc32
 
-from .model import RANKS, SERVICE, Job, MachineType, fits
+from .index import EPSILON, Index, Pool, Row
+from .model import GANG, RANKS, SERVICE, Job, MachineType, fits
 
-EPSILON = 1e-6
 # How much above the cheapest type's price a type is dear: beyond what types of
 # different size differ by, well below what GPUs add.
 DEAR = 3.0
@@ -20,7 +19,8 @@
     """A machine as the snapshot shows it; placements subtract at once."""
 
     __slots__ = ("machine", "address", "type", "zone", "spot", "open", "cpus", "gpus",
-                 "memory_gb", "tasks", "fillers", "images", "idle_since", "owner", "used", "hold")
+                 "memory_gb", "tasks", "fillers", "images", "idle_since", "owner", "used", "hold",
+                 "index", "herd", "row")
 
     def __init__(self, machine: str, address: str, type: str, zone: str, spot: bool, open: bool,
                  cpus: float, gpus: float, memory_gb: float, tasks: int, images: Iterable[str],
@@ -34,6 +34,9 @@
         # Tasks without any aim: they alone leave it idle.
         self.fillers = 0 if idle_since == math.inf else tasks
         self.hold = ""  # the job that room made by preemption is kept for
+        self.index: Index | None = None  # that is to know of changes
+        self.herd = 0.0  # a hash: where equal machines come among each other
+        self.row: Row | None = None  # where it stands on shelves, while that is known
         # What is taken, by (standing, whether without GPUs): cpus, gpus, memory.
         self.used = {(rank, plain): [c, g, m] for rank, plain, c, g, m in used}
 
@@ -41,8 +44,21 @@
         """For what-if questions, which charge the rooms they ask about."""
         other = copy.copy(self)
         other.used = {k: list(v) for k, v in self.used.items()}
+        other.index = None
         return other
 
+    def restore(self, other: Room) -> None:
+        """Be again what the copy is."""
+        self.open, self.cpus, self.gpus = other.open, other.cpus, other.gpus
+        self.memory_gb, self.tasks, self.fillers = other.memory_gb, other.tasks, other.fillers
+        self.used = {k: list(v) for k, v in other.used.items()}
+
+    def close(self) -> None:
+        """Take nothing more until the room is renewed."""
+        if self.index is not None:
+            self.index.touch(self)
+        self.open = False
+
     def allows(self, job: Job) -> bool:
         """The job's own conditions: type, zone and kind."""
         return (job.types is None or self.type in job.types) and (job.spot or not self.spot) \
@@ -53,16 +69,21 @@
             and self.gpus + EPSILON >= job.gpus and self.memory_gb + EPSILON >= job.memory_gb
 
     def take(self, job: Job, count: int = 1) -> None:
-        self.cpus -= job.cpus * count
-        self.gpus -= job.gpus * count
-        self.memory_gb -= job.memory_gb * count
+        """Subtract `count` tasks of the job (negative: give them back)."""
+        if self.index is not None:
+            self.index.touch(self)
+        cpus, gpus, memory_gb = job.cpus * count, job.gpus * count, job.memory_gb * count
+        self.cpus -= cpus
+        self.gpus -= gpus
+        self.memory_gb -= memory_gb
         self.tasks += count
-        if job.standing < 0:
+        standing = job.standing
+        if standing < 0:
             self.fillers += count
-        taken = self.used.setdefault((job.standing, job.gpus == 0), [0.0, 0.0, 0.0])
-        taken[0] += job.cpus * count
-        taken[1] += job.gpus * count
-        taken[2] += job.memory_gb * count
+        taken = self.used.setdefault((standing, job.gpus == 0), [0.0, 0.0, 0.0])
+        taken[0] += cpus
+        taken[1] += gpus
+        taken[2] += memory_gb
 
     def leaves(self, job: Job, guest: Job) -> bool:
         """Whether a task of `job` leaves room for `guest`, once other guests are done
@@ -105,7 +126,6 @@
                     0.0, job.memory_gb - self.memory_gb)
         return None
 
-
     def preemptable(self, job: Job, most: int) -> int:
         """How many tasks of the job fit once work of ranks up to `most` is stopped."""
         room = self.copy()
@@ -151,53 +171,76 @@
         return True
 
 
-def _preference(job: Job, room: Room, salt: str, dear: bool, fragile: bool) -> tuple[float, ...]:
-    """Lower is better: image cached, then the cheaper kind where it may be used,
-    then the machine left fullest (so that others become idle and can go back).
+def shape(job: Job) -> tuple[Any, ...]:
+    """What tells whether room that does for one job does for another."""
+    return (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone, job.spot,
+            job.kind, job.rank, job.filler)
 
-    What is `fragile` would be late if its machine were taken back: it keeps off spot
-    machines while others have room, and leaves them to work that saves its progress.
 
-    The salt differs by controller, so that equal machines are taken in another
-    order by each of them and equal snapshots don't herd onto one machine.
-    """
-    left = room.cpus - job.cpus + room.gpus - job.gpus
-    herd = crc32(f"{salt}{room.machine}".encode()) / 2**32
-    # Replicas stay: machines that have some take more, so that others empty.
-    return (float(dear), float(job.gpus == 0 and room.gpus > 0), float(fragile and room.spot),
-            0.0 if job.image in room.images else 1.0,
-            0.0 if room.spot else 1.0,
-            -room.lasting, left, herd)
-
-
-def place(job: Job, wanted: int, rooms: Iterable[Room], spread: Spread, salt: str,
-          policy: Policy | None = None, patient: bool = False,
-          fragile: bool = False) -> list[Room]:
-    """Machines for up to `wanted` tasks; the rooms and the spread are charged.
-
-    A gang gets all or none. `patient` work has time to wait for a machine that
-    isn't dear; `fragile` work has none to be done again.
+def anywhere(type: str) -> bool:
+    """A type's machines will do without the image."""
+    return True
+
+
+def place(job: Job, wanted: int, index: Index, spread: Spread, policy: Policy | None = None,
+          patient: bool = False, fragile: bool = False, without: Container[str] = (),
+          lodger: bool = False, uncached: Callable[[str], bool] = anywhere) -> list[Room]:
+    """Machines for up to `wanted` tasks, one entry a task; rooms and spread are charged.
+
+    In order: machines that aren't dear; without free GPUs, for work that needs none; image
+    cached; the cheaper kind where it may be used; with replicas, since these stay, so that
+    others empty; then the fullest, so that others become idle and can go back.
+
+    A gang gets all or none. `patient` work has time to wait for a machine that isn't dear.
+    What is `fragile` would be late if its machine were taken back: it keeps off spot
+    machines while others have room, and leaves them to work that saves its progress. A
+    `lodger` keeps off ordinary machines that it alone would keep rented. `uncached` tells
+    of a type whether its machines will do without the image.
     """
     policy = policy or OPEN
-    candidates = [r for r in rooms if r.allows(job) and r.fits(job)
-                  and not (patient and policy.dear(job, r))]
-    if job.one_zone and not spread.counts and not spread.unknown and len(candidates) > 1:
-        candidates = _best_zone(job, wanted, candidates)
+    if wanted <= 0:
+        return []
+    # The same question finds nothing again until a room that changes fits.
+    plain = not (without or job.one_zone or job.spread or job.id in index.held
+                 or uncached is not anywhere)
+    asked = (shape(job), wanted if job.kind == GANG else 0, patient, lodger)
+    nowhere = index.cleared(policy)
+    since = nowhere.get(asked) if plain else None
+    if since is not None and not any(
+            room.fits(job) and not (lodger and not room.spot and room.idle)
+            for room in index.news(job, since)):
+        nowhere[asked] = index.rev
+        return []
+    pools = [(dear, fragile and pool.spot, pool) for pool in index.allowed(job)
+             if not ((dear := policy.dear_pool(job, pool)) and patient)
+             and spread.allows(pool.zone)]
+    if job.one_zone and not spread.counts and not spread.unknown and len(
+            {p.zone for _, _, p in pools}) > 1:
+        pools = _best_zone(job, wanted, index, pools, without)
+    single = job.one_zone or job.spread
     chosen: list[Room] = []
-    candidates.sort(key=lambda r: _preference(job, r, salt, policy.dear(job, r), fragile))
-    for room in candidates:
+    for room in index.in_order(job, pools, uncached):
+        if room.machine in without or not room.fits(job) \
+                or lodger and not room.spot and room.idle:
+            continue
+        guest = policy.guest(job, room)
         while len(chosen) < wanted and room.fits(job) and spread.allows(room.zone) \
-                and not policy.kept(job, room):
-            room.take(job)
-            spread.add(room.zone)
-            chosen.append(room)
+                and (guest is None or room.leaves(job, guest)):
+            count = 1 if single or guest is not None else min(
+                wanted - len(chosen), capacity(job, room))
+            room.take(job, count)
+            for _ in range(count):
+                spread.add(room.zone)
+                chosen.append(room)
         if len(chosen) == wanted:
             break
-    if job.kind == "ensemble" and len(chosen) < wanted:
+    if job.kind == GANG and len(chosen) < wanted:
         for room in chosen:
             room.take(job, -1)
             spread.counts[room.zone] -= 1
-        return []
+        chosen = []
+    if plain and not chosen:
+        nowhere[asked] = index.rev
     return chosen
 
 
@@ -211,18 +254,22 @@
     return max(0, min(bounds))
 
 
-def _best_zone(job: Job, wanted: int, candidates: list[Room]) -> list[Room]:
-    """The candidates of the best zone for a job kept in one: one that holds all of it,
-    then with the image cached, then the one with the least room to spare, since larger
-    gangs need what is free to be together."""
+def _best_zone(job: Job, wanted: int, index: Index, pools: list[tuple[bool, bool, Pool]],
+               without: Container[str]) -> list[tuple[bool, bool, Pool]]:
+    """The pools of the best zone for a job kept in one: one that holds all of it, then with
+    the image cached, then the one with the least room to spare, since larger gangs need
+    what is free to be together."""
     by_zone: dict[str, int] = {}
     cached: dict[str, int] = {}
-    for room in candidates:
-        by_zone[room.zone] = by_zone.get(room.zone, 0) + capacity(job, room)
-        cached[room.zone] = cached.get(room.zone, 0) + (job.image in room.images)
+    for room in index.in_order(job, pools, anywhere):
+        if room.fits(job) and room.machine not in without:
+            by_zone[room.zone] = by_zone.get(room.zone, 0) + capacity(job, room)
+            cached[room.zone] = cached.get(room.zone, 0) + (job.image in room.images)
+    if not by_zone:
+        return []
     zone = max(by_zone, key=lambda z: (by_zone[z] >= wanted, min(wanted, cached[z]),
                                        -by_zone[z] if by_zone[z] >= wanted else by_zone[z], z))
-    return [r for r in candidates if r.zone == zone]
+    return [entry for entry in pools if entry[2].zone == zone]
 
 
 class Policy:
@@ -242,12 +289,29 @@
         shapes = {(j.cpus, j.memory_gb): j for j in jobs if j.kind == SERVICE}
         self.services = [shapes[k] for k in sorted(shapes, reverse=True)]
         self._dear: dict[tuple[Any, ...], set[str]] = {}
+        self._shapes = {(j.cpus, j.gpus, j.memory_gb, j.kind == SERVICE) for j in jobs}
+
+    def covers(self, job: Job) -> bool:
+        """Whether it would be the same with this job among those that it was made of."""
+        return job.gpus == 0 and job.kind != SERVICE or \
+            (job.cpus, job.gpus, job.memory_gb, job.kind == SERVICE) in self._shapes
+
+    def same(self, other: Policy) -> bool:
+        """Whether the other says the same of every job and room."""
+        return self.types == other.types and [shape(j) for j in self.services] == [
+            shape(j) for j in other.services] and {t: shape(j) for t, j in self.guests.items()
+                                                   } == {t: shape(j) for t, j in
+                                                         other.guests.items()}
 
     def kept(self, job: Job, room: Room) -> bool:
-        guest = self._guest(room) if job.gpus == 0 else None
+        guest = self.guest(job, room)
         return guest is not None and not room.leaves(job, guest)
 
-    def _guest(self, room: Room) -> Job | None:
+    def guest(self, job: Job, room: Room) -> Job | None:
+        """The job that a task of this one would have to leave room for there."""
+        return self._guest(room) if job.gpus == 0 else None
+
+    def _guest(self, room: Room | Pool) -> Job | None:
         guest = self.guests.get(room.type)
         return guest if guest is not None and (guest.spot or not room.spot) else None
 
@@ -277,7 +341,11 @@
         return found
 
     def dear(self, job: Job, room: Room) -> bool:
-        return room.type in self.dear_types(job) and self._guest(room) is None
+        return self.dear_pool(job, room)
+
+    def dear_pool(self, job: Job, pool: Room | Pool) -> bool:
+        """The same for all machines of a type, zone and kind."""
+        return pool.type in self.dear_types(job) and self._guest(pool) is None
 
 
 def tasks_on(job: Job, kind: MachineType) -> int:
@@ -303,22 +371,43 @@
 OPEN = Policy((), ())
 
 
-def preempt(job: Job, wanted: int, rooms: Iterable[Room], spread: Spread, policy: Policy,
-            most: int | None = None, fragile: bool = False) -> list[tuple[Room, int]]:
+def preempt(job: Job, wanted: int, index: Index, spread: Spread, policy: Policy,
+            most: int | None = None, fragile: bool = False, patient: bool = False,
+            without: Container[str] = (), uncached: Callable[[str], bool] = anywhere
+            ) -> list[tuple[Room, int]]:
     """Where stopping work of lower rank makes room at the least cost, and for how many of
     `wanted` tasks each; `most` is the highest rank to be stopped. The spread is charged.
+    The rest is as for `place`; `patient` keeps off dear machines.
 
     All of them at once: for an array of hundreds of tasks, one machine after the other
     took longer than the array had.
     """
+    pools = [p for p in index.allowed(job) if spread.allows(p.zone)
+             and not (patient and policy.dear_pool(job, p))]
+    plain = not (without or job.one_zone or job.spread or job.id in index.held
+                 or uncached is not anywhere)
+    asked = ("preempt", shape(job), most, patient)
+    nowhere = index.cleared(policy)
+    since = nowhere.get(asked) if plain else None
+    rooms = index.lower(pools, job.rank, without) if since is None else (
+        r for r in index.news(job, since) if not (patient and policy.dear_pool(job, r)))
     offers = []
     for room in rooms:
-        if not room.open or room.hold not in ("", job.id) or not room.allows(job) \
-                or not spread.allows(room.zone) or policy.kept(job, room):
+        if not room.open or room.hold not in ("", job.id) or policy.kept(job, room) \
+                or not (job.image in room.images or uncached(room.type)):
             continue
         cost = room.after_preemption(job)
         if cost is not None and (most is None or cost[0] <= most):
             offers.append((cost[0], fragile and room.spot, cost[1], room.machine, room))
+    if not offers:
+        if plain:
+            nowhere[asked] = index.rev
+        return []
+    if since is not None:
+        # There is something again: among all of them.
+        del nowhere[asked]
+        return preempt(job, wanted, index, spread, policy, most, fragile, patient, without,
+                       uncached)
     found: list[tuple[Room, int]] = []
     for rank, _, _, _, room in sorted(offers, key=lambda o: o[:4]):
         count = 0
--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -5,16 +5,18 @@
 import logging
 import math
 import time
-from collections.abc import Iterable
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable, Collection, Iterable
+from functools import partial
+from typing import TYPE_CHECKING, NamedTuple
 
 import curio
 
 from . import peerwire
+from .index import Index
 from .jobs import HomeJob, amounts, quota_of
 from .model import GANG, RANKS, SERVICE, Job
 from .peers import PeerError
-from .placement import Policy, Room, Spread, capacity, place, preempt
+from .placement import Policy, Room, Spread, anywhere, capacity, place, preempt
 from .provisioning import Need, remaining
 from .statestore import Unavailable, Unknown
 
@@ -27,6 +29,32 @@
 FILL = 0.25
 # Demand told to peers: enough jobs to fill any fleet, and a bounded frame.
 DEMAND_MOST = 500
+# Jobs looked at and tasks placed in one pass: as much as a few full transactions start, and
+# some ten milliseconds, in which no report is answered.
+WORK_MOST = 1000
+
+
+class Look:
+    """What one pass goes by, and what it has found out on its way."""
+
+    def __init__(self, now: float, index: Index, policy: Policy, quiet: bool, fill: float
+                 ) -> None:
+        self.now, self.index, self.policy = now, index, policy
+        self.quiet, self.fill = quiet, fill
+        # Groups that found less than they want, and the index's revision at that time.
+        self.full: dict[tuple[object, ...], int] = {}
+        self.starved = False
+        self.work = 0  # jobs looked at and tasks placed
+
+
+class Nap(NamedTuple):
+    """Why a group of waiting jobs need not be looked at: it found no room at the index's
+    revision `rev`, under the policy, for what its members (by id) had waiting."""
+
+    rev: int
+    until: float
+    policy: Policy
+    pending: dict[str, int]
 
 
 class Placer:
@@ -36,6 +64,11 @@
         self.core = core
         self.demands: dict[str, list[tuple[str, int, float, str]]] = {}  # what peers told
         self.cut_logged_at = -1e9
+        self.known: Policy | None = None
+        self.known_types: object = None
+        self.known_until = -1e9
+        self.asleep: dict[tuple[object, ...], Nap] = {}
+        self.disturber = ""  # a job that work without any aim could hinder
         # Work without any aim that has waited so long is placed, and has machines rented,
         # like any other (within its share).
         self.long_s = 20 * core.settings.cluster.workers.lease_s
@@ -90,115 +123,164 @@
             await curio.sleep(0.02)
 
     def _pass(self, now: float) -> None:
+        """Look at what waits and may have found room since, the most urgent first.
+
+        Of bounded work: what is left goes on in the next pass, when others have had their
+        turn.
+        """
         core = self.core
-        waiting = [hj for hj in self.core.dispatch.homes.values()
-                   if hj.pending > 0 and not hj.starts and not hj.placing and now >= hj.not_before]
-        if not waiting:
-            self.core.picture.starved = False
+        groups: dict[tuple[object, ...], list[HomeJob]] = {}
+        for hj in core.dispatch.homes.values():
+            if not hj.starts and not hj.placing and now >= hj.not_before and hj.pending > 0:
+                groups.setdefault(hj.group, []).append(hj)
+        if not groups:
+            self.asleep.clear()
+            core.picture.starved = False
             return
-        rooms = self.core.picture.rooms()
-        waiting.sort(key=lambda hj: self._order(hj, now))
-        starved = False
-        policy = self.policy()
-        full: set[tuple[Any, ...]] = set()
+        index = core.picture.index()
         quiet = self.quiet()
-        fill = math.inf if quiet else self.fill_cpus(rooms.values())
+        look = Look(now, index, self.policy(), quiet,
+                    math.inf if quiet else self.fill_cpus(index))
+        waiting: list[HomeJob] = []
+        asleep, self.asleep = self.asleep, {}
+        for group, members in groups.items():
+            nap = asleep.get(group)
+            if nap is not None and self._sleeps(nap, members, look):
+                self.asleep[group] = nap
+                look.starved = look.starved or not members[0].job.filler
+            else:
+                waiting += members
+        waiting.sort(key=lambda hj: self._order(hj, now))
         for hj in waiting:
-            job = hj.job
-            if hj.at_fault and hj.assigned > hj.running:
-                # One trial at a time. (Not none while others of it run: a replica that had
-                # failed on three sick machines would have been missing for good.)
-                continue
-            shape = (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone, job.spot,
-                     job.kind, job.rank, job.filler, job.one_zone, job.spread,
-                     job.tasks if job.kind == GANG else 0)
-            if shape in full and not hj.errors:
-                starved = starved or not job.filler
-                continue
-            wanted = min(hj.pending, hj.size * max(core.bounds.txn_ops // 4, min(
-                3, core.dispatch.start_chunks)))
-            wanted = self._within_limit(job, wanted)
-            if hj.at_fault and job.kind != GANG:
-                wanted = min(wanted, 1)
-            if job.filler and job.cpus > 0:
-                # Without a bound there are infinitely many, which is no whole number.
-                wanted = int(max(0.0, min(wanted, fill / job.cpus)))
-            if wanted <= 0 or (job.kind == GANG and wanted < hj.pending):
-                continue
-            avoided = hj.avoided()
-            pool = [r for r in rooms.values() if r.machine not in avoided
-                    and r.machine not in hj.left] if avoided or hj.left else list(rooms.values())
-            age = now - hj.since
-            if job.filler and not quiet and age < self.long_s:
-                # Not on ordinary machines that it alone would keep rented.
-                pool = [r for r in pool if r.spot or not r.idle]
-            patient, fragile = core.patient(job, age), core.fragile(job, age)
-            spread = self.spread(hj)
-            limit = core.wait_limits.get(job.job_class)
-            most = self._stops(job, age, patient)
-            chosen: list[Room] = []
-            if hj.at_fault:
-                # No room is made, and no guarantee claimed, for what will hardly use it.
-                chosen = place(job, wanted, pool, spread, core.label, policy, True, fragile)
-                wanted = len(chosen)
-            elif limit is not None and age < limit and job.kind != GANG:
-                # Started in time only where the image is, or comes soon enough:
-                # rather than fetch it elsewhere, work of lower rank is stopped there.
-                quick = [r for r in pool if self._fetch_s(job, r) < limit - age]
-                chosen = place(job, wanted, quick, spread, core.label, policy, False, fragile)
-                if len(chosen) < wanted and most >= 0:
-                    if now < hj.preempt_at:
-                        wanted = len(chosen)
-                    elif not hj.preempted and self._make_room(
-                            hj, wanted - len(chosen), quick, spread, policy, 0.0, now,
-                            RANKS["best_effort"]):
-                        hj.preempted = True
-                        wanted = len(chosen)
-            if len(chosen) < wanted:
-                chosen += place(job, wanted - len(chosen), pool, spread, core.label, policy,
-                                patient or job.kind != GANG, fragile)
-            if len(chosen) < wanted and not patient and job.kind != GANG:
-                # Dear machines only for what work of lower rank on others can't make
-                # way for: they would be kept rented for what could run cheaply.
-                cheap = [r for r in pool if not policy.dear(job, r)]
-                if most >= 0 and now >= hj.preempt_at:
-                    self._make_room(hj, wanted - len(chosen), cheap, spread, policy,
-                                    self._grace(job, age), now, most)
-                coming = sum(n for n, until in hj.made.values() if now < until)
-                chosen += place(job, max(0, wanted - len(chosen) - coming), pool, spread,
-                                core.label, policy, False, fragile)
-            if len(chosen) < wanted and most >= 0 and not job.filler \
-                    and now >= hj.preempt_at:
-                self._make_room(hj, wanted - len(chosen), pool, spread, policy,
-                                self._grace(job, age), now, most)
-            if len(chosen) < wanted and now >= hj.preempt_at and self._guaranteed(job):
-                machines = self._claimable(job, pool, spread)
-                if machines:
-                    hj.preempt_at = now + core.ttl_s
-                    core.spawn(self._claim(job, machines))
-            if job.filler:
-                fill -= len(chosen) * job.cpus
-            if len(chosen) < wanted:
-                starved = starved or not job.filler
-                if not job.one_zone and not job.spread:
-                    full.add(shape)
-            if not chosen:
-                continue
-            for room in chosen:
-                if room.machine in hj.made:
-                    left_, until = hj.made[room.machine]
-                    hj.made[room.machine] = (max(0, left_ - 1), until)
-            numbers = hj.take(len(chosen), self.core.dispatch.start_chunks)
-            for room in chosen[len(numbers):]:
-                room.take(job, -1)  # the next transaction's
-            hj.starts = [(n, r.machine) for n, r in zip(numbers, chosen)]
-            for number, machine in hj.starts:
-                self.core.picture.inflight[(job.id, number)] = (machine, job)
-            core.signal(hj.name)
-        if starved and not self.core.picture.starved:
+            if look.work >= WORK_MOST:
+                core.signal("place")
+                break
+            self._serve(hj, look)
+        for group, rev in look.full.items():
+            if group in groups:
+                self.asleep[group] = Nap(rev, now + core.ttl_s / 6, look.policy,
+                                         {hj.job.id: hj.pending for hj in groups[group]})
+        if look.starved and not core.picture.starved:
             core.signal("starved")
             core.signal("demand")
-        self.core.picture.starved = starved
+        core.picture.starved = look.starved
+
+    @staticmethod
+    def _sleeps(nap: Nap, members: list[HomeJob], look: Look) -> bool:
+        """Whether jobs of a group that found no room would find none now either: none has
+        come or waits for more, nothing that has changed fits one of their tasks, and it is
+        not yet time to see what else may be stopped, or who has become impatient."""
+        if look.now >= nap.until or nap.policy is not look.policy or any(
+                hj.pending > nap.pending.get(hj.job.id, 0) or hj.errors for hj in members):
+            return False
+        job = members[0].job
+        return not any(room.fits(job) or room.hold in nap.pending
+                       for room in look.index.news(job, nap.rev))
+
+    def _serve(self, hj: HomeJob, look: Look) -> None:
+        """Find room for one job, or have it made; what is found is to be started."""
+        job = hj.job
+        if hj.at_fault and hj.assigned > hj.running:
+            # One trial at a time. (Not none while others of it run: a replica that had
+            # failed on three sick machines would have been missing for good.)
+            return
+        look.work += 1
+        if hj.group in look.full and not hj.errors:
+            look.starved = look.starved or not job.filler
+            return
+        wanted = self._wanted(hj, look)
+        if wanted <= 0 or (job.kind == GANG and wanted < hj.pending):
+            return
+        chosen, wanted = self._seek(hj, wanted, look)
+        if job.filler:
+            look.fill -= len(chosen) * job.cpus
+        if len(chosen) < wanted:
+            look.starved = look.starved or not job.filler
+            if not job.one_zone and not job.spread:
+                look.full.setdefault(hj.group, look.index.rev)
+        look.work += len(chosen)
+        if chosen:
+            self._begin(hj, chosen)
+
+    def _wanted(self, hj: HomeJob, look: Look) -> int:
+        """Tasks to look for: what one transaction holds, and the job may have."""
+        job = hj.job
+        wanted = min(hj.pending, hj.size * max(self.core.bounds.txn_ops // 4, min(
+            3, self.core.dispatch.start_chunks)))
+        wanted = self._within_limit(job, wanted)
+        if hj.at_fault and job.kind != GANG:
+            wanted = min(wanted, 1)
+        if job.filler and job.cpus > 0:
+            # Without a bound there are infinitely many, which is no whole number.
+            wanted = int(max(0.0, min(wanted, look.fill / job.cpus)))
+        return wanted
+
+    def _seek(self, hj: HomeJob, wanted: int, look: Look) -> tuple[list[Room], int]:
+        """Room that is free, and room made by stopping others; and for how many it was
+        looked for in the end (fewer, where some is being made)."""
+        core, job, now, index, policy = self.core, hj.job, look.now, look.index, look.policy
+        without: Collection[str] = {*hj.avoided(), *hj.left} if hj.errors or hj.left else ()
+        age = now - hj.since
+        # Not on ordinary machines that it alone would keep rented.
+        lodger = job.filler and not look.quiet and age < self.long_s
+        patient, fragile = core.patient(job, age), core.fragile(job, age)
+        spread = self.spread(hj)
+        limit = core.wait_limits.get(job.job_class)
+        most = self._stops(job, age, patient)
+        find = partial(place, index=index, spread=spread, policy=policy, fragile=fragile,
+                       without=without, lodger=lodger)
+        make = partial(self._make_room, hj, spread=spread, look=look, without=without)
+        chosen: list[Room] = []
+        if hj.at_fault:
+            # No room is made, and no guarantee claimed, for what will hardly use it.
+            chosen = find(job, wanted, patient=True)
+            wanted = len(chosen)
+        elif limit is not None and age < limit and job.kind != GANG:
+            # Started in time only where the image is, or comes soon enough:
+            # rather than fetch it elsewhere, work of lower rank is stopped there.
+            def soon(type: str) -> bool:
+                return self._fetch_from_s(job, type) < limit - age
+            chosen = find(job, wanted, uncached=soon)
+            if len(chosen) < wanted and most >= 0:
+                if now < hj.preempt_at:
+                    wanted = len(chosen)
+                elif not hj.preempted and make(wanted - len(chosen), grace_s=0.0,
+                                               most=RANKS["best_effort"], uncached=soon):
+                    hj.preempted = True
+                    wanted = len(chosen)
+        if len(chosen) < wanted:
+            chosen += find(job, wanted - len(chosen), patient=patient or job.kind != GANG)
+        if len(chosen) < wanted and not patient and job.kind != GANG:
+            # Dear machines only for what work of lower rank on others can't make
+            # way for: they would be kept rented for what could run cheaply.
+            if most >= 0 and now >= hj.preempt_at:
+                make(wanted - len(chosen), grace_s=self._grace(job, age), most=most, patient=True)
+            coming = sum(n for n, until in hj.made.values() if now < until)
+            chosen += find(job, max(0, wanted - len(chosen) - coming))
+        if len(chosen) < wanted and most >= 0 and not job.filler and now >= hj.preempt_at:
+            make(wanted - len(chosen), grace_s=self._grace(job, age), most=most)
+        if len(chosen) < wanted and now >= hj.preempt_at and self._guaranteed(job):
+            machines = self._claimable(job, [r for p in index.allowed(job)
+                                             for r in p.rooms.values()
+                                             if r.machine not in without], spread)
+            if machines:
+                hj.preempt_at = now + core.ttl_s
+                core.spawn(self._claim(job, machines))
+        return chosen, wanted
+
+    def _begin(self, hj: HomeJob, chosen: list[Room]) -> None:
+        """Hand what was found to the job's routine."""
+        for room in chosen:
+            if room.machine in hj.made:
+                left, until = hj.made[room.machine]
+                hj.made[room.machine] = (max(0, left - 1), until)
+        numbers = hj.take(len(chosen), self.core.dispatch.start_chunks)
+        for room in chosen[len(numbers):]:
+            room.take(hj.job, -1)  # the next transaction's
+        hj.starts = [(n, r.machine) for n, r in zip(numbers, chosen)]
+        for number, machine in hj.starts:
+            self.core.picture.inflight[(hj.job.id, number)] = (machine, hj.job)
+        self.core.signal(hj.name)
 
     def _order(self, hj: HomeJob, now: float) -> tuple[float, ...]:
         """By rank; then what can still be in time before what can't, so that not all
@@ -225,23 +307,34 @@
             return (-job.rank, 0.0, borrowing, 0.0, hj.live_rev)
         return (-job.rank, late, borrowing, left, hj.live_rev)
 
-    def fill_cpus(self, rooms: Iterable[Room]) -> float:
+    def fill_cpus(self, index: Index) -> float:
         """What work without any aim may still take beside work that has one.
 
         Work of the same rank can't make it stop: an array of a guest that fills the fleet
         for minutes would make all others of its rank late.
         """
-        types = {t.name: t.cpus for t in self.core.types}
         cpus = filled = 0.0
-        for room in rooms:
-            cpus += types.get(room.type, 0.0) if room.open else 0.0
-            filled += room.filled
+        for pool in index.pools.values():
+            kind = self.core.owner.types.get(pool.type)
+            totals = pool.count()
+            cpus += totals.machines * kind.cpus if kind is not None else 0.0
+            filled += totals.filled
         return FILL * cpus - filled
 
     def quiet(self) -> bool:
         """Whether nothing but replicas is there that work without any aim could hinder."""
-        return not any(j.kind != SERVICE and not j.aimless and not self.core.pipes.waiting(j.id)
-                       for j, _ in self.core.live.values())
+        if self._disturbs(self.disturber):
+            return False
+        for name in self.core.live:
+            if self._disturbs(name):
+                self.disturber = name
+                return False
+        return True
+
+    def _disturbs(self, name: str) -> bool:
+        known = self.core.live.get(name)
+        return known is not None and known[0].kind != SERVICE and not known[0].aimless \
+            and not self.core.pipes.waiting(name)
 
     def _in_guarantee(self, job: Job) -> bool:
         """Whether the job's team stays within its guarantee with it, as last read; true
@@ -254,25 +347,43 @@
         return used + need <= self.core.guarantees[job.team][which] + 1e-6
 
     def policy(self) -> Policy:
-        """What keeps work off machines, from all jobs known, those just ended included."""
-        core = self.core
-        return Policy([*(j for j, _ in core.live.values()), *core.descs.values(),
-                       *core.classes.values()], core.types)
+        """What keeps work off machines, from all jobs known, those just ended included.
 
-    def _make_room(self, hj: HomeJob, wanted: int, pool: list[Room], spread: Spread,
-                   policy: Policy, grace_s: float, now: float, most: int | None = None) -> bool:
+        It is made anew when a job comes that it has no place for, or prices change, and
+        now and then, since jobs go; as long as it says the same, it is the same object.
+        """
+        core, now = self.core, time.monotonic()
+        if self.known is not None and now < self.known_until and self.known_types is core.types:
+            return self.known
+        found = Policy([*(j for j, _ in core.live.values()), *core.descs.values(),
+                        *core.classes.values()], core.types)
+        if self.known is None or not found.same(self.known):
+            self.known = found
+        self.known_types = core.types
+        self.known_until = now + core.settings.cluster.workers.report_s
+        return self.known
+
+    def learn(self, job: Job) -> None:
+        """A job has been accepted."""
+        if self.known is not None and not self.known.covers(job):
+            self.known_until = -1e9
+
+    def _make_room(self, hj: HomeJob, wanted: int, spread: Spread, look: Look, grace_s: float,
+                   most: int, patient: bool = False, without: Collection[str] = (),
+                   uncached: Callable[[str], bool] = anywhere) -> bool:
         """Have work of lower rank stopped for tasks of the job, if that helps.
 
         What is being made already, and doesn't show yet, is not made again elsewhere.
         """
-        job = hj.job
+        job, now = hj.job, look.now
         hj.made = {m: (n, until) for m, (n, until) in hj.made.items() if now < until}
         coming = sum(n for n, _ in hj.made.values())
         wanted = min(wanted - coming, 1 if job.kind == GANG else wanted)
         if wanted <= 0:
             return True
-        found = preempt(job, wanted, [r for r in pool if r.machine not in hj.made],
-                        spread.copy(), policy, most, self.core.fragile(job, now - hj.since))
+        found = preempt(job, wanted, look.index, spread.copy(), look.policy, most,
+                        self.core.fragile(job, now - hj.since), patient,
+                        {*without, *hj.made} if hj.made else without, uncached)
         shows = now + self.core.ttl_s / 3 + (0.0 if grace_s <= 0 else min(
             grace_s, self.core.settings.cluster.workers.gang_peer_s))
         if found:
@@ -348,10 +459,10 @@
             if await self._preempt(machine, job, math.inf, over):
                 return
 
-    def _fetch_s(self, job: Job, room: Room) -> float:
-        """How long the image takes to be there; rates differ by up to a third."""
-        kind = self.core.owner.types.get(room.type)
-        if job.image in room.images or kind is None or kind.fetch_gb_per_s <= 0:
+    def _fetch_from_s(self, job: Job, type: str) -> float:
+        """How long the image takes on machines without it; rates differ by up to a third."""
+        kind = self.core.owner.types.get(type)
+        if kind is None or kind.fetch_gb_per_s <= 0:
             return 0.0
         return job.image_gb / kind.fetch_gb_per_s * 4 / 3
 
@@ -395,14 +506,15 @@
                 * (3.0 if drain and not self.policy().dear(hj.job, room) else 0.3):
             return False
         zones = [self.core.zones.get(m) for n, _, m in hj.assignments() if n != number]
-        policy = self.policy()
-        near = [r.copy() for r in self.core.picture.rooms().values() if r.machine != machine
-                and self._soon(hj.job, r) and not policy.dear(hj.job, r)]
-        spread = Spread(hj.job, zones)
-        if not place(hj.job, 1, [r.copy() for r in near], spread, "", policy) and (
-                drain and not policy.dear(hj.job, room)
-                or not preempt(hj.job, 1, near, Spread(hj.job, zones), policy,
-                               RANKS["best_effort"] if drain else None)):
+        policy, index = self.policy(), self.core.picture.index()
+        dear = policy.dear(hj.job, room)
+        with index.trial():
+            found = bool(place(hj.job, 1, index, Spread(hj.job, zones), policy, True,
+                               without=(machine,), uncached=partial(self._soon, hj.job)))
+        if not found and (drain and not dear or not preempt(
+                hj.job, 1, index, Spread(hj.job, zones), policy,
+                RANKS["best_effort"] if drain else None, False, True, (machine,),
+                partial(self._soon, hj.job))):
             # To free GPUs, or a dear machine, work of lower rank may have to make way
             # elsewhere.
             return False
@@ -410,8 +522,8 @@
         hj.moved_at = time.monotonic()
         return True
 
-    def _soon(self, job: Job, room: Room) -> bool:
-        return self._fetch_s(job, room) < self.core.settings.cluster.workers.report_s
+    def _soon(self, job: Job, type: str) -> bool:
+        return self._fetch_from_s(job, type) < self.core.settings.cluster.workers.report_s
 
     def _within_limit(self, job: Job, wanted: int) -> int:
         """Tasks that the team's limit leaves room for, as far as known here.
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from .index import Index
 from .model import ARRAY, SERVICE, Job, MachineType, fits
 from .placement import Policy, Room, Spread, capacity, place
 
@@ -106,12 +107,15 @@
     return kind.spot_price if spot else kind.price
 
 
-def short(rooms: list[Room], demand: Iterable[Need], policy: Policy) -> list[Need]:
-    """The demand that doesn't fit into the rooms (which are charged)."""
+def short(index: Index, demand: Iterable[Need], policy: Policy, patient: bool = False,
+          lodger: bool = False) -> list[Need]:
+    """The demand that doesn't fit into the rooms (which are charged): off dear machines for
+    the `patient`, off ordinary ones that it alone would keep for a `lodger`."""
     left = []
     for need in demand:
         # A gang gets all or none of what it needs.
-        chosen = place(need.job, need.tasks, rooms, Spread(need.job, need.zones), "", policy)
+        chosen = place(need.job, need.tasks, index, Spread(need.job, need.zones), policy,
+                       patient, lodger=lodger)
         if len(chosen) < need.tasks:
             zones = (*need.zones, *(r.zone for r in chosen)) if need.job.spread else need.zones
             left.append(need._replace(tasks=need.tasks - len(chosen), zones=zones))
@@ -251,14 +255,14 @@
     says is as much dearer: they are charged meanwhile, and what waits goes on waiting.
     """
     bought: list[Kind] = []
-    rooms: list[Room] = []
+    rooms = Index()
     expected = EXPECTED * busy_cpus + sum(n.job.cpus * n.tasks for n in missing)
     for job, wanted, _, others in missing:
         spread = Spread(job, others)
         likely = int(expected / job.cpus) if job.cpus else wanted
         dear = policy.dear_types(job)
         time_left = left.get(job.id, math.inf)
-        wanted -= len(place(job, wanted, rooms, spread, ""))
+        wanted -= len(place(job, wanted, rooms, spread))
         zones: dict[str, int] = {}
         while wanted > 0:
             best: tuple[float, int, str, MachineType, bool] | None = None
@@ -288,7 +292,7 @@
                 spread.add(zone)
                 held += 1
             room.take(job, held)
-            rooms.append(room)
+            rooms.add(room)
             zones[zone] = zones.get(zone, 0) + 1
             bought.append((kind.name, zone, spot))
             wanted -= held
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -5,12 +5,14 @@
 import logging
 import math
 import time
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 import curio
 
 from . import peerwire
 from .cloud import CloudError, NoCapacity
+from .index import Index
 from .model import RANKS, Listed, MachineType, fits
 from .placement import Policy, Room
 from .provisioning import (
@@ -98,51 +100,22 @@
         if core.generation is not gen:
             return
         now = time.monotonic()
-        rooms = list(core.picture.rooms().values())
         types = {t.name: t for t in core.types}
         await self._give_up(now, types)
-        observed = self.took.observed(core.types, (
-            b for n, b in self.boots.items() if n in self.own), now)
-        boots = {t.name: t.boot_s for t in core.types}
-        supply = [r.copy() for r in rooms if r.open]
-        busy = sum(types[r.type].cpus - r.cpus for r in rooms if r.type in types)
+        index, policy = core.picture.index(), core.placer.policy()
         if log.isEnabledFor(logging.DEBUG):
-            self._describe(rooms, types)
-        for boot in self.boots.values():
-            kind = types.get(boot.kind[0])
-            if kind is not None and now - boot.since < LATE * kind.boot_s:
-                supply.append(empty_room(kind, boot.name, boot.kind[1], boot.kind[2]))
+            self._describe(list(index.rooms.values()), types)
         waiting = core.placer.all_demand()
         demand = [n for n in waiting if not n.job.filler]
-        policy = core.placer.policy()
+        observed = self.took.observed(core.types, (
+            b for n, b in self.boots.items() if n in self.own), now)
         spare = spare_room([j for j, _ in core.live.values()], core.arrivals, observed,
                            core.urgent, now)
-        cpus = sum(types[r.type].cpus - r.lasting
-                   for r in supply if r.type in types)
-        boot_s = min(t.boot_s for t in observed)
-        needs = pressing(demand, core.finish_limits, cpus, boot_s=boot_s)
-        cheap = [r.copy() for r in supply]
-        missing = short(supply, needs, policy)
-        # Room that is only kept, and room for replicas on dear machines, has to be
-        # where it is cheap: else it would keep dear machines rented.
-        moving = self._on_dear(rooms, policy)
-        kept: list[Need] = []
-        for need in (*spare, *moving):
-            rest = cheap if need in moving else supply
-            kept += short([r for r in rest if not policy.dear(need.job, r)], [need], policy)
         self.refused = {k: t for k, t in self.refused.items() if t > now}
-        if now >= self.ready_at and (missing or kept):
-            late = {n.job.id for n in pressing(demand, core.finish_limits, cpus, 1.0, 1.0,
-                                                 boot_s)}
-            left = {n.job.id: -math.inf if n.job.aimless or n.job.id not in late
-                    else remaining(n.job, n.age_s, core.finish_limits) for n in demand}
-            wanted = shopping(observed, missing, set(self.refused), busy, policy, left, boots)
-            wanted += shopping(observed, kept, set(self.refused), busy, policy,
-                               {n.job.id: -math.inf for n in kept}, boots)
-            await self._rent(wanted, types, now)
-        elif now >= self.ready_at:
-            await self._rent(self._filling(waiting, rooms, supply, busy, policy), types, now)
-        await self._return_idle(rooms, types, demand, spare, policy, now)
+        if now >= self.ready_at:
+            await self._rent(self._wanted(waiting, demand, spare, observed, index, policy, types,
+                                          now), types, now)
+        await self._return_idle(types, demand, spare, policy, now)
         if now - self.evacuated_at > core.settings.cluster.workers.lease_s / 2:
             for room in list(core.picture.rooms().values()):
                 kind = types.get(room.type)
@@ -154,13 +127,57 @@
         if now >= self.emptying_at:
             await self._consolidate(types, demand, spare, policy, now)
 
-    def _filling(self, waiting: list[Need], rooms: list[Room], supply: list[Room], busy: float,
+    def _booting(self, types: dict[str, MachineType], now: float) -> list[Room]:
+        """Machines that are on their way, as far as they are still counted on."""
+        found = []
+        for boot in self.boots.values():
+            kind = types.get(boot.kind[0])
+            if kind is not None and now - boot.since < LATE * kind.boot_s:
+                found.append(empty_room(kind, boot.name, boot.kind[1], boot.kind[2]))
+        return found
+
+    def _wanted(self, waiting: list[Need], demand: list[Need], spare: list[Need],
+                observed: list[MachineType], index: Index, policy: Policy,
+                types: dict[str, MachineType], now: float) -> list[Kind]:
+        """Machines to rent, from what would not fit into what is there or on its way."""
+        core = self.core
+        boots = {t.name: t.boot_s for t in core.types}
+        booting = self._booting(types, now)
+        there = busy = lasting = 0.0
+        for pool in index.pools.values():
+            kind = types.get(pool.type)
+            totals = pool.count()
+            if kind is not None:
+                there += totals.machines * kind.cpus
+                lasting += totals.lasting
+                busy += len(pool.rooms) * kind.cpus - totals.free
+        cpus = there - lasting + sum(r.cpus for r in booting)
+        boot_s = min(t.boot_s for t in observed)
+        needs = pressing(demand, core.finish_limits, cpus, boot_s=boot_s)
+        moving = self._on_dear(index, policy)
+        with index.trial(extra=booting):
+            # Room for replicas on dear machines has to be where it is cheap: else it would
+            # keep dear machines rented.
+            kept = short(index, moving, policy, True)
+        fill = math.inf if core.placer.quiet() else core.placer.fill_cpus(index)
+        with index.trial(extra=booting):
+            missing = short(index, needs, policy)
+            # And so has room that is only kept.
+            kept = short(index, spare, policy, True) + kept
+            if not missing and not kept:
+                return self._filling(waiting, fill, busy, index, policy)
+        late = {n.job.id for n in pressing(demand, core.finish_limits, cpus, 1.0, 1.0, boot_s)}
+        left = {n.job.id: -math.inf if n.job.aimless or n.job.id not in late
+                else remaining(n.job, n.age_s, core.finish_limits) for n in demand}
+        wanted = shopping(observed, missing, set(self.refused), busy, policy, left, boots)
+        return wanted + shopping(observed, kept, set(self.refused), busy, policy,
+                                 {n.job.id: -math.inf for n in kept}, boots)
+
+    def _filling(self, waiting: list[Need], fill: float, busy: float, index: Index,
                  policy: Policy) -> list[Kind]:
         """Machines for work without any aim: only once nothing else lacks any, within its
-        share, and ordinary ones only if it can't be had otherwise."""
+        share, and ordinary ones only if it can't be had otherwise. (Within a trial.)"""
         placer = self.core.placer
-        quiet = placer.quiet()
-        fill = math.inf if quiet else placer.fill_cpus(rooms)
         wanted: list[Kind] = []
         ordinary = {(t.name, z, False) for t in self.core.types for z in t.zones}
         for need in waiting:
@@ -168,22 +185,23 @@
                 continue
             tasks = int(min(need.tasks, fill / max(need.job.cpus, 0.1)))
             fill -= tasks * need.job.cpus
-            refused, room = set(self.refused), supply
-            if not quiet and need.age_s < placer.long_s:
+            refused, lodger = set(self.refused), False
+            if fill < math.inf and need.age_s < placer.long_s:
                 if need.job.spot:
                     refused |= ordinary
-                room = [r for r in supply if r.spot or not r.idle]
-            missing = short(room, [need._replace(tasks=tasks)], policy)
+                lodger = True
+            missing = short(index, [need._replace(tasks=tasks)], policy, lodger=lodger)
             wanted += shopping(self.core.types, missing, refused, busy, policy,
                                {need.job.id: -math.inf})
         return wanted
 
     @staticmethod
-    def _on_dear(rooms: list[Room], policy: Policy) -> list[Need]:
+    def _on_dear(index: Index, policy: Policy) -> list[Need]:
         """Replicas that run on machines far dearer than they need."""
         found = []
         for job in policy.services:
-            cpus = sum(r.lasting for r in rooms if policy.dear(job, r))
+            cpus = sum(r.lasting for p in index.pools.values() if policy.dear_pool(job, p)
+                       for r in p.rooms.values())
             if cpus > 0:
                 found.append(Need(job, math.ceil(cpus / max(job.cpus, 0.1))))
         return found[:1]
@@ -278,18 +296,19 @@
                 self.boots[machine] = Boot(machine, kind, now)
                 self.own.add(machine)
 
-    async def _return_idle(self, rooms: list[Room], types: dict[str, MachineType],
+    async def _return_idle(self, types: dict[str, MachineType],
                            demand: list[Need], spare: list[Need], policy: Policy,
                            now: float) -> None:
         """Return machines idle for a while that are not needed as spare room."""
         core = self.core
-        names = []
+        names: list[str] = []
         needs = demand + spare
+        index = core.picture.index()
         # Cheap room that replicas on dear machines can still move to is kept.
-        keep = sum(n.job.cpus * n.tasks for n in self._on_dear(rooms, policy))
+        keep = sum(n.job.cpus * n.tasks for n in self._on_dear(index, policy))
         self.held = {n: until for n, until in self.held.items() if now < until}
         hurried = [n for n in demand if not core.patient(n.job, n.age_s)]
-        idle = [r for r in rooms if r.idle and r.type in types
+        idle = [r for r in index.rooms.values() if r.idle and r.type in types
                 and (r.tasks == 0 or r.open and not r.spot)
                 and r.machine not in self.returned and r.machine not in self.held
                 and (not r.open or now - r.idle_since > 0.5 * types[r.type].boot_s)]
@@ -301,9 +320,8 @@
             if keep > 0 and room.open and cheap:
                 keep -= room.cpus
                 continue
-            rest = [r.copy() for r in core.picture.rooms().values()
-                    if r.open and r.machine != room.machine and r.machine not in names]
-            if room.open and self._worse(rest, room, needs if cheap else hurried, policy):
+            if room.open and self._worse(core.picture.index(), (room.machine, *names),
+                                         needs if cheap else hurried, policy):
                 continue
             if await core.ask_owner(peerwire.DRAIN, room.machine):
                 names.append(room.machine)
@@ -315,13 +333,15 @@
             await self._return(names, now)
 
     @staticmethod
-    def _worse(rest: list[Room], room: Room, needs: list[Need], policy: Policy) -> bool:
-        """Whether less of what is needed would fit without the machine."""
-        without = sum(n.tasks for n in short([r.copy() for r in rest], needs, policy))
-        if not without:
+    def _worse(index: Index, without: Sequence[str], needs: list[Need], policy: Policy) -> bool:
+        """Whether less of what is needed would fit without the first of the machines (the
+        others are not counted on in any case)."""
+        with index.trial(without):
+            lost = sum(n.tasks for n in short(index, needs, policy))
+        if not lost:
             return False
-        rest = [*(r.copy() for r in rest), room.copy()]
-        return without > sum(n.tasks for n in short(rest, needs, policy))
+        with index.trial(without[1:]):
+            return lost > sum(n.tasks for n in short(index, needs, policy))
 
     async def _consolidate(self, types: dict[str, MachineType], demand: list[Need],
                            spare: list[Need], policy: Policy, now: float) -> None:
@@ -360,7 +380,7 @@
                        and not (dear and core.patient(n.job, n.age_s))]
             if waiting and not dear:
                 continue
-            rest = [r.copy() for r in rooms.values() if r.open and r.machine != room.machine
+            rest = [r for r in rooms.values() if r.open and r.machine != room.machine
                     and not (r.spot and not room.spot)]
             free = sum(r.cpus for r in rest)
             if dear:
@@ -372,7 +392,9 @@
                 free -= sum(n.tasks * n.job.cpus for n in waiting)
             # Enough stays free that the next job doesn't buy it back.
             if free < (2 * kind.cpus if dear else max(2 * kind.cpus, SLACK * total)) \
-                    or not dear and self._worse(rest, room, spare, policy):
+                    or not dear and self._worse(core.picture.index(), (
+                        name, *(r.machine for r in rooms.values() if r.spot and not room.spot)),
+                        spare, policy):
                 continue
             self.emptied[name] = now
             if await core.ask_owner(peerwire.EVACUATE, name, True):
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -7,7 +7,7 @@
 import secrets
 import time
 from collections import OrderedDict
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 import curio
@@ -19,6 +19,7 @@
 from .config import Settings, endpoint
 from .dispatch import Dispatch
 from .fleet import Fleet
+from .index import Index
 from .jobs import GENERATION_KEY, HomeJob, end_key, ended, parse_chunk_key
 from .membership import NOBODY, Generation, should_leave, successor
 from .mirror import FORMAT, NODE_PREFIX, VERSION_PREFIX, Mirror
@@ -95,7 +96,8 @@
         # must not be filled, or emptied, because none of them runs at the moment.
         self.classes: dict[str, Job] = {}
         self.nodes: dict[str, str] = {}
-        self.rooms: dict[str, Room] = {}
+        self.index = Index(settings.label)
+        self.rooms: Mapping[str, Room] = self.index.rooms
         self.zones: dict[str, str] = {}
         self.generation: Generation = NOBODY
         self.state_known = False  # the mirror has been read at least once
@@ -419,7 +421,7 @@
             try:
                 label, number, ok, rev = await peer.call(peerwire.PING, (
                     self.label, self.generation.number, not self.state_lost(now),
-                    self.owner.room_rev, self.placer.demand() if self.serving else []))
+                    self.owner.room_rev, self._told(peer.label)))
                 if label == peer.label:
                     self._heard(peer, number, ok, rev)
             except peers.PeerError as exc:
@@ -435,6 +437,11 @@
             await self.flush()
             await curio.sleep(self.ttl_s / 4)
 
+    def _told(self, label: str) -> list[tuple[str, int, float, str]]:
+        """What waits here, for the one member that rents by it; nobody else asks."""
+        return self.placer.demand() if self.serving and label == self.generation.provisioner \
+            else []
+
     def _heard(self, peer: peers.Peer, number: int, ok: bool, rev: int) -> None:
         peer.heard = time.monotonic()
         peer.state_ok, peer.generation = ok, number
@@ -565,7 +572,7 @@
         found = dict.fromkeys(names)
         self.owner.removed(found)
         for name in found:
-            self.rooms.pop(name, None)
+            self.index.remove(name)
             self.zones.pop(name, None)
         for hj in self.dispatch.homes.values():
             if hj.removed(found):
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -322,16 +322,20 @@
                 now: float) -> list[bool]:
         """Keep room for tasks; refused where it is short (the decline that ASC counts)."""
         granted = []
+        rooms: dict[str, Room] = {}  # of machines asked for several tasks: built once
         for name, number in items:
             m = self.machines.get(name)
+            if m is not None and name not in rooms:
+                rooms[name] = self.room(m)
             # A reservation never replaces what is wanted or there already: let go, it
             # would be taken to have never been sent.
             ok = m is not None and (f"{job.id}/{number}", attempt) not in m.want \
                 and (f"{job.id}/{number}", attempt) not in m.listed \
-                and self.open(m) and self.room(m).fits(job) \
+                and rooms[name].fits(job) \
                 and (m.hold_job == job.id or now >= m.hold_until)
             if ok and m is not None:
                 m.want[(f"{job.id}/{number}", attempt)] = Want(RESERVED, now)
+                rooms[name].take(job)
                 if job.standing >= 0:
                     m.idle_since = now
                 self.touch(name)
--- a/run.py
+++ b/run.py
@@ -18,6 +18,7 @@
 import curio  # noqa: E402, F401
 import h11  # noqa: E402, F401
 import msgspec  # noqa: E402, F401
+import sortedcontainers  # noqa: E402, F401
 
 sys.pycache_prefix = os.path.join(HERE, "target", "pycache")
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -44,6 +44,7 @@
 
     def wait(self, job: Job) -> HomeJob:
         self.c.live[job.id] = (job, 1)
+        self.c.placer.learn(job)
         hj = self.c.dispatch.homes[job.id] = HomeJob(job, 1, 50, self.now)
         return hj
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -418,7 +418,7 @@
         for _ in range(3):
             home.now += 1.0
             c.owner.touch_all()
-            await c.provisioner._return_idle(list(c.picture.rooms().values()), types, [], [],
+            await c.provisioner._return_idle(types, [], [],
                                              OPEN, home.now)
     curio.run(rounds)
     assert sorted(returned) == ["m4", "m5"]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from clayport.index import Index
 from clayport.model import Job, MachineType, fits
 from clayport.placement import Policy, Room, Spread, place, preempt
 from clayport.provisioning import Arrivals, Need, pressing, shopping, short, spare_room
@@ -49,7 +50,7 @@
     job = make(**fields)
     there = room(**where)
     before = (there.cpus, there.gpus, there.memory_gb)
-    assert len(place(job, job.tasks, [there], Spread(job, ()), "")) == placed
+    assert len(place(job, job.tasks, Index("", [there]), Spread(job, ()))) == placed
     assert there.cpus == before[0] - placed * job.cpus  # subtracted at once, and only then
 
 
@@ -71,15 +72,15 @@
     job = make(pieces=1)
     cached = room("m1", images=("img-1",))
     full = room("m2", cpus=2.0)
-    assert place(job, 1, [full, cached], Spread(job, ()), "")[0] is cached
+    assert place(job, 1, Index("", [full, cached]), Spread(job, ()))[0] is cached
     job = make(bundle="other", pieces=1)
-    assert place(job, 1, [cached, full], Spread(job, ()), "")[0] is full
+    assert place(job, 1, Index("", [cached, full]), Spread(job, ()))[0] is full
 
 
 def test_controllers_with_equal_snapshots_do_not_herd() -> None:
     job = make(pieces=1)
-    first = {place(job, 1, [room(f"m{i}") for i in range(8)], Spread(job, ()), salt)[0].machine
-             for salt in ("c0", "c1", "c2", "c3", "c4")}
+    first = {place(job, 1, Index(salt, [room(f"m{i}") for i in range(8)]),
+                   Spread(job, ()))[0].machine for salt in ("c0", "c1", "c2", "c3", "c4")}
     assert len(first) > 1
 
 
@@ -87,17 +88,18 @@
     guest = make(2, cards=2.0, vcpus=14.0, loaners=False)
     policy = Policy([guest], KINDS)
     normal, low = make(pieces=8), make(3, pieces=8, rank="best_effort")
-    assert len(place(normal, 8, [room(kind=ACCEL)], Spread(normal, ()), "", policy)) == 1
+    assert len(place(normal, 8, Index("", [room(kind=ACCEL)]), Spread(normal, ()), policy)) == 1
     # Lower ranks may fill it, since they make way; spot machines the guest can't use.
-    assert len(place(low, 8, [room(kind=ACCEL)], Spread(low, ()), "", policy)) == 8
-    assert len(place(normal, 8, [room(kind=ACCEL, spot=True)], Spread(normal, ()), "", policy)) == 8
+    assert len(place(low, 8, Index("", [room(kind=ACCEL)]), Spread(low, ()), policy)) == 8
+    spot = Index("", [room(kind=ACCEL, spot=True)])
+    assert len(place(normal, 8, spot, Spread(normal, ()), policy)) == 8
 
 
 def test_patient_work_keeps_off_dear_machines() -> None:
     job = make()
     policy = Policy([], KINDS)
-    assert place(job, 3, [room(kind=ACCEL)], Spread(job, ()), "", policy, patient=True) == []
-    assert len(place(job, 3, [room(kind=ACCEL)], Spread(job, ()), "", policy)) == 3
+    assert place(job, 3, Index("", [room(kind=ACCEL)]), Spread(job, ()), policy, patient=True) == []
+    assert len(place(job, 3, Index("", [room(kind=ACCEL)]), Spread(job, ()), policy)) == 3
 
 
 @pytest.mark.parametrize("images, machine", [((), "s1"), (("img-1",), "n1")])
@@ -105,22 +107,23 @@
                                                          ) -> None:
     rooms = [room("n1", images=images), room("n2"), room("s1", zone="south")]
     job = make(pieces=1, shape="ensemble", together=True, vcpus=8.0)
-    assert [r.machine for r in place(job, 1, rooms, Spread(job, ()), "")] == [machine]
+    assert [r.machine for r in place(job, 1, Index("", rooms), Spread(job, ()))] == [machine]
     job = make(pieces=2, shape="ensemble", together=True, vcpus=8.0)
     rooms = [room("n1"), room("n2"), room("s1", zone="south", images=("img-1",))]
-    assert {r.zone for r in place(job, 2, rooms, Spread(job, ()), "")} == {"north"}
+    assert {r.zone for r in place(job, 2, Index("", rooms), Spread(job, ()))} == {"north"}
 
 
 @pytest.mark.parametrize("fragile, first", [(False, "cheap"), (True, "plain")])
 def test_what_would_be_late_if_lost_keeps_off_spot_machines(fragile: bool, first: str) -> None:
     job = make(pieces=5)
     rooms = [room("cheap", spot=True, images=("img-1",)), room("plain")]
-    chosen = [r.machine for r in place(job, 5, rooms, Spread(job, ()), "", None, False, fragile)]
+    chosen = [r.machine for r in place(job, 5, Index("", rooms), Spread(job, ()), None, False,
+                                       fragile)]
     assert len(chosen) == 5 and chosen[0] == first  # preferred, not required
     rooms = [room("cheap", spot=True), room("plain")]
     for each in rooms:
         each.take(make(2, rank="best_effort"), 4)
-    found = preempt(job, 1, rooms, Spread(job, ()), Policy([], KINDS), None, fragile)
+    found = preempt(job, 1, Index("", rooms), Spread(job, ()), Policy([], KINDS), None, fragile)
     assert [r.machine for r, _ in found] == [first]
 
 
@@ -132,7 +135,7 @@
     full = room()
     full.take(make(2, rank=victim), 4)
     job = make(rank=rank)
-    found = preempt(job, 1, [full], Spread(job, ()), Policy([], KINDS))
+    found = preempt(job, 1, Index("", [full]), Spread(job, ()), Policy([], KINDS))
     assert found == ([(full, 1)] if stopped else [])
 
 
@@ -141,15 +144,16 @@
     for each in rooms:
         each.take(make(2, rank="best_effort"), 4)
     job = make(pieces=10)
-    found = preempt(job, 10, rooms, Spread(job, ()), Policy([], KINDS))
+    found = preempt(job, 10, Index("", rooms), Spread(job, ()), Policy([], KINDS))
     assert sorted(n for _, n in found) == [2, 4, 4]
     job = make(pieces=10, scatter=True)
-    assert sum(n for _, n in preempt(job, 10, rooms, Spread(job, ()), Policy([], KINDS))) == 5
+    found = preempt(job, 10, Index("", rooms), Spread(job, ()), Policy([], KINDS))
+    assert sum(n for _, n in found) == 5
 
 
 def test_short_keeps_zones_of_what_was_placed() -> None:
     job = make(pieces=2, scatter=True)
-    left = short([room()], [Need(job, 2)], Policy([], KINDS))
+    left = short(Index("", [room()]), [Need(job, 2)], Policy([], KINDS))
     assert [(n.tasks, n.zones) for n in left] == [(1, ("north",))]
     # ... so that the next machine is rented where it can be used.
     assert shopping(KINDS, left, set(), 0.0, Policy([], KINDS), {}) == [("plain", "south", True)]
