Retries, bounds and the door as one package; rooms, places and frames computed once

Cause: each routine asked again by itself, a hundred of them in an outage; submissions waited behind a queue until their users had left. And sampled from outside, a controller spent its time on rooms built for each reservation, hashes for each report, frames packed field by field, and tables pulled at each of the peers' heartbeats.

Change: clayport/limits (deadlines that travel, budgets, decorrelated jitter, waiters that are woken when the server is back, an adaptive bound, a door with Retry-After) for the state service and the peers. Frames are byte for byte what they were.

--- a/clayport/api.py
+++ b/clayport/api.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from typing import TYPE_CHECKING, Any
 
-import curio
 import msgspec
 
 from . import peerwire
 from .jobs import can_ever_run, end_key, end_value, ended, fitted, live_key, live_value
+from .limits import Deadline, Door
 from .model import SERVICE, Job, fits
 from .peers import PeerError
 from .statestore import CANCEL_S, URGENT_S, Conflict, Lookups, Txn, Unavailable, Unknown
@@ -23,6 +24,9 @@
 Headers = list[tuple[str, str]]
 # The protocol's own figures: users wait this long for a submission and a poll.
 SUBMIT_S, POLL_S = 5.0, 2.0
+RETRY_MOST_S = 30.0
+# The share of that time in which an answer is to be ready, the way there and back aside.
+IN_TIME = 0.7
 # What a final record takes besides the description that it carries on.
 END_BYTES = 64
 
@@ -33,11 +37,18 @@
     def __init__(self, core: Controller) -> None:
         self.core = core
         self.lookups = Lookups(core.store, 4 * core.settings.cluster.state.txn_ops, POLL_S / 3)
+        # What can't be written while its user waits is refused before anything is asked.
+        self.door = Door(IN_TIME * SUBMIT_S, RETRY_MOST_S)
 
     async def handle(self, method: str, path: str, body: bytes) -> tuple[int, bytes, Headers]:
+        after_s = 1
         try:
             status, value = await self._route(method, path.partition("?")[0], body)
-        except (Unavailable, Unknown) as exc:
+        except Unavailable as exc:
+            log.debug("path=%s event=unavailable cause=%s", path, exc)
+            status, value = 503, {"error": str(exc)}
+            after_s = max(1, math.ceil(min(exc.after_s, RETRY_MOST_S)))
+        except Unknown as exc:
             log.debug("path=%s event=unavailable cause=%s", path, exc)
             status, value = 503, {"error": "state service unavailable"}
         except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
@@ -47,7 +58,7 @@
         await self.core.flush()
         headers: Headers = []
         if status == 503 and path.startswith("/api/"):
-            headers.append(("Retry-After", "1"))
+            headers.append(("Retry-After", str(after_s)))
         return status, msgspec.json.encode(value), headers
 
     async def _route(self, method: str, path: str, body: bytes) -> tuple[int, dict[str, Any]]:
@@ -71,7 +82,7 @@
     def _valid(job: str) -> bool:
         return 0 < len(job) <= 40 and job.isascii() and job.replace("-", "").isalnum()
 
-    async def _known(self, job: str, timeout_s: float) -> str | None:
+    async def _known(self, job: str, deadline: Deadline) -> str | None:
         """The job's state as the state service holds it now, or None.
 
         The live record is read first: it only ever turns into the final one, so
@@ -83,9 +94,9 @@
         live = core.live.get(job)
         if live is not None and await self.lookups.unchanged(live_key(job), live[1]):
             return "live"
-        if await core.store.get(live_key(job), timeout_s) is not None:
+        if await core.store.get(live_key(job), deadline) is not None:
             return "live"
-        entry = await core.store.get(end_key(job), timeout_s)
+        entry = await core.store.get(end_key(job), deadline)
         if entry is None:
             return None
         core.mirror.note_end(job, *ended(entry.value))
@@ -118,7 +129,7 @@
     async def _poll(self, job: str) -> tuple[int, dict[str, Any]]:
         if not self._valid(job):
             return 404, {"error": "no such job"}
-        status = await self._known(job, POLL_S / 3)
+        status = await self._known(job, Deadline.within(time.monotonic(), IN_TIME * POLL_S))
         if status is None:
             return 404, {"error": "no such job"}
         return 200, await self._answer(job, status)
@@ -132,11 +143,12 @@
         if not core.awake(time.monotonic()):
             # It may have waited since before we stood still, and its user have left.
             raise Unavailable("just awake")
+        deadline = Deadline.within(time.monotonic(), IN_TIME * SUBMIT_S)
         submitted = time.time()
         value = live_value(job, submitted)
         if len(msgspec.json.encode(value)) > core.settings.cluster.state.least().value_kb * 1024 \
                 - END_BYTES:
-            known = await self._known(job.id, SUBMIT_S / 3)
+            known = await self._known(job.id, deadline)
             if known is not None:  # accepted while more was allowed
                 return 200, await self._answer(job.id, known)
             return 400, {"error": "description too large"}
@@ -146,21 +158,21 @@
         if limit is None or not any(fits(job, t) for t in core.types) \
                 or not can_ever_run(job, limit):
             # Never for a job that was accepted before, whatever has changed since.
-            known = await self._known(job.id, SUBMIT_S / 3)
+            known = await self._known(job.id, deadline)
             if known is None:
                 return 422, {"error": "can never run"}
             return 200, await self._answer(job.id, known)
         if job.id in core.ended:
             return 200, await self._answer(job.id, core.ended[job.id])
         if job.id in core.live:
-            known = await self._known(job.id, SUBMIT_S / 3)
+            known = await self._known(job.id, deadline)
             if known is not None:
                 return 200, await self._answer(job.id, known)
-        deadline = time.monotonic() + SUBMIT_S * 0.7
+        self._admit(URGENT_S)
         if job.prereqs:
-            wrong = await self._unsuitable(job.prereqs)
+            wrong = await self._unsuitable(job.prereqs, deadline)
             if wrong:
-                known = await self._known(job.id, SUBMIT_S / 5)
+                known = await self._known(job.id, deadline)
                 if known is not None:
                     return 200, await self._answer(job.id, known)
                 return 422, {"error": wrong}
@@ -169,27 +181,34 @@
                 raise Unavailable("not all controllers can take prereqs yet")
         txn = Txn().require(live_key(job.id), 0).require(end_key(job.id), 0)
         txn.put(live_key(job.id), value)
+        attempt = core.store.begin(deadline)
         while True:
             try:
-                rev = await core.store.commit(txn, ahead_s=URGENT_S)
+                rev = await core.store.commit(txn, deadline, URGENT_S)
                 break
             except Conflict:
-                known = await self._known(job.id, SUBMIT_S / 5)
+                known = await self._known(job.id, deadline)
                 if known is None:
                     raise Unavailable("the record is just changing") from None
                 return 200, await self._answer(job.id, known)
             except Unknown:
                 # It may have been applied: the same transaction again either
                 # succeeds or shows the job.
-                if time.monotonic() > deadline:
+                if not await core.store.rest(attempt):
                     raise
-                await curio.sleep(core.jitter(0.1))
         log.info("job=%s event=accepted class=%s kind=%s tasks=%d", job.id, job.job_class,
                  job.kind, job.tasks)
         core.mirror.note_live(job, rev, core.mirror.since(submitted))
         return 201, {"id": job.id, "status": "queued"}
 
-    async def _unsuitable(self, names: list[str]) -> str:
+    def _admit(self, ahead_s: float) -> None:
+        """Unavailable, with when to come back, if what waits for the state service can't be
+        worked off in time."""
+        after_s = self.door.ask(self.core.store.backlog(ahead_s))
+        if after_s:
+            raise Unavailable("too much is waiting", after_s)
+
+    async def _unsuitable(self, names: list[str], deadline: Deadline) -> str:
         """Why a job can't wait for these; empty if it can: each was accepted, and ends by
         itself. What isn't known here may have been accepted a moment ago by a controller
         whose watch is ahead of ours, so the state service is asked."""
@@ -209,7 +228,7 @@
             for name in part:
                 txn.require(live_key(name), 0).require(end_key(name), 0)
             try:
-                await core.store.commit(txn, SUBMIT_S / 5)
+                await core.store.commit(txn, deadline)
                 return f"{part[0]} was never accepted"
             except Conflict as exc:
                 for name in part:
@@ -217,7 +236,7 @@
                         continue
                     if live_key(name) not in exc.failed:
                         return f"{name} was never accepted"
-                    entry = await core.store.get(live_key(name), SUBMIT_S / 5)
+                    entry = await core.store.get(live_key(name), deadline)
                     if entry is not None and entry.value["j"]["shape"] == SERVICE:
                         return f"{name} is a service"
         return ""
@@ -226,13 +245,14 @@
         core = self.core
         if not self._valid(job):
             return 404, {"error": "no such job"}
-        deadline = time.monotonic() + SUBMIT_S * 0.7
-        while time.monotonic() < deadline:
+        deadline = Deadline.within(time.monotonic(), IN_TIME * SUBMIT_S)
+        attempt = core.store.begin(deadline)
+        while deadline.allows(time.monotonic()):
             if job in core.ended:
                 return 200, {"id": job, "status": core.ended[job]}
-            entry = await core.store.get(live_key(job), SUBMIT_S / 5)
+            entry = await core.store.get(live_key(job), deadline)
             if entry is None:
-                known = await self._known(job, SUBMIT_S / 5)
+                known = await self._known(job, deadline)
                 if known is None:
                     return 404, {"error": "no such job"}
                 if known == "live":
@@ -243,11 +263,12 @@
             txn.put(end_key(job), fitted(end_value("cancelled", at, entry.value["j"]),
                                          core.bounds.value_kb))
             try:
-                await core.store.commit(txn, ahead_s=CANCEL_S)
+                await core.store.commit(txn, deadline, CANCEL_S)
             except Conflict:
                 continue
             except Unknown:
-                await curio.sleep(core.jitter(0.1))
+                if not await core.store.rest(attempt):
+                    break
                 continue
             log.info("job=%s event=cancelled", job)
             core.mirror.note_end(job, "cancelled", at)
--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -74,15 +74,17 @@
         # (a cancelled job's kill was once never sent because of that).
         name = hj.name
         gen = core.generation
+        attempt = core.store.begin()
         try:
             await self._adopt(hj)
             while core.generation is gen:
                 try:
                     while core.generation is gen and await self._step(hj):
                         await core.flush()
+                    attempt.served()
                 except (Unavailable, Unknown) as exc:
                     log.debug("job=%s event=waiting cause=%s", hj.job.id, exc)
-                    await curio.sleep(core.jitter(core.ttl_s / 6))
+                    await core.store.rest(attempt)
                     continue
                 except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
                     # A malformed value of the state service: the job waits, and tries
@@ -208,6 +210,7 @@
         large meanwhile will never tell: what holds now has to be read.
         """
         unsure = False
+        attempt = self.core.store.begin()
         while True:
             if self.core.generation.rev != fence:
                 raise Evicted
@@ -222,7 +225,7 @@
             except Unavailable:
                 if not unsure:
                     raise
-            await curio.sleep(self.core.jitter(self.core.ttl_s / 12))
+            await self.core.store.rest(attempt)
 
     async def _start(self, hj: HomeJob, starts: list[tuple[int, str]]) -> None:
         core, job = self.core, hj.job
@@ -335,6 +338,7 @@
                  core.generation.number, len(items), items[0][2])
         for owner, part in self._by_owner(items).items():
             waiting = part
+            attempt = core.asks(owner)
             while waiting:
                 if core.generation.rev != fence:
                     raise Evicted
@@ -355,7 +359,7 @@
                             raise PeerError("not the owner")
                         answers = [v for (v,) in rows]
                     except (PeerError, KeyError):
-                        await curio.sleep(core.jitter(core.ttl_s / 12))
+                        await core.ask_again(owner, attempt)
                         waiting = [i for i in waiting if self._unsettled(hj, i)]
                         continue
                 for (machine, task, attempt), answer in zip(waiting, answers):
@@ -396,6 +400,7 @@
         for owner, part in self._by_owner((m, f"{hj.job.id}/{n}", a)
                                           for n, a, m in hj.assignments()
                                           if only is None or n in only).items():
+            attempt = core.asks(owner)
             while True:
                 if core.generation is not gen:
                     raise Evicted
@@ -407,7 +412,7 @@
                         break
                 except (PeerError, KeyError):
                     pass
-                await curio.sleep(core.jitter(core.ttl_s / 6))
+                await core.ask_again(owner, attempt)
         await core.flush()
 
     async def _commit_outcomes(self, hj: HomeJob) -> None:
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -105,7 +105,9 @@
                      core.generation.number, m.type, m.zone, m.spot)
         answer: dict[str, Any] = {"epoch": m.token, "orders": []}
         if m.orders and not m.busy:
-            if now < m.bad_until:
+            # Exited tasks take no room: that they are cleared can wait for a report's answer,
+            # which costs nothing, and is repeated until they are no longer listed.
+            if now < m.bad_until or not m.urgent:
                 answer["orders"], m.by_response = core.owner.orders(m)
             else:
                 core.spawn(self.pump(m))
@@ -133,7 +135,7 @@
     def poke(self, machine: str) -> None:
         """Send what is queued for the machine, unless that is under way."""
         m = self.core.owner.machines.get(machine)
-        if m is not None and m.orders and not m.busy and m.known \
+        if m is not None and m.urgent and not m.busy and m.known \
                 and time.monotonic() >= m.bad_until:
             m.busy = True
             self.core.spawn(self.pump(m, True))
@@ -206,6 +208,7 @@
         while True:
             await core.wait(f"outbox {home}")
             box = self.outboxes.setdefault(home, OrderedDict())
+            attempt = core.asks(home)
             while box and core.serving:
                 gen = core.generation
                 batch = [box.popitem(last=False)[1] for _ in range(min(len(box), 500))]
@@ -223,7 +226,7 @@
                 if not ok or len(verdicts) != len(batch):
                     for event in batch:
                         box.setdefault(event[:3], event)
-                    await curio.sleep(core.jitter(core.ttl_s / 6))
+                    await core.ask_again(home, attempt)
                     continue
                 touched: dict[str, None] = {}
                 for event, verdict in zip(batch, verdicts):
--- a/clayport/limits/__init__.py
+++ b/clayport/limits/__init__.py
@@ -8,8 +8,9 @@
 """
 
 from .door import Door
-from .gate import Gate
+from .gate import Closed, Gate, Patience
 from .inflight import Inflight
 from .retry import Attempt, Budget, Deadline, Retries
 
-__all__ = ["Attempt", "Budget", "Deadline", "Door", "Gate", "Inflight", "Retries"]
+__all__ = ["Attempt", "Budget", "Closed", "Deadline", "Door", "Gate", "Inflight", "Patience",
+           "Retries"]
--- a/clayport/limits/gate.py
+++ b/clayport/limits/gate.py
@@ -10,13 +10,43 @@
 import curio
 
 from .inflight import Inflight
-from .retry import Deadline
+from .retry import Attempt, Deadline, Retries
 
 
 class Closed(Exception):
     """The turn would not come in time: nothing was sent."""
 
 
+class Patience:
+    """Routines that wait to ask one server again: each until its turn comes, and all no
+    longer than until the server is seen to serve."""
+
+    def __init__(self, retries: Retries) -> None:
+        self.retries = retries
+        self.out = False
+        self.back = curio.Event()
+
+    def begin(self, deadline: Deadline | None = None) -> Attempt:
+        """A request sets out that is to be asked again for as long as the deadline says."""
+        return self.retries.begin(time.monotonic(), deadline)
+
+    async def rest(self, attempt: Attempt) -> bool:
+        """Until it may be asked again; False: that would be too late."""
+        pause = attempt.pause(time.monotonic())
+        if pause is None:
+            return False
+        async with curio.ignore_after(pause):
+            await self.back.wait()
+        return True
+
+    async def seen(self, serving: bool) -> None:
+        """How the latest request fared."""
+        if serving and self.out:
+            event, self.back = self.back, curio.Event()
+            await event.set()
+        self.out = not serving
+
+
 class Passage:
     """What a request says of how it went, before it leaves the gate."""
 
--- a/clayport/membership.py
+++ b/clayport/membership.py
@@ -14,15 +14,19 @@
 
 # A token is the generation above the owner's own counter for the machine.
 COUNTER_BITS = 24
+# Places of jobs and machines that are remembered.
+PLACES_MOST = 20_000
 
 
 class Generation:
     """The member list as committed; `rev` fences every commit made under it."""
 
-    __slots__ = ("number", "members", "rev")
+    __slots__ = ("number", "members", "rev", "provisioner", "_places")
 
     def __init__(self, number: int, members: dict[str, str], rev: int) -> None:
         self.number, self.members, self.rev = number, members, rev
+        self.provisioner = rendezvous("provisioner", members)
+        self._places: dict[str, str] = {}
 
     @staticmethod
     def parse(value: Any, rev: int) -> Generation:
@@ -37,15 +41,17 @@
         return self.number << COUNTER_BITS
 
     def place(self, key: str) -> str:
-        """The member that a job (home) or a machine (owner) belongs to."""
-        return rendezvous(key, self.members)
+        """The member that a job (home) or a machine (owner) belongs to.
 
-    @property
-    def provisioner(self) -> str:
-        return rendezvous("provisioner", self.members)
-
-
-NOBODY = Generation(0, {}, 0)
+        Remembered, since each report asks for it; all at once is forgotten what has become
+        too much, as users ask for jobs that never were.
+        """
+        found = self._places.get(key)
+        if found is None:
+            if len(self._places) >= PLACES_MOST:
+                self._places.clear()
+            found = self._places[key] = rendezvous(key, self.members)
+        return found
 
 
 def rendezvous(key: str, members: Iterable[str]) -> str:
@@ -54,6 +60,9 @@
                default="")
 
 
+NOBODY = Generation(0, {}, 0)
+
+
 def successor(current: Generation, present: dict[str, str]) -> Generation | None:
     """The generation to propose for the controllers present, or None for no change.
 
--- a/clayport/mirror.py
+++ b/clayport/mirror.py
@@ -67,6 +67,7 @@
         """Mirror the generation, the controllers present and the live jobs."""
         core = self.core
         rev = 0
+        attempt = core.store.begin()
         while True:
             try:
                 if core.rescan:
@@ -77,11 +78,12 @@
                 if not core.upgraded:
                     self.count_versions()
                 await core.flush()
+                attempt.served()
             except Compacted:
                 core.rescan = True
             except (Unavailable, Unknown) as exc:
                 log.debug("event=watch-lost cause=%s", exc)
-                await curio.sleep(core.jitter(core.ttl_s / 8))
+                await core.store.rest(attempt)
             except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
                 log.error("event=malformed-state cause=%r", exc)
                 await curio.sleep(core.jitter(core.ttl_s / 8))
--- a/clayport/peers.py
+++ b/clayport/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -11,9 +12,14 @@
 from curio import socket
 
 from . import peerwire as wire
+from .limits import Budget, Patience, Retries
 
 log = logging.getLogger("clayport.peers")
 
+# Retries that each first request to a peer earns, and how many all who ask it again may make
+# in the time that a request may take.
+RETRIES, AGAIN = 0.1, 100.0
+
 Handler = Callable[[int, tuple[Any, ...]], Awaitable[tuple[int, tuple[Any, ...]]]]
 
 
@@ -41,7 +47,8 @@
 class Peer:
     """The outgoing side towards one controller."""
 
-    def __init__(self, label: str, host: str, port: int, timeout_s: float) -> None:
+    def __init__(self, label: str, host: str, port: int, timeout_s: float,
+                 uniform: Callable[[float, float], float] = random.uniform) -> None:
         self.label, self.host, self.port, self.timeout_s = label, host, port, timeout_s
         self.sock: Any = None
         self.reader: curio.Task | None = None
@@ -52,6 +59,9 @@
         self.state_ok = False
         self.generation = 0
         self.room_rev = 0
+        self.patience = Patience(Retries(timeout_s / 4, timeout_s, Budget(
+            RETRIES, AGAIN, AGAIN / timeout_s, time.monotonic()), uniform))
+        self.begin, self.rest = self.patience.begin, self.patience.rest
 
     async def call(self, kind: int, values: tuple[Any, ...],
                    timeout_s: float | None = None) -> tuple[Any, ...]:
@@ -78,12 +88,14 @@
             # A connection that swallows requests (held packets) is given up, so
             # that the next request tries a fresh one.
             await self._drop()
+            await self.patience.seen(False)
             raise PeerError(f"{self.label}: {type(exc).__name__} {exc}") from None
         finally:
             self.waiting.pop(number, None)
         if not box:
             raise PeerError(f"{self.label}: connection lost")
         self.heard = time.monotonic()
+        await self.patience.seen(True)
         answer: tuple[Any, ...] = box[0]
         return answer
 
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -14,6 +14,7 @@
 MAGIC = 0xC1A7
 VERSION = 2
 HEADER = struct.Struct("!HBBII")
+SIZE = struct.Struct("!I")
 MAX_BODY = 4 * 1024 * 1024
 
 Schema = tuple[Any, ...]
@@ -81,55 +82,92 @@
     """Not a frame of ours; the connection can't be used any further."""
 
 
-def _pack(schema: Schema, values: Any, out: list[bytes]) -> None:
-    if len(schema) != len(values):
-        raise FrameError("fields do not match the schema")
-    for code, value in zip(schema, values):
-        if isinstance(code, tuple):
-            out.append(struct.pack("!I", len(value)))
-            for record in value:
-                _pack(code, record, out)
-        elif code == "s" or code == "b":
-            raw = value.encode() if code == "s" else value
-            out.append(struct.pack("!I", len(raw)))
-            out.append(raw)
-        else:
-            out.append(struct.pack("!" + code, value))
-
-
-def _unpack(schema: Schema, body: bytes, at: int) -> tuple[list[Any], int]:
-    values: list[Any] = []
-    for code in schema:
-        if isinstance(code, tuple):
-            (count,) = struct.unpack_from("!I", body, at)
-            at += 4
-            if count > len(body) - at:
-                raise FrameError("a list is longer than its frame")
-            records = []
-            for _ in range(count):
-                record, at = _unpack(code, body, at)
-                records.append(tuple(record))
-            values.append(records)
-        elif code == "s" or code == "b":
-            (size,) = struct.unpack_from("!I", body, at)
+class _Layout:
+    """A schema, compiled: runs of fields of fixed size are one `struct` each.
+
+    `steps` holds, in order, a Struct with its number of fields, a code `s` or `b`, or the
+    layout of a list's records.
+    """
+
+    __slots__ = ("steps", "width", "fixed")
+
+    def __init__(self, schema: Schema) -> None:
+        self.steps: list[tuple[struct.Struct | None, int, _Layout | str]] = []
+        self.width = len(schema)
+        run = ""
+        for code in (*schema, None):
+            if isinstance(code, str) and code not in "sb":
+                run += code
+                continue
+            if run:
+                self.steps.append((struct.Struct("!" + run), len(run), ""))
+                run = ""
+            if code is not None:
+                self.steps.append((None, 1, _Layout(code) if isinstance(code, tuple) else code))
+        # Records of nothing else are packed by one struct alone.
+        self.fixed = self.steps[0][0] if len(self.steps) == 1 else None
+
+    def pack(self, values: Any, out: list[bytes]) -> None:
+        if len(values) != self.width:
+            raise FrameError("fields do not match the schema")
+        at = 0
+        for fixed, count, part in self.steps:
+            if fixed is not None:
+                out.append(fixed.pack(*values[at:at + count]))
+            elif isinstance(part, _Layout):
+                records = values[at]
+                out.append(SIZE.pack(len(records)))
+                for record in records:
+                    part.pack(record, out)
+            else:
+                raw = values[at].encode() if part == "s" else values[at]
+                out.append(SIZE.pack(len(raw)))
+                out.append(raw)
+            at += count
+
+    def unpack(self, body: bytes, at: int) -> tuple[list[Any], int]:
+        values: list[Any] = []
+        for fixed, _, part in self.steps:
+            if fixed is not None:
+                values += fixed.unpack_from(body, at)
+                at += fixed.size
+                continue
+            (size,) = SIZE.unpack_from(body, at)
             at += 4
+            if isinstance(part, _Layout):
+                if size > len(body) - at:
+                    raise FrameError("a list is longer than its frame")
+                records, at = part.records(body, at, size)
+                values.append(records)
+                continue
             raw = body[at:at + size]
             if len(raw) != size:
                 raise FrameError("truncated")
             at += size
-            values.append(raw.decode() if code == "s" else raw)
-        else:
-            (value,) = struct.unpack_from("!" + code, body, at)
-            at += struct.calcsize("!" + code)
-            values.append(value)
-    return values, at
+            values.append(raw.decode() if part == "s" else raw)
+        return values, at
+
+    def records(self, body: bytes, at: int, count: int) -> tuple[list[tuple[Any, ...]], int]:
+        if self.fixed is not None:
+            end = at + count * self.fixed.size
+            if end > len(body):
+                raise FrameError("truncated")
+            return list(self.fixed.iter_unpack(body[at:end])), end
+        found = []
+        for _ in range(count):
+            record, at = self.unpack(body, at)
+            found.append(tuple(record))
+        return found, at
+
+
+LAYOUTS = {kind: _Layout(schema) for kind, schema in SCHEMAS.items()}
 
 
 def encode(kind: int, number: int, values: tuple[Any, ...]) -> bytes:
     """A whole frame."""
     out: list[bytes] = []
     try:
-        _pack(SCHEMAS[kind], values, out)
+        LAYOUTS[kind].pack(values, out)
     except struct.error as exc:
         raise FrameError(str(exc)) from None
     body = b"".join(out)
@@ -148,7 +186,7 @@
 
 def decode_body(kind: int, body: bytes) -> tuple[Any, ...]:
     try:
-        values, at = _unpack(SCHEMAS[kind], body, 0)
+        values, at = LAYOUTS[kind].unpack(body, 0)
     except (struct.error, UnicodeDecodeError) as exc:
         raise FrameError(str(exc)) from None
     if at != len(body):
--- a/clayport/picture.py
+++ b/clayport/picture.py
@@ -170,11 +170,18 @@
         """The adaptive refresh; a lasting shortage also looks when a peer's table changed."""
         core = self.core
         due = time.monotonic() + self.asc.interval
+        looked = -math.inf
         while True:
             await core.wait("starved", min(self.asc.least, max(0.01, due - time.monotonic())))
             if not core.serving:
                 continue
             now = time.monotonic()
+            if now < min(due, looked + self.asc.least / 2):
+                # Each of the peers' heartbeats wakes us: one look at all that they announce
+                # costs as much as one at a single table. (With five controllers, tables were
+                # a seventh of what a controller computed.)
+                await curio.sleep(min(due, looked + self.asc.least / 2) - now)
+                now = time.monotonic()
             if now >= due:
                 interval = self.asc.step()
                 log.debug("event=refresh ratio=%.3f interval=%.1f", self.asc.ratio, interval)
@@ -186,6 +193,7 @@
                                       if p.label in core.generation.members):
                 # True shortage: the interval is left alone, but room that a
                 # peer has since announced is looked at.
+                looked = now
                 await self.refresh_peers(changed_only=True)
                 core.signal("place")
             await core.flush()
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -21,6 +21,7 @@
 from .fleet import Fleet
 from .index import Index
 from .jobs import GENERATION_KEY, HomeJob, end_key, ended, parse_chunk_key
+from .limits import Attempt
 from .membership import NOBODY, Generation, should_leave, successor
 from .mirror import FORMAT, NODE_PREFIX, VERSION_PREFIX, Mirror
 from .model import SERVICE, Chunk, Job, MachineType, chunk_size
@@ -57,11 +58,13 @@
         # worker's lease leaves the workers time to find their new owner.
         self.ttl_s = 0.3 * c.workers.lease_s
         self.store = StateStore(*endpoint(settings.services.state, "services.state"),
-                                c.state.rps, c.state.write_rps, 0.2 * c.workers.lease_s, c.size)
+                                c.state.rps, c.state.write_rps, 0.2 * c.workers.lease_s, c.size,
+                                self.rng.uniform)
         self.cloud = Cloud(*endpoint(settings.services.cloud, "services.cloud"), c.cloud.rps,
                            c.workers.lease_s)
-        self.peers = {m.label: peers.Peer(m.label, *endpoint(m.address, "members"),
-                                          0.1 * c.workers.lease_s) for m in settings.members}
+        self.peers = {m.label: peers.Peer(
+            m.label, *endpoint(m.address, "members"), 0.1 * c.workers.lease_s, self.rng.uniform)
+            for m in settings.members}
         # What is aimed at for the classes: the time to finish, and which of them
         # are to start soon.
         self.finish_limits: dict[str, float] = {}
@@ -305,6 +308,7 @@
 
     async def _load(self, generation: Generation) -> None:
         """Take over our share: no commit of an earlier generation can follow its key."""
+        attempt = self.store.begin()
         while self.generation is generation:
             try:
                 entries, _ = await self.store.scan("run/")
@@ -348,7 +352,7 @@
                 log.debug("event=load-failed cause=%s", exc)
             except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
                 log.error("event=malformed-state cause=%r", exc)
-            await curio.sleep(self.jitter(self.ttl_s / 8))
+            await self.store.rest(attempt)
 
     def home(self, job: Job, rev: int, chunks: dict[tuple[int, int], Chunk],
               ended: str) -> None:
@@ -587,12 +591,24 @@
         await self.flush()
 
     async def _announce(self, peer: peers.Peer, rows: list[tuple[str]]) -> None:
+        attempt = peer.begin()
         for _ in range(3):
             try:
                 await peer.call(peerwire.GONE, (self.generation.number, rows))
                 return
             except peers.PeerError:
-                await curio.sleep(self.jitter(self.ttl_s / 6))
+                await peer.rest(attempt)
+
+    def asks(self, label: str) -> Attempt:
+        """A request to another controller sets out; or to this one, which answers at once
+        or not before the generation has moved on."""
+        peer = self.peers.get(label)
+        return peer.begin() if peer is not None else self.store.begin()
+
+    async def ask_again(self, label: str, attempt: Attempt) -> None:
+        """Until the controller may be asked again."""
+        peer = self.peers.get(label)
+        await (peer.rest(attempt) if peer is not None else self.store.rest(attempt))
 
     async def ask_owner(self, kind: int, machine: str, *more: bool) -> bool:
         """DRAIN or EVACUATE: whether the machine's owner has agreed."""
--- a/clayport/statestore.py
+++ b/clayport/statestore.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 import curio
 import msgspec
 
 from . import http
+from .limits import Budget, Closed, Deadline, Gate, Inflight, Patience, Retries
 
 # How far what users and replicas wait for may go ahead of the queue (the service allows
 # bursts of a whole second's worth), how far cancellations may, which have a limit of their
@@ -16,8 +19,21 @@
 URGENT_S, CANCEL_S, LEASE_S = 0.5, 1.0, 5.0
 
 
+# Retries that each first try earns, and the share of this controller's requests that all
+# who ask again may make together, whatever is out.
+RETRIES, AGAIN = 0.1, 0.2
+# Requests on their way at a time: as many as are answered in a twentieth of a second at the
+# full rate to begin with, never fewer than keep the work going.
+START_S, FLYING_LEAST = 0.05, 4
+
+
 class Unavailable(Exception):
-    """Not executed: refused by the service, or never sent."""
+    """Not executed: refused by the service, or never sent. `after_s`: when it may be worth
+    coming back, where that is known."""
+
+    def __init__(self, why: str, after_s: float = 0.0) -> None:
+        super().__init__(why)
+        self.after_s = after_s
 
 
 class Unknown(Exception):
@@ -123,6 +139,11 @@
         self.level -= amount
         return max(0.0, -self.level / self.rate - ahead_s)
 
+    def backlog(self, now: float, ahead_s: float = 0.0) -> float:
+        """Seconds that something would have to wait, without taking anything."""
+        level = min(self.rate, self.level + (now - self.at) * self.rate)
+        return max(0.0, -level / self.rate - ahead_s)
+
     def give_back(self, amount: float) -> None:
         """What was taken is not used after all."""
         self.level += amount
@@ -132,7 +153,8 @@
     """Requests to the state service, paced to this controller's share."""
 
     def __init__(self, host: str, port: int, rps: float, write_rps: float, timeout_s: float,
-                 controllers: int) -> None:
+                 controllers: int, uniform: Callable[[float, float], float] = random.uniform
+                 ) -> None:
         self.client = http.Client(host, port, keep=8)
         self.watcher = http.Client(host, port, keep=1)
         self.timeout_s = timeout_s
@@ -143,6 +165,19 @@
         self.last_ok = now - 3600.0
         self.last_bad = now
         self.sent = 0
+        rate = self.requests.rate
+        self.gate = Gate(Inflight(max(FLYING_LEAST, int(START_S * rate)), FLYING_LEAST,
+                                  max(2 * FLYING_LEAST, int(rate))), timeout_s)
+        # Asked again after a pause like an eighth of the time that a request may take; what
+        # waits for the service to come back is woken when it does.
+        self.patience = Patience(Retries(timeout_s / 8, timeout_s, Budget(
+            RETRIES, max(1.0, AGAIN * rate), max(1.0, AGAIN * rate), now), uniform))
+        self.begin, self.rest = self.patience.begin, self.patience.rest
+
+    def backlog(self, ahead_s: float = 0.0) -> float:
+        """Seconds that a change would have to wait for its turn."""
+        now = time.monotonic()
+        return max(self.requests.backlog(now, ahead_s), self.changes.backlog(now, ahead_s))
 
     @property
     def ok(self) -> bool:
@@ -150,44 +185,67 @@
         return self.last_ok >= self.last_bad
 
     async def _call(self, method: str, path: str, body: Any = None, changes: int = 0,
-                    timeout_s: float | None = None, client: http.Client | None = None,
-                    ahead_s: float = 0.0) -> tuple[int, bytes]:
+                    deadline: Deadline | None = None, ahead_s: float = 0.0
+                    ) -> tuple[int, bytes]:
+        deadline = deadline or Deadline()
         now = time.monotonic()
         wait = self.requests.delay(1, now, ahead_s)
         if changes:
             wait = max(wait, self.changes.delay(changes, now, ahead_s))
-        if timeout_s is not None and wait > timeout_s and client is None:
+        if wait > 0 and not deadline.allows(now, wait):
             # A user asks who will have left by then: refused now, so that the queue of
             # those who ask again and again doesn't grow without end.
             self.requests.give_back(1)
             self.changes.give_back(changes)
-            raise Unavailable("too much is asked")
+            raise Unavailable("too much is asked", wait)
         if wait > 0:
             await curio.sleep(wait)
         raw = None if body is None else msgspec.json.encode(body)
+        if ahead_s >= LEASE_S:
+            # A lease and the generation wait for nobody.
+            return await self._send(method, path, raw, self.timeout_s, self.client)
+        try:
+            async with self.gate.passing(ahead_s, deadline) as passage:
+                left = deadline.left(time.monotonic(), self.timeout_s)
+                if left <= 0:
+                    raise Closed("its time is over")
+                status, payload = await self._send(method, path, raw, left, self.client)
+                passage.served = True
+                return status, payload
+        except Closed as exc:
+            raise Unavailable(str(exc), self.timeout_s) from None
+
+    async def _send(self, method: str, path: str, raw: bytes | None, timeout_s: float,
+                    client: http.Client) -> tuple[int, bytes]:
+        """One exchange, and what it says of the service."""
         self.sent += 1
         try:
-            status, payload = await (client or self.client).request(
-                method, path, raw, timeout_s or self.timeout_s)
+            status, payload = await client.request(method, path, raw, timeout_s)
         except http.NotSent as exc:
-            self.last_bad = time.monotonic()
+            await self._failed()
             raise Unavailable(str(exc)) from None
         except http.NoAnswer as exc:
-            self.last_bad = time.monotonic()
+            await self._failed()
             raise Unknown(str(exc)) from None
         if status in (429, 503):
             if status == 503:
-                self.last_bad = time.monotonic()
+                await self._failed()
             raise Unavailable(f"{status} {path}")
         self.last_ok = time.monotonic()
+        await self.patience.seen(True)
         return status, payload
 
-    async def _read(self, path: str, timeout_s: float | None = None) -> tuple[int, bytes]:
+    async def _failed(self) -> None:
+        self.last_bad = time.monotonic()
+        await self.patience.seen(False)
+
+    async def _read(self, path: str, deadline: Deadline | None = None) -> tuple[int, bytes]:
         """A read may be repeated: an unanswered one is tried once more."""
         try:
-            return await self._call("GET", path, timeout_s=timeout_s)
+            return await self._call("GET", path, deadline=deadline and deadline.part(
+                time.monotonic(), 0.5))
         except Unknown:
-            return await self._call("GET", path, timeout_s=timeout_s)
+            return await self._call("GET", path, deadline=deadline)
 
     @staticmethod
     def _decode(payload: bytes, kind: Any) -> Any:
@@ -197,8 +255,8 @@
         except msgspec.MsgspecError as exc:
             raise Unknown(f"malformed answer: {exc}") from None
 
-    async def get(self, key: str, timeout_s: float | None = None) -> Entry | None:
-        status, payload = await self._read(f"/keys/{key}", timeout_s)
+    async def get(self, key: str, deadline: Deadline | None = None) -> Entry | None:
+        status, payload = await self._read(f"/keys/{key}", deadline)
         if status == 404:
             return None
         if status != 200:
@@ -227,7 +285,7 @@
         self.requests.rate = rps * 0.9 / self.controllers
         self.changes.rate = write_rps * 0.9 / self.controllers
 
-    async def commit(self, txn: Txn, timeout_s: float | None = None,
+    async def commit(self, txn: Txn, deadline: Deadline | None = None,
                      ahead_s: float = 0.0) -> int:
         """Apply; the revision. Conflict, NoLease, Unavailable or Unknown otherwise.
 
@@ -238,7 +296,7 @@
         if txn.writes:
             body["writes"] = txn.writes
         status, payload = await self._call("POST", "/commit", body, changes=len(txn.writes),
-                                           timeout_s=timeout_s, ahead_s=ahead_s)
+                                           deadline=deadline, ahead_s=ahead_s)
         if status == 200:
             return int(self._decode(payload, _Revision).rev)
         if status == 409:
@@ -265,8 +323,11 @@
     async def watch(self, prefix: str, since: int, wait_s: float) -> tuple[list[Change], int]:
         """Changes after `since`; an empty list when the time is over."""
         path = f"/changes?prefix={prefix}&since={since}&block_ms={int(wait_s * 1000)}"
-        status, payload = await self._call("GET", path, timeout_s=wait_s + self.timeout_s,
-                                           client=self.watcher)
+        pause = self.requests.delay(1, time.monotonic())
+        if pause > 0:
+            await curio.sleep(pause)
+        status, payload = await self._send("GET", path, None, wait_s + self.timeout_s,
+                                           self.watcher)
         if status == 410:
             raise Compacted
         if status != 200:
@@ -333,9 +394,10 @@
             for key in keys[first:first + self.most]:
                 txn.require(key, batch.revs[key])
             try:
+                until = Deadline.within(time.monotonic(), 2 * self.timeout_s)
                 try:
-                    await self.store.commit(txn, self.timeout_s)
+                    await self.store.commit(txn, until.part(time.monotonic(), 0.5))
                 except Unknown:
-                    await self.store.commit(txn, self.timeout_s)
+                    await self.store.commit(txn, until)
             except Conflict as exc:
                 batch.changed.update(exc.failed)
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -72,11 +72,18 @@
         # Room made by preemption is kept for the job it was made for: others of
         # its rank would otherwise take it first.
         self.hold_job, self.hold_until = "", -1e9
+        # Its room as last built: reports, reservations, the picture and the peers' tables
+        # all ask for it, and most of the time nothing has changed.
+        self.built: Room | None = None
+
+    @property
+    def urgent(self) -> bool:
+        """Whether something is to be started or stopped."""
+        return bool(self.kills or any(w.phase == QUEUED for w in self.want.values()))
 
     @property
     def orders(self) -> bool:
-        return bool(self.kills or self.clears
-                    or any(w.phase == QUEUED for w in self.want.values()))
+        return bool(self.clears) or self.urgent
 
 
 GONE = "gone"
@@ -139,6 +146,9 @@
 
     def touch(self, name: str) -> None:
         """The machine's room has changed, or the machine is gone."""
+        m = self.machines.get(name)
+        if m is not None:
+            m.built = None
         self.room_rev += 1
         self.changes[name] = self.room_rev
         self.changes.move_to_end(name)
@@ -146,6 +156,8 @@
             self.whole_rev = self.changes.popitem(last=False)[1]
 
     def touch_all(self) -> None:
+        for m in self.machines.values():
+            m.built = None
         self.room_rev += 1
         self.whole_rev = self.room_rev
         self.changes.clear()
@@ -549,24 +561,42 @@
             and not self.sick(m)
 
     def room(self, m: Machine, owner: str = "", now: float | None = None) -> Room:
-        """The machine's free room: everything wanted or still listed is counted."""
+        """The machine's free room: everything wanted or still listed is counted. A copy
+        that the caller may charge."""
+        if m.built is None or m.built.open != (self.open(m) and m.type in self.types):
+            found, known = self._build(m)
+            # What is on it with no job known for it may become known without a touch.
+            m.built = found if known else None
+        else:
+            found = m.built
+        room = found.copy()
+        room.owner = owner
+        if room.idle:
+            room.idle_since = m.idle_since
+        if now is not None:
+            room.hold = m.hold_job if now < m.hold_until else ""
+        return room
+
+    def _build(self, m: Machine) -> tuple[Room, bool]:
         kind = self.types.get(m.type)
         room = Room(m.name, m.address, m.type, m.zone, m.spot, self.open(m) and kind is not None,
                     kind.cpus if kind else 0.0, kind.gpus if kind else 0.0,
-                    kind.memory_gb if kind else 0.0, 0, m.images, math.inf, owner)
+                    kind.memory_gb if kind else 0.0, 0, m.images, math.inf, "")
+        known = True
         keys = dict.fromkeys(k for k, s in m.listed.items() if s[0] != "exited")
         keys.update(dict.fromkeys(k for k in m.want if m.listed.get(k, ("",))[0] != "exited"))
+        counts: dict[str, int] = {}
         for key in keys:
-            job = self.job_of(key[0].partition("/")[0])
-            if job is not None:
-                room.take(job)
+            job = key[0].partition("/")[0]
+            counts[job] = counts.get(job, 0) + 1
+        for name, count in counts.items():
+            guest = self.job_of(name)
+            if guest is not None:
+                room.take(guest, count)
             else:
-                room.tasks += 1
-        if room.idle:
-            room.idle_since = m.idle_since
-        if now is not None:
-            room.hold = m.hold_job if now < m.hold_until else ""
-        return room
+                room.tasks += count
+                known = False
+        return room, known
 
     def jobs_on(self, name: str) -> set[str]:
         m = self.machines.get(name)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from typing import Any
 
 import curio
@@ -11,6 +12,7 @@
 
 from clayport.dispatch import Evicted
 from clayport.jobs import JOB_AT_FAULT, MACHINE_AT_FAULT, OK, HomeJob
+from clayport.limits import Deadline
 from clayport.membership import should_leave
 from clayport.model import Chunk, Job, MachineType, chunk_size
 from clayport.placement import OPEN
@@ -287,7 +289,7 @@
 
     async def main() -> None:
         with pytest.raises(Unavailable, match="too much"):
-            await store.get("c/live/j-000001", 0.5)
+            await store.get("c/live/j-000001", Deadline.within(time.monotonic(), 0.5))
     before = store.requests.level
     curio.run(main)
     assert before <= store.requests.level < 0  # it has taken nothing from the others
