Answers of "nowhere" are kept for gangs and quick starts too; guarantees looked at in turn

Change: an answer is kept for whatever isn't bound to where its other tasks are; the types that have an image in time are part of the question; pools that can't hold a task are left out; machines for a guarantee are looked at once in a sixth of a lease.

--- a/clayport/index.py
+++ b/clayport/index.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
-from collections.abc import Callable, Container, Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 from contextlib import contextmanager
 from heapq import merge
 from typing import TYPE_CHECKING
@@ -169,6 +169,7 @@
         self.salt = salt
         self.rooms: dict[str, Room] = {}
         self.pools: dict[tuple[str, str, bool], Pool] = {}
+        self._allowed: dict[tuple[object, ...], list[Pool]] = {}
         self.rev = 0
         self.held: Counter[str] = Counter()  # jobs that room is kept for
         # Questions that had no answer, and the revision up to which that is known.
@@ -188,6 +189,7 @@
         pool = self.pools.get(key)
         if pool is None:
             pool = self.pools[key] = Pool(*key)
+            self._allowed.clear()
         elif len(pool.changes) > 2 * len(pool.rooms) + FORGET_LEAST:
             self._forget(pool)
         room.herd = crc32(f"{self.salt}{room.machine}".encode()) / 2**32
@@ -257,7 +259,14 @@
     # -- questions -------------------------------------------------------
 
     def allowed(self, job: Job) -> list[Pool]:
-        return [p for p in self.pools.values() if p.allows(job)]
+        """The pools that the job's own conditions allow."""
+        key = (job.types and tuple(job.types), job.zone, job.spot)
+        found = self._allowed.get(key)
+        if found is None:
+            if len(self._allowed) >= MEMO_MOST:
+                self._allowed.clear()
+            found = self._allowed[key] = [p for p in self.pools.values() if p.allows(job)]
+        return found
 
     def cleared(self, policy: object) -> dict[tuple[object, ...], int]:
         """Which questions have no answer under the policy, up to which revision."""
@@ -268,20 +277,25 @@
 
     def news(self, job: Job, since: int) -> Iterator[Room]:
         """Rooms that the job may use and that have changed since."""
-        for pool in self.pools.values():
-            if pool.rev > since and pool.allows(job):
+        return self.changed(self.allowed(job), since)
+
+    @staticmethod
+    def changed(pools: Iterable[Pool], since: int) -> Iterator[Room]:
+        """Rooms of the pools that have changed since."""
+        for pool in pools:
+            if pool.rev > since:
                 for machine in pool.changed(since):
                     room = pool.rooms.get(machine)
                     if room is not None:
                         yield room
 
     def in_order(self, job: Job, pools: Iterable[tuple[bool, bool, Pool]],
-                 uncached: Callable[[str], bool]) -> Iterator[Room]:
+                 uncached: frozenset[str] | None) -> Iterator[Room]:
         """Rooms with the CPUs and GPUs for one task, the preferred first.
 
         `pools` says of each whether it is dear, and whether it is a spot pool to be kept
-        off; `uncached` whether a type will do without the image. The order is the one of
-        `placement.place`; charging rooms meanwhile doesn't disturb it.
+        off; `uncached` are the types that will do without the image (None: all). The order
+        is the one of `placement.place`; charging rooms meanwhile doesn't disturb it.
         """
         bands: dict[tuple[bool, bool], list[Pool]] = {}
         for dear, risky, pool in pools:
@@ -293,12 +307,12 @@
                     if band:
                         yield from self._band(job, gpus, band, uncached)
 
-    def _band(self, job: Job, gpus: bool, band: list[Pool], uncached: Callable[[str], bool]
+    def _band(self, job: Job, gpus: bool, band: list[Pool], uncached: frozenset[str] | None
               ) -> Iterator[Room]:
         for cached in (True, False):
             for spot in (True, False):
                 shelves = [p.shelf(job.image if cached else "") for p in band if p.spot == spot
-                           and (cached or uncached(p.type))]
+                           and (cached or uncached is None or p.type in uncached)]
                 if shelves:
                     yield from self._merged(job, gpus, shelves, not cached)
 
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -79,6 +79,7 @@
         self.since = now
         self.not_before = 0.0
         self.preempt_at = 0.0
+        self.claim_at = 0.0
         self.preempted = False
         self.started = False  # a task of it has been seen running
         self.made: dict[str, tuple[int, float]] = {}  # machine: tasks room is made for, until
@@ -198,11 +199,14 @@
 
     @property
     def group(self) -> tuple[Any, ...]:
-        """Equal for jobs that can use the same room: what one found no room for, none does."""
+        """Equal for jobs that can use the same room: what one found no room for, none does.
+        A job that is bound to where its other tasks are is alone in its group."""
         if self._group is None or self._group[0] is not self.job:
             job = self.job
             self._group = (job, (*shape(job), job.one_zone, job.spread,
                                  job.tasks if job.kind == GANG else 0))
+        if self.assigned and (self.job.one_zone or self.job.spread):
+            return (self.job.id,)
         return self._group[1]
 
     def recount(self) -> None:
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -4,7 +4,7 @@
 
 import copy
 import math
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Container, Iterable
 from typing import Any
 
 from .index import EPSILON, Index, Pool, Row
@@ -114,15 +114,17 @@
     def after_preemption(self, job: Job) -> tuple[int, float] | None:
         """The highest rank that would have to be stopped for one task of the job, and
         how much is missing; None: stopping work of lower rank is of no use."""
-        free = [self.cpus, self.gpus, self.memory_gb]
-        need = (job.cpus, job.gpus, job.memory_gb)
-        for (rank, _), taken in sorted(self.used.items()):
-            if rank >= job.rank:
-                break
-            for i in range(3):
-                free[i] += taken[i]
-            if all(have + EPSILON >= n for have, n in zip(free, need)):
-                return rank, max(0.0, job.cpus - self.cpus) + max(
+        most = job.rank
+        lower = [key for key in self.used if key[0] < most]
+        cpus, gpus, memory_gb = self.cpus, self.gpus, self.memory_gb
+        for key in sorted(lower) if len(lower) > 1 else lower:
+            taken = self.used[key]
+            cpus += taken[0]
+            gpus += taken[1]
+            memory_gb += taken[2]
+            if cpus + EPSILON >= job.cpus and gpus + EPSILON >= job.gpus \
+                    and memory_gb + EPSILON >= job.memory_gb:
+                return key[0], max(0.0, job.cpus - self.cpus) + max(
                     0.0, job.memory_gb - self.memory_gb)
         return None
 
@@ -177,14 +179,23 @@
             job.kind, job.rank, job.filler)
 
 
-def anywhere(type: str) -> bool:
-    """A type's machines will do without the image."""
-    return True
+def _usable(job: Job, index: Index, spread: Spread, policy: Policy, patient: bool) -> list[Pool]:
+    """Pools that may hold a task of the job, as far as that is the same for all of a pool."""
+    able = policy.able(job)
+    bound = job.one_zone or job.spread
+    return [p for p in index.allowed(job) if (able is None or p.type in able)
+            and (not bound or spread.allows(p.zone))
+            and not (patient and policy.dear_pool(job, p))]
+
+
+def _lasting(job: Job, index: Index, spread: Spread, without: Container[str]) -> bool:
+    """Whether the answer would be the same for any job of the shape, and so can be kept."""
+    return not without and job.id not in index.held and not spread.counts and not spread.unknown
 
 
 def place(job: Job, wanted: int, index: Index, spread: Spread, policy: Policy | None = None,
           patient: bool = False, fragile: bool = False, without: Container[str] = (),
-          lodger: bool = False, uncached: Callable[[str], bool] = anywhere) -> list[Room]:
+          lodger: bool = False, uncached: frozenset[str] | None = None) -> list[Room]:
     """Machines for up to `wanted` tasks, one entry a task; rooms and spread are charged.
 
     In order: machines that aren't dear; without free GPUs, for work that needs none; image
@@ -194,26 +205,25 @@
     A gang gets all or none. `patient` work has time to wait for a machine that isn't dear.
     What is `fragile` would be late if its machine were taken back: it keeps off spot
     machines while others have room, and leaves them to work that saves its progress. A
-    `lodger` keeps off ordinary machines that it alone would keep rented. `uncached` tells
-    of a type whether its machines will do without the image.
+    `lodger` keeps off ordinary machines that it alone would keep rented. `uncached` are the
+    types whose machines will do without the image (None: all).
     """
     policy = policy or OPEN
     if wanted <= 0:
         return []
     # The same question finds nothing again until a room that changes fits.
-    plain = not (without or job.one_zone or job.spread or job.id in index.held
-                 or uncached is not anywhere)
-    asked = (shape(job), wanted if job.kind == GANG else 0, patient, lodger)
+    lasting = _lasting(job, index, spread, without)
+    asked = (shape(job), job.one_zone, job.spread, wanted if job.kind == GANG else 0, patient,
+             lodger, uncached and (uncached, job.image))
     nowhere = index.cleared(policy)
-    since = nowhere.get(asked) if plain else None
+    since = nowhere.get(asked) if lasting else None
     if since is not None and not any(
             room.fits(job) and not (lodger and not room.spot and room.idle)
             for room in index.news(job, since)):
         nowhere[asked] = index.rev
         return []
-    pools = [(dear, fragile and pool.spot, pool) for pool in index.allowed(job)
-             if not ((dear := policy.dear_pool(job, pool)) and patient)
-             and spread.allows(pool.zone)]
+    pools = [(policy.dear_pool(job, pool), fragile and pool.spot, pool)
+             for pool in _usable(job, index, spread, policy, patient)]
     if job.one_zone and not spread.counts and not spread.unknown and len(
             {p.zone for _, _, p in pools}) > 1:
         pools = _best_zone(job, wanted, index, pools, without)
@@ -239,7 +249,7 @@
             room.take(job, -1)
             spread.counts[room.zone] -= 1
         chosen = []
-    if plain and not chosen:
+    if lasting and not chosen:
         nowhere[asked] = index.rev
     return chosen
 
@@ -261,7 +271,7 @@
     what is free to be together."""
     by_zone: dict[str, int] = {}
     cached: dict[str, int] = {}
-    for room in index.in_order(job, pools, anywhere):
+    for room in index.in_order(job, pools, None):
         if room.fits(job) and room.machine not in without:
             by_zone[room.zone] = by_zone.get(room.zone, 0) + capacity(job, room)
             cached[room.zone] = cached.get(room.zone, 0) + (job.image in room.images)
@@ -289,6 +299,7 @@
         shapes = {(j.cpus, j.memory_gb): j for j in jobs if j.kind == SERVICE}
         self.services = [shapes[k] for k in sorted(shapes, reverse=True)]
         self._dear: dict[tuple[Any, ...], set[str]] = {}
+        self._able: dict[tuple[Any, ...], frozenset[str]] = {}
         self._shapes = {(j.cpus, j.gpus, j.memory_gb, j.kind == SERVICE) for j in jobs}
 
     def covers(self, job: Job) -> bool:
@@ -329,6 +340,18 @@
             return max(1.0, cpus - kind.cpus + guest.cpus)
         return max(0.0, cpus - kind.cpus + guest.cpus - EPSILON)
 
+    def able(self, job: Job) -> frozenset[str] | None:
+        """Types of which an empty machine holds a task of the job; None: not known."""
+        if not self.types:
+            return None
+        key = (job.cpus, job.gpus, job.memory_gb)
+        found = self._able.get(key)
+        if found is None:
+            found = self._able[key] = frozenset(
+                t.name for t in self.types if job.cpus <= t.cpus + EPSILON
+                and job.gpus <= t.gpus + EPSILON and job.memory_gb <= t.memory_gb + EPSILON)
+        return found
+
     def dear_types(self, job: Job) -> set[str]:
         """Types whose price a task is far above the cheapest one's."""
         key = (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone)
@@ -373,7 +396,7 @@
 
 def preempt(job: Job, wanted: int, index: Index, spread: Spread, policy: Policy,
             most: int | None = None, fragile: bool = False, patient: bool = False,
-            without: Container[str] = (), uncached: Callable[[str], bool] = anywhere
+            without: Container[str] = (), uncached: frozenset[str] | None = None
             ) -> list[tuple[Room, int]]:
     """Where stopping work of lower rank makes room at the least cost, and for how many of
     `wanted` tasks each; `most` is the highest rank to be stopped. The spread is charged.
@@ -382,25 +405,25 @@
     All of them at once: for an array of hundreds of tasks, one machine after the other
     took longer than the array had.
     """
-    pools = [p for p in index.allowed(job) if spread.allows(p.zone)
-             and not (patient and policy.dear_pool(job, p))]
-    plain = not (without or job.one_zone or job.spread or job.id in index.held
-                 or uncached is not anywhere)
-    asked = ("preempt", shape(job), most, patient)
+    lasting = _lasting(job, index, spread, without)
+    asked = ("preempt", shape(job), job.one_zone, job.spread, most, patient,
+             uncached and (uncached, job.image))
     nowhere = index.cleared(policy)
-    since = nowhere.get(asked) if plain else None
-    rooms = index.lower(pools, job.rank, without) if since is None else (
-        r for r in index.news(job, since) if not (patient and policy.dear_pool(job, r)))
+    since = nowhere.get(asked) if lasting else None
+    pools = _usable(job, index, spread, policy, patient)
+    rooms = index.lower(pools, job.rank, without) if since is None \
+        else index.changed(pools, since)
     offers = []
     for room in rooms:
         if not room.open or room.hold not in ("", job.id) or policy.kept(job, room) \
-                or not (job.image in room.images or uncached(room.type)):
+                or uncached is not None and room.type not in uncached \
+                and job.image not in room.images:
             continue
         cost = room.after_preemption(job)
         if cost is not None and (most is None or cost[0] <= most):
             offers.append((cost[0], fragile and room.spot, cost[1], room.machine, room))
     if not offers:
-        if plain:
+        if lasting:
             nowhere[asked] = index.rev
         return []
     if since is not None:
--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -5,7 +5,7 @@
 import logging
 import math
 import time
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -16,7 +16,7 @@
 from .jobs import HomeJob, amounts, quota_of
 from .model import GANG, RANKS, SERVICE, Job
 from .peers import PeerError
-from .placement import Policy, Room, Spread, anywhere, capacity, place, preempt
+from .placement import Policy, Room, Spread, capacity, place, preempt
 from .provisioning import Need, remaining
 from .statestore import Unavailable, Unknown
 
@@ -157,7 +157,8 @@
                 break
             self._serve(hj, look)
         for group, rev in look.full.items():
-            if group in groups:
+            # Replicas are missed every second: they are looked at each time.
+            if group in groups and groups[group][0].job.kind != SERVICE:
                 self.asleep[group] = Nap(rev, now + core.ttl_s / 6, look.policy,
                                          {hj.job.id: hj.pending for hj in groups[group]})
         if look.starved and not core.picture.starved:
@@ -185,7 +186,7 @@
             # failed on three sick machines would have been missing for good.)
             return
         look.work += 1
-        if hj.group in look.full and not hj.errors:
+        if hj.group in look.full and not hj.errors and job.id not in look.index.held:
             look.starved = look.starved or not job.filler
             return
         wanted = self._wanted(hj, look)
@@ -196,7 +197,7 @@
             look.fill -= len(chosen) * job.cpus
         if len(chosen) < wanted:
             look.starved = look.starved or not job.filler
-            if not job.one_zone and not job.spread:
+            if job.id not in look.index.held and not hj.errors and not hj.left:
                 look.full.setdefault(hj.group, look.index.rev)
         look.work += len(chosen)
         if chosen:
@@ -238,8 +239,7 @@
         elif limit is not None and age < limit and job.kind != GANG:
             # Started in time only where the image is, or comes soon enough:
             # rather than fetch it elsewhere, work of lower rank is stopped there.
-            def soon(type: str) -> bool:
-                return self._fetch_from_s(job, type) < limit - age
+            soon = self._soon(job, limit - age)
             chosen = find(job, wanted, uncached=soon)
             if len(chosen) < wanted and most >= 0:
                 if now < hj.preempt_at:
@@ -259,10 +259,14 @@
             chosen += find(job, max(0, wanted - len(chosen) - coming))
         if len(chosen) < wanted and most >= 0 and not job.filler and now >= hj.preempt_at:
             make(wanted - len(chosen), grace_s=self._grace(job, age), most=most)
-        if len(chosen) < wanted and now >= hj.preempt_at and self._guaranteed(job):
-            machines = self._claimable(job, [r for p in index.allowed(job)
-                                             for r in p.rooms.values()
-                                             if r.machine not in without], spread)
+        if len(chosen) < wanted and now >= max(hj.preempt_at, hj.claim_at) \
+                and self._guaranteed(job):
+            able = policy.able(job)
+            machines = self._claimable(job, [
+                r for p in index.allowed(job) if able is None or p.type in able
+                for r in p.rooms.values() if r.machine not in without], spread)
+            # A look at all machines: not with each pass.
+            hj.claim_at = now + core.ttl_s / 6
             if machines:
                 hj.preempt_at = now + core.ttl_s
                 core.spawn(self._claim(job, machines))
@@ -370,7 +374,7 @@
 
     def _make_room(self, hj: HomeJob, wanted: int, spread: Spread, look: Look, grace_s: float,
                    most: int, patient: bool = False, without: Collection[str] = (),
-                   uncached: Callable[[str], bool] = anywhere) -> bool:
+                   uncached: frozenset[str] | None = None) -> bool:
         """Have work of lower rank stopped for tasks of the job, if that helps.
 
         What is being made already, and doesn't show yet, is not made again elsewhere.
@@ -508,13 +512,13 @@
         zones = [self.core.zones.get(m) for n, _, m in hj.assignments() if n != number]
         policy, index = self.policy(), self.core.picture.index()
         dear = policy.dear(hj.job, room)
+        soon = self._soon(hj.job, self.core.settings.cluster.workers.report_s)
         with index.trial():
             found = bool(place(hj.job, 1, index, Spread(hj.job, zones), policy, True,
-                               without=(machine,), uncached=partial(self._soon, hj.job)))
+                               without=(machine,), uncached=soon))
         if not found and (drain and not dear or not preempt(
                 hj.job, 1, index, Spread(hj.job, zones), policy,
-                RANKS["best_effort"] if drain else None, False, True, (machine,),
-                partial(self._soon, hj.job))):
+                RANKS["best_effort"] if drain else None, False, True, (machine,), soon)):
             # To free GPUs, or a dear machine, work of lower rank may have to make way
             # elsewhere.
             return False
@@ -522,8 +526,12 @@
         hj.moved_at = time.monotonic()
         return True
 
-    def _soon(self, job: Job, type: str) -> bool:
-        return self._fetch_from_s(job, type) < self.core.settings.cluster.workers.report_s
+    def _soon(self, job: Job, within_s: float) -> frozenset[str] | None:
+        """Types whose machines have the job's image in time when they begin to fetch it now;
+        None: all."""
+        found = frozenset(t for t in self.core.owner.types
+                          if self._fetch_from_s(job, t) < within_s)
+        return None if len(found) == len(self.core.owner.types) else found
 
     def _within_limit(self, job: Job, wanted: int) -> int:
         """Tasks that the team's limit leaves room for, as far as known here.
