--- a/clayport/cloud.py
+++ b/clayport/cloud.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
+import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 import curio
 import msgspec
 
 from . import http
+from .limits import Budget, Patience, Retries
 from .model import Listed, MachineType
 from .statestore import Bucket
 
+# Retries that each first try earns; the share of our requests that may be retries; and the
+# pauses between them as shares of the time that a request may take.
+RETRIES, AGAIN = 0.1, 0.5
+PAUSE, PAUSE_MOST = 0.1, 0.2
+
 
 class CloudError(Exception):
     """Refused or unanswered; a rental or return may still be executed."""
@@ -37,10 +45,16 @@
 class Cloud:
     """Requests to the cloud, paced to this controller's share of its budget."""
 
-    def __init__(self, host: str, port: int, rps: float, timeout_s: float) -> None:
+    def __init__(self, host: str, port: int, rps: float, timeout_s: float,
+                 uniform: Callable[[float, float], float] = random.uniform) -> None:
         self.client = http.Client(host, port, keep=2)
-        self.bucket = Bucket(rps * 0.8, time.monotonic())
+        now = time.monotonic()
+        self.bucket = Bucket(rps * 0.8, now)
         self.timeout_s = timeout_s
+        again = max(1.0, AGAIN * self.bucket.rate)
+        self.patience = Patience(Retries(PAUSE * timeout_s, PAUSE_MOST * timeout_s, Budget(
+            RETRIES, again, again, now), uniform))
+        self.begin, self.rest = self.patience.begin, self.patience.rest
 
     async def _call(self, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
         wait = self.bucket.delay(1, time.monotonic())
@@ -48,9 +62,14 @@
             await curio.sleep(wait)
         raw = None if body is None else msgspec.json.encode(body)
         try:
-            return await self.client.request(method, path, raw, self.timeout_s)
+            status, payload = await self.client.request(method, path, raw, self.timeout_s)
         except http.NoAnswer as exc:
+            await self.patience.seen(False)
             raise CloudError(str(exc)) from None
+        # What is refused for lack of capacity has been served.
+        await self.patience.seen(status != 429 and (
+            status != 503 or b"no capacity" in payload))
+        return status, payload
 
     @staticmethod
     def _decode(status: int, payload: bytes, kind: Any) -> Any:
--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -29,6 +29,8 @@
 FILL = 0.25
 # Demand told to peers: enough jobs to fill any fleet, and a bounded frame.
 DEMAND_MOST = 500
+# Passes in the time between two reports of a worker, at most.
+PASSES = 50
 # Jobs looked at and tasks placed in one pass: as much as a few full transactions start, and
 # some ten milliseconds, in which no report is answered.
 WORK_MOST = 1000
@@ -37,10 +39,12 @@
 class Look:
     """What one pass goes by, and what it has found out on its way."""
 
-    def __init__(self, now: float, index: Index, policy: Policy, quiet: bool, fill: float
-                 ) -> None:
+    def __init__(self, now: float, index: Index, policy: Policy) -> None:
         self.now, self.index, self.policy = now, index, policy
-        self.quiet, self.fill = quiet, fill
+        # Whether nothing but replicas is there, and what work without any aim may take:
+        # only looked up once such work waits.
+        self.quiet: bool | None = None
+        self.fill = math.inf
         # Groups that found less than they want, and the index's revision at that time.
         self.full: dict[tuple[object, ...], int] = {}
         self.starved = False
@@ -115,12 +119,14 @@
     async def place_all(self) -> None:
         """The placer: one pass over the waiting jobs whenever something changed."""
         core = self.core
+        pause_s = core.settings.cluster.workers.report_s / PASSES
         while True:
             await core.wait("place", core.ttl_s / 2)
             if core.serving:
                 self._pass(time.monotonic())
                 await core.flush()
-            await curio.sleep(0.02)
+            # Changes come one by one, and a pass takes them all.
+            await curio.sleep(pause_s)
 
     def _pass(self, now: float) -> None:
         """Look at what waits and may have found room since, the most urgent first.
@@ -138,9 +144,7 @@
             core.picture.starved = False
             return
         index = core.picture.index()
-        quiet = self.quiet()
-        look = Look(now, index, self.policy(), quiet,
-                    math.inf if quiet else self.fill_cpus(index))
+        look = Look(now, index, self.policy())
         waiting: list[HomeJob] = []
         asleep, self.asleep = self.asleep, {}
         for group, members in groups.items():
@@ -181,6 +185,9 @@
     def _serve(self, hj: HomeJob, look: Look) -> None:
         """Find room for one job, or have it made; what is found is to be started."""
         job = hj.job
+        if job.filler and look.quiet is None:
+            look.quiet = self.quiet()
+            look.fill = math.inf if look.quiet else self.fill_cpus(look.index)
         if hj.at_fault and hj.assigned > hj.running:
             # One trial at a time. (Not none while others of it run: a replica that had
             # failed on three sick machines would have been missing for good.)
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -65,6 +65,7 @@
 
     async def run(self) -> None:
         core = self.core
+        attempt = core.cloud.begin()
         while True:
             await core.wait("demand", core.ttl_s / 3)
             await curio.sleep(core.ttl_s / 12)
@@ -77,9 +78,10 @@
                 continue
             try:
                 await self.tick()
+                attempt.served()
             except CloudError as exc:
                 log.info("event=cloud-trouble cause=%s", exc)
-                await curio.sleep(core.jitter(core.ttl_s / 3))
+                await core.cloud.rest(attempt)
 
     async def tick(self) -> None:
         core = self.core
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -61,7 +61,7 @@
                                 c.state.rps, c.state.write_rps, 0.2 * c.workers.lease_s, c.size,
                                 self.rng.uniform)
         self.cloud = Cloud(*endpoint(settings.services.cloud, "services.cloud"), c.cloud.rps,
-                           c.workers.lease_s)
+                           c.workers.lease_s, self.rng.uniform)
         self.peers = {m.label: peers.Peer(
             m.label, *endpoint(m.address, "members"), 0.1 * c.workers.lease_s, self.rng.uniform)
             for m in settings.members}
@@ -458,6 +458,7 @@
 
     async def keep_catalogue(self) -> None:
         """The machine types and their present prices."""
+        attempt = self.cloud.begin()
         while True:
             try:
                 self.types = await self.cloud.catalogue()
@@ -465,10 +466,11 @@
                 self.pipes.fetch_gb_per_s = min(
                     (t.fetch_gb_per_s for t in self.types if t.fetch_gb_per_s > 0), default=1.0)
                 self.owner.touch_all()
+                attempt.served()
                 await curio.sleep(self.jitter(20 * self.settings.cluster.workers.lease_s))
             except CloudError as exc:
                 log.info("event=no-catalogue cause=%s", exc)
-                await curio.sleep(self.jitter(self.ttl_s / 3))
+                await self.cloud.rest(attempt)
 
     # -- what peers ask --------------------------------------------------
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -256,3 +256,100 @@
     assert len(owner.changes) <= 1000
     assert owner.changed(4999) == ["m4999"] and owner.changed(10) is None
     assert owner.changed(owner.room_rev + 1) is None  # of an owner that was started anew
+
+
+def looks(home: Home, monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """The jobs that room is looked for from now on, in order."""
+    found: list[str] = []
+    placer = home.c.placer
+    seek = placer._seek
+
+    def noted(hj: HomeJob, wanted: int, look: Any) -> Any:
+        found.append(hj.job.id)
+        return seek(hj, wanted, look)
+    monkeypatch.setattr(placer, "_seek", noted)
+    return found
+
+
+@pytest.mark.parametrize("happens, looked", [
+    ("nothing", []), ("an equal job", ["j-000001"]), ("another job", ["j-000009"]),
+    ("a full machine reports", []), ("a machine has room", ["j-000001"]),
+    ("room kept for it", ["j-000002"]), ("time", ["j-000001"]), ("prices", ["j-000001"])])
+def test_what_found_no_room_sleeps_until_it_may(monkeypatch: pytest.MonkeyPatch, happens: str,
+                                                looked: list[str]) -> None:
+    """A pass cost a look at each of hundreds of waiting jobs whatever had changed. But what
+    could be placed must never be slept through."""
+    home = Home(monkeypatch)
+    big: dict[str, Any] = {"vcpus": 8.0, "pieces": 3, "due_s": 1000.0}
+    busy = msgspec.convert(wire_job(7, pieces=9, rank="production"), Job)
+    home.c.live[busy.id] = (busy, 1)
+    home.report("m1", "north", "plain", f"{busy.id}/0")
+    first = home.wait(msgspec.convert(wire_job(1, **big), Job))
+    second = home.wait(msgspec.convert(wire_job(2, **big), Job))
+    home.look()
+    assert not first.starts and not second.starts
+    found = looks(home, monkeypatch)
+    if happens == "an equal job":
+        home.wait(msgspec.convert(wire_job(3, **big), Job))
+    elif happens == "another job":
+        home.wait(msgspec.convert(wire_job(9, vcpus=16.0, due_s=1000.0), Job))
+    elif happens == "a full machine reports":
+        home.report("m1", "north", "plain", f"{busy.id}/0", f"{busy.id}/1")
+    elif happens == "a machine has room":
+        home.report("m2", "north", "plain")
+    elif happens == "room kept for it":
+        home.report("m2", "north", "plain")
+        m = home.c.owner.machines["m2"]
+        m.hold_job, m.hold_until = second.job.id, home.now + 10.0
+    elif happens == "time":
+        home.now += home.c.ttl_s / 6
+    elif happens == "prices":
+        home.c.types = [msgspec.structs.replace(t, price=t.price * 2) for t in home.c.types]
+    home.look()
+    assert [name for name in found if name in looked] == looked and (looked or not found)
+    if happens == "room kept for it":
+        assert [m for _, m in second.starts] == ["m2"] and not first.starts
+
+
+def test_a_pass_is_bounded_and_goes_on_where_it_stopped(monkeypatch: pytest.MonkeyPatch) -> None:
+    """After all controllers had ended, one pass over everything that waited kept reports
+    from being answered."""
+    monkeypatch.setattr("clayport.placer.WORK_MOST", 6)
+    home = Home(monkeypatch)
+    for number in range(4):
+        home.report(f"m{number}", "north", "plain")
+    jobs = [home.wait(msgspec.convert(wire_job(n, pieces=4, due_s=100.0 + n), Job))
+            for n in range(1, 5)]
+    raised = []
+    monkeypatch.setattr(home.c, "signal", lambda name: raised.append(name))
+    home.c.placer._pass(home.now)
+    assert [bool(hj.starts) for hj in jobs] == [True, True, False, False] and "place" in raised
+    home.c.placer._pass(home.now)
+    assert all(len(hj.starts) == 4 for hj in jobs)
+    assert len({m for hj in jobs for _, m in hj.starts}) == 4
+
+
+def test_a_room_is_built_anew_with_whatever_changes_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It is kept between reports: reserved, launched, ended, closed and unknown tasks must
+    all show in the next look, or a machine is filled twice."""
+    home = Home(monkeypatch)
+    owner = home.c.owner
+    job = msgspec.convert(wire_job(4, pieces=4), Job)
+    home.c.live[job.id] = (job, 1)
+    home.report("m1", "north", "plain")
+    m = owner.machines["m1"]
+    charged = owner.room(m)
+    charged.take(job)  # a copy: what the picture charges is not the machine's
+    assert owner.room(m).cpus == 8.0
+    assert owner.reserve(job, [("m1", n) for n in range(5)], 1, home.now) == [True] * 4 + [False]
+    assert owner.room(m).cpus == 0.0
+    home.now += owner.reserve_s + 1.0
+    owner.expire(home.now)
+    assert owner.room(m).cpus == 8.0
+    del home.c.live[job.id]
+    home.report("m1", "north", "plain", f"{job.id}/0")  # of a job not known here yet
+    assert owner.room(m).cpus == 8.0 and owner.room(m).tasks == 1
+    home.c.live[job.id] = (job, 1)
+    assert owner.room(m).cpus == 6.0 and owner.room(m).open
+    m.fencing = True
+    assert not owner.room(m).open
