One duty closes slow connections, instead of a timer for each read

Cause: of what a controller spends on HTTP, a seventh were timers around each read that never ran out.

Change: a connection notes until when it may take; one duty closes those that have taken longer. Images of a machine are reckoned only when its tasks have changed.

--- a/clayport/http.py
+++ b/clayport/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -38,9 +39,30 @@
         self.handler, self.budget = handler, budget
         self.idle_s, self.request_s, self.kept_path = idle_s, request_s, kept_path
         self.open: dict[curio.Task, bool] = {}  # insertion order is age; True: idle user
+        # Until when a connection may take to send what it is waited for.
+        self.until: dict[curio.Task, float] = {}
 
     async def serve(self, host: str, port: int) -> None:
         sock = curio.tcp_server_socket(host, port, backlog=128)
+        sweeper = await curio.spawn(self._sweep, daemon=True)
+        try:
+            await self._accept(sock)
+        finally:
+            await sweeper.cancel()
+
+    async def _sweep(self) -> None:
+        """Close connections that have taken too long: one duty for all of them. (A timer for
+        each read cost more than reading.)"""
+        while True:
+            await curio.sleep(min(self.request_s, self.idle_s) / 4)
+            now = time.monotonic()
+            for task in [t for t, until in self.until.items() if now > until]:
+                # Unless something has come while others were closed.
+                if self.until.pop(task, now) < now:
+                    self.open.pop(task, None)
+                    await task.cancel(blocking=False)
+
+    async def _accept(self, sock: Any) -> None:
         async with sock:
             while True:
                 try:
@@ -86,10 +108,11 @@
             await self._refuse(conn, client, 413)
         except h11.RemoteProtocolError as exc:
             await self._refuse(conn, client, exc.error_status_hint or 400)
-        except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
+        except (OSError, h11.LocalProtocolError):
             pass
         finally:
             self.open.pop(me, None)
+            self.until.pop(me, None)
             await client.close()
 
     async def _request(self, conn: h11.Connection, client: Any,
@@ -102,7 +125,9 @@
                 # Slow and half-open clients: once a request has begun it must
                 # arrive within request_s; between requests idle_s applies.
                 limit = self.request_s if request or conn.trailing_data[0] else self.idle_s
-                data = await curio.timeout_after(limit, client.recv, 65536)
+                self.until[me] = time.monotonic() + limit
+                data = await client.recv(65536)
+                self.until.pop(me, None)
                 if me in self.open:
                     self.open[me] = False
                 conn.receive_data(data)
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -214,8 +214,10 @@
                 want.phase = LIVE
             if m.told.get(key) != status:
                 self._tell(m, key, status)
-            if status[0] == "running" or status[1] == "done":
-                self._cached(m, key)
+        if before != listed:
+            for key, status in listed.items():
+                if status[0] == "running" or status[1] == "done":
+                    self._cached(m, key)
         for key in m.by_response:
             # The worker has one report in flight: what the previous response
             # ordered is listed now, or that response was dropped.
@@ -317,8 +319,9 @@
         m.images[job.image] = job.image_gb
         m.images.move_to_end(job.image)
         # The worker keeps the most recently used images that fit its cache.
-        while sum(m.images.values()) > kind.cache_gb and len(m.images) > 1:
-            m.images.popitem(last=False)
+        held = sum(m.images.values())
+        while held > kind.cache_gb and len(m.images) > 1:
+            held -= m.images.popitem(last=False)[1]
 
     def _touched(self, m: Machine, now: float) -> None:
         self.touch(m.name)
