Done tasks of an array are committed together

Cause: tasks of an array end one by one, and each had a commit and a request to its machine's owner of its own.

Change: where all of it is done, nobody waits and no quota is given back, they wait for others for a fifth of a report's interval. The last ones never wait.

--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -28,7 +28,7 @@
     quota_key,
     quota_of,
 )
-from .model import GANG, SERVICE, Chunk, Job, split_task
+from .model import ARRAY, GANG, SERVICE, Chunk, Job, split_task
 from .peers import PeerError
 from .statestore import CANCEL_S, URGENT_S, Conflict, TooLarge, Txn, Unavailable, Unknown
 from .workers import GONE
@@ -38,6 +38,9 @@
 
 log = logging.getLogger("clayport.dispatch")
 
+# The share of a report's interval for which done tasks wait for others of their array.
+GATHER = 0.2
+
 
 class Evicted(Exception):
     """The generation has moved on: this routine's work is no longer ours."""
@@ -97,7 +100,10 @@
                     core.descs.pop(hj.job.id, None)
                     return
                 await core.flush()
-                await core.wait(name, core.ttl_s if hj.ended or hj.breaking else 4 * core.ttl_s)
+                patience_s = core.ttl_s if hj.ended or hj.breaking else 4 * core.ttl_s
+                if hj.gather_until and hj.outcomes:
+                    patience_s = max(0.001, hj.gather_until - time.monotonic())
+                await core.wait(name, patience_s)
                 unheard = hj.unheard(time.monotonic(), 4 * core.ttl_s)
                 if unheard:
                     # Of what nobody says anything, the owner may have lost track.
@@ -128,10 +134,10 @@
                 self.core.picture.stale.update(dict.fromkeys(machine for _, machine in starts))
             self.core.signal("place")
             return True
-        if hj.outcomes:
+        now = time.monotonic()
+        if hj.outcomes and not self._gathers(hj, now):
             await self._commit_outcomes(hj)
             return True
-        now = time.monotonic()
         if now >= hj.kill_at:
             if hj.ended:
                 left, grace = hj.assignments(), 0.0
@@ -145,6 +151,22 @@
             hj.closed = True
         return False
 
+    def _gathers(self, hj: HomeJob, now: float) -> bool:
+        """Whether what ended may wait a moment for more to be committed with it.
+
+        Tasks of an array end one by one: each had a commit of its own, and a request to its
+        machine's owner. Only where nobody waits for it: the job goes on in any case, all of
+        it is done, and no quota is given back. (Room is free as soon as a task has exited.)
+        """
+        job = hj.job
+        if hj.ended or job.kind != ARRAY or any(self.core.limits.get(job.team, (0.0, 0.0))) \
+                or hj.done + len(hj.outcomes) >= job.tasks \
+                or not all(done for _, done in hj.outcomes.values()):
+            return False
+        if not hj.gather_until:
+            hj.gather_until = now + self.core.settings.cluster.workers.report_s * GATHER
+        return now < hj.gather_until
+
     async def _move(self, hj: HomeJob) -> None:
         """Write the job's narrower chunks, then remove the wider ones they come from.
 
@@ -417,6 +439,7 @@
 
     async def _commit_outcomes(self, hj: HomeJob) -> None:
         core = self.core
+        hj.gather_until = 0.0
         fence = self._fence(hj)
         at = time.time()
         txn, chunks, covered, over = hj.outcome_txn(fence, self.outcome_chunks, at)
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -80,6 +80,7 @@
         self.not_before = 0.0
         self.preempt_at = 0.0
         self.claim_at = 0.0
+        self.gather_until = 0.0  # done tasks wait to be committed with others
         self.preempted = False
         self.started = False  # a task of it has been seen running
         self.made: dict[str, tuple[int, float]] = {}  # machine: tasks room is made for, until
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -353,3 +353,25 @@
     assert owner.room(m).cpus == 6.0 and owner.room(m).open
     m.fencing = True
     assert not owner.room(m).open
+
+
+@pytest.mark.parametrize("fields, ended, waits", [
+    ({"pieces": 5}, [(0, True)], True),
+    ({"pieces": 5}, [(0, True), (1, False)], False),            # one is to run again
+    ({"pieces": 2}, [(0, True), (1, True)], False),             # the last: its user waits
+    ({"pieces": 5, "owner": "tight"}, [(0, True)], False),      # others wait for its quota
+    ({"pieces": 5, "shape": "ensemble"}, [(0, True)], False),
+])
+def test_done_tasks_of_an_array_are_committed_together(
+        monkeypatch: pytest.MonkeyPatch, fields: dict[str, Any],
+        ended: list[tuple[int, bool]], waits: bool) -> None:
+    """Each had a commit of its own. But nobody may ever wait for it, and it must not be put
+    off again and again."""
+    home = Home(monkeypatch)
+    hj = home.wait(msgspec.convert(wire_job(4, **fields), Job))
+    hj.outcomes = {n: (1, done) for n, done in ended}
+    dispatch = home.c.dispatch
+    assert dispatch._gathers(hj, home.now) == waits
+    later = home.now + home.c.settings.cluster.workers.report_s / 2
+    hj.outcomes[3] = (1, True)
+    assert not dispatch._gathers(hj, later)
