--- a/bench/placement.py
+++ b/bench/placement.py
@@ -81,7 +81,7 @@
 
 
 def main() -> None:
-    runner = pyperf.Runner(processes=3, values=3)
+    runner = pyperf.Runner(processes=3, values=3, program_args=("-m", "bench.placement"))
     if not runner.parse_args().worker:
         memory()
     for most, size in ((FEW, "few"), (250, "many")):
