--- a/clayport/mirror.py
+++ b/clayport/mirror.py
@@ -61,6 +61,14 @@
         for hj in core.dispatch.homes.values():
             core.signal(hj.name)
 
+    def note_version(self, label: str, value: Any, rev: int) -> None:
+        """A version's record was read; one that can't be says nothing, and is written anew."""
+        try:
+            self.core.versions[label] = (int(value["format"]), rev)
+        except (KeyError, TypeError, ValueError) as exc:
+            log.error("key=%s%s event=malformed-value cause=%r", VERSION_PREFIX, label, exc)
+            self.core.versions[label] = (0, rev)
+
     # -- the mirror ------------------------------------------------------
 
     async def follow(self) -> None:
@@ -135,7 +143,7 @@
                 core.nodes[key[len(NODE_PREFIX):]] = str(value["inc"])
                 core.signal("members")
             elif key.startswith(VERSION_PREFIX):
-                core.versions[key[len(VERSION_PREFIX):]] = (int(value["format"]), rev)
+                self.note_version(key[len(VERSION_PREFIX):], value, rev)
             elif key.startswith(CLASS_PREFIX):
                 known = core.judged(msgspec.convert(value["j"], Job))
                 core.classes[known.job_class] = known
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -48,10 +48,11 @@
 class Controller:
     """The state shared by the routines of one process, and membership itself."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, incarnation: str = "") -> None:
         self.settings = settings
         self.label = settings.label
-        self.incarnation = secrets.token_hex(8)
+        # Drawn anew by each process; all that is drawn later follows from it.
+        self.incarnation = incarnation or secrets.token_hex(8)
         self.rng = random.Random(self.incarnation)
         c = settings.cluster
         # A crashed controller is evicted when its lease ends: a third of a
@@ -382,11 +383,7 @@
                         log.info("event=stepped-aside lease=%d", lease)
                 elif self.lease is None:
                     lease = await self.store.lease(self.ttl_s)
-                    txn = Txn().put(NODE_PREFIX + self.label, {"inc": self.incarnation}, lease)
-                    # With the key, so that the generation that takes us in is the later one.
-                    if self.versions.get(self.label, (0, 0))[0] < FORMAT:
-                        txn.put(VERSION_PREFIX + self.label, {"format": FORMAT})
-                    await self.store.commit(txn, ahead_s=LEASE_S)
+                    await self._enter(lease)
                     self.lease = lease
                 elif not await self.store.renew(self.lease):
                     self.lease = None
@@ -396,6 +393,29 @@
                 pause = self.jitter(self.ttl_s / 8)
             await self.wait("lease", max(pause, 0.001))
 
+    async def _enter(self, lease: int) -> None:
+        """Write our key, and with its first the version's record, so that the generation
+        that takes us in is the later one.
+
+        The record is written once and no more: a second copy, applied after that generation
+        had begun, left all who came later waiting for another before they took pipelines.
+        """
+        key = VERSION_PREFIX + self.label
+        while True:
+            txn = Txn().put(NODE_PREFIX + self.label, {"inc": self.incarnation}, lease)
+            number, rev = self.versions.get(self.label, (0, 0))
+            if number < FORMAT:
+                txn.require(key, rev).put(key, {"format": FORMAT})
+            try:
+                await self.store.commit(txn, ahead_s=LEASE_S)
+                return
+            except Conflict:
+                # Written by a process before this one: the mirror has not been read yet.
+                entry = await self.store.get(key)
+                if entry is None:
+                    raise
+                self.mirror.note_version(self.label, entry.value, entry.rev)
+
     async def keep_members(self) -> None:
         """Propose the next generation when those present differ from its members."""
         while True:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import curio
@@ -293,6 +294,57 @@
     return world
 
 
+async def key_applied_twice(clock: Clock) -> World:
+    """A copy of a controller's first key is applied just after the generation of all."""
+    world = World(clock, 3)
+    commit, first = world.state.commit, []
+
+    def twice(body: Any) -> tuple[int, Any]:
+        answer = commit(body)
+        puts = {w["write"]: w["data"] for w in body.get("writes", []) if "write" in w}
+        if "c/version/c1" in puts:
+            first.append(body)
+        if len(puts.get("c/generation", {"members": ""})["members"]) == 3:
+            assert answer[0] == 200 and commit(first[0])[0] == 409
+        return answer
+    world.state.commit = twice  # type: ignore[method-assign]
+    for label in world.labels:
+        await world.start(label)
+    await curio.sleep(30.0)
+    return world
+
+
+def test_a_late_copy_of_a_key_holds_up_no_upgrade(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The version's record was written anew after the generation that all waited for, and
+    pipelines were refused until a controller ended."""
+    world = simulate(monkeypatch, key_applied_twice)
+    assert [c.upgraded for c in world.controllers.values()] == [True] * 3
+
+
+@pytest.mark.parametrize("controllers", [3, 5])
+def test_a_day_repeats(monkeypatch: pytest.MonkeyPatch, controllers: int) -> None:
+    """The same seed gives the same day: a verdict that changes from run to run is none."""
+    async def short(clock: Clock) -> World:
+        world = World(clock, 12, controllers)
+        for label in world.labels:
+            await world.start(label)
+        for routine in (world.spawner, world.poll, world.watch_rules):
+            await curio.spawn(routine, daemon=True)
+        await curio.spawn(trouble, world, clock() + 25.0, daemon=True)
+        for number in range(6):
+            fields, run_s = JOBS[number]
+            await curio.spawn(world.submit, job(number, **fields), run_s, daemon=True)
+        await curio.sleep(40.0)
+        return world
+    found = set()
+    kept = []  # so that the second day's objects lie elsewhere
+    for _ in range(2):
+        world = simulate(monkeypatch, short)
+        kept.append(world)
+        found.add((world.state.rev, json.dumps(world.state.log), world.rng.random()))
+    assert len(found) == 1
+
+
 @pytest.mark.parametrize("scene", [held_launch_of_a_cancelled_job, launch_sent_twice])
 def test_late_commands_change_nothing(monkeypatch: pytest.MonkeyPatch, scene: Any) -> None:
     world = simulate(monkeypatch, scene)
--- a/tests/world.py
+++ b/tests/world.py
@@ -65,11 +65,34 @@
         return []
 
 
+class InOrder(curio.sched.SchedBarrier):
+    """Tasks that wait for one event, woken in the order in which they came.
+
+    curio keeps them in a set: they are woken by their addresses in memory, and no two runs
+    of a day were the same.
+    """
+
+    def __init__(self) -> None:
+        self._tasks: dict[Any, None] = {}
+
+    def _kernel_suspend(self, task: Any) -> Callable[[], Any]:
+        self._tasks[task] = None
+        return lambda: self._tasks.pop(task)
+
+    def _kernel_wake(self, ntasks: int = 1) -> list[Any]:
+        woken = list(self._tasks)[:ntasks]
+        for task in woken:
+            del self._tasks[task]
+        return woken
+
+
 def simulate(monkeypatch: Any, main: Callable[[Clock], Coroutine[Any, Any, Any]]) -> Any:
     """Run `main` in simulated time."""
     clock = Clock()
     monkeypatch.setattr(time, "monotonic", clock)
     monkeypatch.setattr(time, "time", lambda: clock() + 1e9)
+    for module in (curio.sync, curio.task, curio.queue):
+        monkeypatch.setattr(module, "SchedBarrier", InOrder)
     kernel = curio.Kernel(selector=JumpSelector(clock), debug=False)
     with kernel:
         return kernel.run(main, clock)
@@ -356,7 +379,7 @@
         self.hold_s = (1.0, 40.0)  # how long what is held is on its way
         self.doubled: set[int] = set()  # kinds of frames that are delivered late once more
         self.loss = 0.0
-        self.late: list[Coroutine[Any, Any, Any]] = []
+        self.late: list[Callable[[], Coroutine[Any, Any, None]]] = []
         self.jobs: dict[str, dict[str, Any]] = {}
         self.run_s: dict[str, float] = {}
         self.results: dict[str, set[int]] = {}
@@ -598,7 +621,7 @@
         self.machine_number += 1
         name = f"i-{self.machine_number:06d}"
         self.workers[name] = Worker(self, name, kind, zone, spot)
-        self.late.append(self.workers[name].run())
+        self.late.append(self.workers[name].run)
         return name
 
     def kill(self, worker: Worker) -> None:
@@ -617,9 +640,9 @@
             "services": {"cloud": "cloud:1", "state": "state:1"},
             "cluster": {"size": len(self.labels), **SETTINGS},
         }
-        c = Controller(parse(json.dumps(settings).encode()))
-        c.rng = random.Random(self.rng.random())
-        c.incarnation = f"{label}-{self.rng.random()}"
+        # Given at the start: pauses before asking again are drawn from what it seeds. (They
+        # were drawn from the process's own, and one run in forty had another verdict.)
+        c = Controller(parse(json.dumps(settings).encode()), f"{label}-{self.rng.random()}")
         c.store.client = c.store.watcher = self.client(label, "state")
         c.cloud.client = self.client(label, "cloud")
         c.fleet.client = lambda address: self.client(label, address.split(":")[0])  # type: ignore
