Machines that fell silent together are returned together

Change: `fencing` gathers what is to be returned while a request waits for its turn, 100 to a request, and tells each who waits what became of it; what has waited into another generation is not returned. Failed machines go the same way. A kind that the cloud had none of is asked for again once one went back.

--- a/clayport/cloud.py
+++ b/clayport/cloud.py
@@ -19,6 +19,8 @@
 # pauses between them as shares of the time that a request may take.
 RETRIES, AGAIN = 0.1, 0.5
 PAUSE, PAUSE_MOST = 0.1, 0.2
+# The protocol's own figures: machines in one request.
+RENT_MOST, RETURN_MOST = 50, 100
 
 
 class CloudError(Exception):
@@ -56,10 +58,17 @@
             RETRIES, again, again, now), uniform))
         self.begin, self.rest = self.patience.begin, self.patience.rest
 
-    async def _call(self, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
+    async def turn(self) -> None:
+        """Until another request may be sent."""
         wait = self.bucket.delay(1, time.monotonic())
         if wait > 0:
             await curio.sleep(wait)
+
+    async def _call(self, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
+        await self.turn()
+        return await self._send(method, path, body)
+
+    async def _send(self, method: str, path: str, body: Any) -> tuple[int, bytes]:
         raw = None if body is None else msgspec.json.encode(body)
         try:
             status, payload = await self.client.request(method, path, raw, self.timeout_s)
@@ -106,7 +115,12 @@
         return names
 
     async def give_back(self, names: list[str]) -> None:
-        """Once this returns, the machines and everything on them are gone."""
-        status, payload = await self._call("POST", "/hosts/return", {"hosts": names})
+        """Once this returns, the machines (RETURN_MOST at most) and all on them are gone."""
+        await self.turn()
+        await self.return_now(names)
+
+    async def return_now(self, names: list[str]) -> None:
+        """The same by whose turn it is already."""
+        status, payload = await self._send("POST", "/hosts/return", {"hosts": names})
         if status != 200:
             raise CloudError(f"{status} {payload[:100]!r}")
--- /dev/null
+++ b/clayport/fencing.py
@@ -0,0 +1,90 @@
+"""Machines that are returned because they are silent or have failed, many in one request.
+
+After half of 640 machines had ended at once, each was returned by a request of its own, at
+the three requests a second that the cloud allows: work on the last of them could start
+elsewhere only a hundred seconds later, and no machine was rented meanwhile, since renting
+waited in the same line.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import curio
+
+from .cloud import RETURN_MOST, CloudError
+
+if TYPE_CHECKING:
+    from .server import Controller
+
+log = logging.getLogger("clayport.fencing")
+
+
+class _Wait:
+    """A machine whose return somebody waits for."""
+
+    def __init__(self) -> None:
+        self.over = curio.Event()
+        self.error = ""
+
+
+class Fences:
+    """Returns on the member of the generation that talks to the cloud.
+
+    What is asked for while a request waits for its turn goes with it, so a fence takes as
+    long as one request, however many there are.
+    """
+
+    def __init__(self, core: Controller) -> None:
+        self.core = core
+        self.waiting: dict[str, _Wait] = {}  # in the order in which they were asked for
+        self.sending = False
+
+    async def fence(self, name: str) -> None:
+        """Return a machine: with the cloud's 200 everything on it is gone, and all are told.
+        CloudError if it was not returned, or may not have been."""
+        wait = self.waiting.get(name)
+        if wait is None:
+            wait = self.waiting[name] = _Wait()
+        if not self.sending:
+            self.sending = True
+            await curio.spawn(self._send, daemon=True)
+        await wait.over.wait()
+        if wait.error:
+            raise CloudError(wait.error)
+
+    async def _send(self) -> None:
+        gen = self.core.generation
+        try:
+            while self.waiting:
+                await self.core.cloud.turn()
+                if self.core.generation is not gen:
+                    # Machines have new owners, who may have heard them meanwhile.
+                    await self._over(list(self.waiting), "the generation has moved on")
+                    gen = self.core.generation
+                    continue
+                await self._return(list(self.waiting)[:RETURN_MOST])
+        finally:
+            self.sending = False
+
+    async def _return(self, names: list[str]) -> None:
+        waits, error = {n: self.waiting.pop(n) for n in names}, ""
+        try:
+            await self.core.cloud.return_now(names)
+            await self.core.announce_gone(names)
+        except CloudError as exc:
+            error = str(exc)
+        except Exception as exc:  # whatever it is, those who wait are to be told
+            log.exception("event=return-failed machines=%d", len(names))
+            error = repr(exc)
+        await self._told(waits, error)
+
+    async def _over(self, names: list[str], error: str) -> None:
+        await self._told({n: self.waiting.pop(n) for n in names}, error)
+
+    @staticmethod
+    async def _told(waits: dict[str, _Wait], error: str) -> None:
+        for wait in waits.values():
+            wait.error = error
+            await wait.over.set()
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -14,6 +14,7 @@
 from . import http, peerwire
 from .cloud import CloudError
 from .config import ConfigError, endpoint
+from .fencing import Fences
 from .jobs import CLEAR, JOB_AT_FAULT, KILL, LATER, MACHINE_AT_FAULT
 from .model import Job, Report, split_task
 from .peers import PeerError
@@ -33,6 +34,7 @@
     def __init__(self, core: Controller) -> None:
         self.core = core
         self.clients: OrderedDict[str, http.Client] = OrderedDict()
+        self.fences = Fences(core)
         self.forwarded: dict[str, float] = {}
         self.outboxes: dict[str, OrderedDict[tuple[str, str, int], Told]] = {}
         w = core.settings.cluster.workers
@@ -371,7 +373,7 @@
             log.info("machine=%s generation=%d event=fence cause=silent tasks=%d", m.name,
                      gen.number, len(m.want))
             if gen.provisioner == core.label:
-                await self.fence(m.name)
+                await self.fences.fence(m.name)
             else:
                 await core.peers[gen.provisioner].call(
                     peerwire.FENCE, (gen.number, m.name, "silent"), 10 * self.command_s)
@@ -395,8 +397,3 @@
         if status == 200 and m is not None:
             self._body(m, raw)
         return status == 200
-
-    async def fence(self, name: str) -> None:
-        """Return a machine: with the cloud's 200 everything on it is gone."""
-        await self.core.cloud.give_back([name])
-        await self.core.announce_gone([name])
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -5,13 +5,13 @@
 import logging
 import math
 import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import TYPE_CHECKING
 
 import curio
 
 from . import peerwire
-from .cloud import CloudError, NoCapacity
+from .cloud import RENT_MOST, RETURN_MOST, CloudError, NoCapacity
 from .index import Index
 from .model import RANKS, Listed, MachineType, fits
 from .placement import Policy, Room
@@ -232,12 +232,12 @@
         self.listed_at = now
         self.listed = {m.id: m for m in found}
         self.returned = {n: t for n, t in self.returned.items() if now - t < 4 * lag + core.ttl_s}
+        failed = []
         for m in found:
             if m.id in self.returned:
                 continue
             if m.state == "failed":
-                await core.fleet.fence(m.id)
-                self.returned[m.id] = now
+                failed.append(m.id)
             elif m.id not in core.rooms:
                 self.boots.setdefault(m.id, Boot(m.id, (m.type, m.zone, m.spot), now - m.age_s))
         for name, boot in list(self.boots.items()):
@@ -247,6 +247,8 @@
                     self._up(boot, now)
                 self.own.discard(name)
                 del self.boots[name]
+        for first in range(0, len(failed), RETURN_MOST):
+            await self._return(failed[first:first + RETURN_MOST], now)
 
     def _up(self, boot: Boot, now: float) -> None:
         for kind in self.core.types:
@@ -268,7 +270,15 @@
             for name in late:
                 if name in self.own:
                     self._up(self.boots[name], now)
-            await self._return(late[:100], now)
+            await self._return(late[:RETURN_MOST], now)
+
+    def freed(self, names: Iterable[str]) -> None:
+        """These machines went back: of their kinds there may be some again, at once. (After
+        half of a fleet had ended, each kind was asked for twice a minute.)"""
+        for name in names:
+            found = self.core.rooms.get(name) or self.listed.get(name)
+            if found is not None:
+                self.refused.pop((found.type, found.zone, found.spot), None)
 
     async def _return(self, names: list[str], now: float) -> None:
         await self.core.cloud.give_back(names)
@@ -287,11 +297,11 @@
             self.sequence += 1
             name = f"r-{core.generation.number}-{core.label}-{self.sequence}"
             try:
-                got = await core.cloud.rent(name, *kind, min(count, 50))
+                got = await core.cloud.rent(name, *kind, min(count, RENT_MOST))
             except NoCapacity:
                 got = []
             log.info("event=rented kind=%s wanted=%d got=%d", kind, count, len(got))
-            if len(got) < min(count, 50):
+            if len(got) < min(count, RENT_MOST):
                 self.refused[kind] = now + types[kind[0]].boot_s / 2
                 core.signal("demand")
             for machine in got:
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -573,7 +573,11 @@
         elif kind == peerwire.FENCE:
             if self.generation.provisioner != self.label:
                 return peerwire.ACK, (False,)
-            await self.fleet.fence(values[1])
+            try:
+                await self.fleet.fences.fence(values[1])
+            except CloudError as exc:
+                log.info("machine=%s event=not-fenced cause=%s", values[1], exc)
+                return peerwire.ACK, (False,)
         else:
             return peerwire.ACK, (False,)
         return peerwire.ACK, (True,)
@@ -606,6 +610,8 @@
         self.signal("place")
 
     async def announce_gone(self, names: list[str]) -> None:
+        """The cloud has just confirmed to us that these are gone; all are told."""
+        self.provisioner.freed(names)
         self.gone(names)
         rows = [(n,) for n in names]
         for peer in self.peers.values():
--- /dev/null
+++ b/tests/test_fencing.py
@@ -0,0 +1,86 @@
+"""Machines that are to be returned, when many are at once."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+import pytest
+
+from clayport.cloud import CloudError
+from clayport.fencing import Fences
+
+
+class Core:
+    """What fences use of a controller; the cloud takes a request each second."""
+
+    def __init__(self) -> None:
+        self.cloud = self.generation = self
+        self.sent: list[list[str]] = []
+        self.told: list[str] = []
+        self.fails: set[int] = set()  # numbers of the requests that are refused
+
+    async def turn(self) -> None:
+        await curio.sleep(0)
+
+    async def return_now(self, names: list[str]) -> None:
+        self.sent.append(names)
+        await curio.sleep(0)
+        if len(self.sent) in self.fails:
+            raise CloudError("503")
+
+    async def announce_gone(self, names: list[str]) -> None:
+        self.told += names
+
+
+async def fence_all(fences: Fences, names: list[str]) -> list[str]:
+    async def one(name: str) -> str:
+        try:
+            await fences.fence(name)
+        except CloudError as exc:
+            return str(exc)
+        return ""
+    tasks = [await curio.spawn(one, n) for n in names]
+    return [await t.join() for t in tasks]
+
+
+@pytest.mark.parametrize("count, fails, requests", [
+    (1, set(), [1]), (100, set(), [100]),
+    (320, set(), [100, 100, 100, 20]),  # each had a request of its own: a hundred seconds
+    (320, {2}, [100, 100, 100, 20]), (150, {1, 2}, [100, 50]),
+])
+def test_many_fences_go_together(count: int, fails: set[int], requests: list[int]) -> None:
+    core = Core()
+    core.fails = fails
+    fences = Fences(core)  # type: ignore[arg-type]
+    names = [f"i-{n:06d}" for n in range(count)]
+    found = curio.run(fence_all, fences, [*names, names[-1]])  # asked for twice, sent once
+    assert [len(s) for s in core.sent] == requests and sum(core.sent, []) == names
+    # Nobody is told that a machine is gone whose return was refused.
+    refused = {n for number in fails for n in core.sent[number - 1]}
+    assert set(core.told) == set(names) - refused
+    assert [bool(f) for f in found] == [n in refused for n in [*names, names[-1]]]
+    assert not fences.waiting and not fences.sending
+
+
+def test_what_waits_is_not_returned_in_a_later_generation() -> None:
+    """Its new owner may have heard the machine meanwhile: it works, and is full again."""
+    core = Core()
+    fences = Fences(core)  # type: ignore[arg-type]
+
+    async def turn() -> None:
+        core.generation = object()  # type: ignore[assignment]
+    core.turn = turn  # type: ignore[method-assign]
+    found = curio.run(fence_all, fences, ["i-000001", "i-000002"])
+    assert core.sent == [] and all("generation" in f for f in found)
+
+
+def test_an_error_of_any_kind_is_told() -> None:
+    core = Core()
+
+    async def fail(_: Any) -> None:
+        raise ValueError("malformed")
+    core.return_now = fail  # type: ignore[method-assign]
+    fences = Fences(core)  # type: ignore[arg-type]
+    assert all(curio.run(fence_all, fences, ["i-000001"]))
+    assert not fences.waiting and not fences.sending
