A silent machine is asked by its owner and a peer at once

Cause: an owner inspected a machine that fell silent, and only then had a peer do so: 9 s of silence, 3 s and 4.6 s for the two, 17 s in all, longer than the lease. Its replicas were missed all that time.

Change: both ask at the same time. What is needed for a fence is unchanged.

--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -6,6 +6,7 @@
 import logging
 import time
 from collections import OrderedDict
+from collections.abc import Container
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -356,17 +357,8 @@
             if not address and time.monotonic() - m.heard < \
                     core.settings.cluster.workers.cancel_s / 2:
                 return
-            if address and await self.inspect(m.name, address):
+            if address and await self._answers(m.name, address, gen.members):
                 return
-            for label, peer in core.peers.items():
-                if address and label in gen.members:
-                    try:
-                        if (await peer.call(peerwire.INSPECT, (m.name, address),
-                                            self.command_s * 1.5))[0]:
-                            return
-                        break
-                    except PeerError:
-                        continue
             if core.generation is not gen or not core.serving \
                     or time.monotonic() - m.heard < self.silent_s:
                 return
@@ -384,6 +376,26 @@
             if m.name in core.owner.machines:
                 core.owner.touch(m.name)
 
+    async def _answers(self, name: str, address: str, members: Container[str]) -> bool:
+        """Whether the worker answers us or a peer, both asked at once: one after the other,
+        a machine that had ended was returned only after its lease was over, and its replicas
+        were missed for so much longer."""
+        async with curio.TaskGroup(wait=all) as group:
+            found = [await group.spawn(self.inspect, name, address),
+                     await group.spawn(self._answers_peer, name, address, members)]
+        return any(task.result for task in found)
+
+    async def _answers_peer(self, name: str, address: str, members: Container[str]) -> bool:
+        """The same of the first peer that answers."""
+        for label, peer in self.core.peers.items():
+            if label in members:
+                try:
+                    return bool((await peer.call(peerwire.INSPECT, (name, address),
+                                                 self.command_s * 1.5))[0])
+                except PeerError:
+                    continue
+        return False
+
     async def inspect(self, name: str, address: str) -> bool:
         """Whether the worker itself answers; what it says is used where we own it."""
         client = self.client(address)
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -5,7 +5,7 @@
 import logging
 import math
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 import curio
@@ -272,14 +272,6 @@
                     self._up(self.boots[name], now)
             await self._return(late[:RETURN_MOST], now)
 
-    def freed(self, names: Iterable[str]) -> None:
-        """These machines went back: of their kinds there may be some again, at once. (After
-        half of a fleet had ended, each kind was asked for twice a minute.)"""
-        for name in names:
-            found = self.core.rooms.get(name) or self.listed.get(name)
-            if found is not None:
-                self.refused.pop((found.type, found.zone, found.spot), None)
-
     async def _return(self, names: list[str], now: float) -> None:
         await self.core.cloud.give_back(names)
         for name in names:
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -611,7 +611,6 @@
 
     async def announce_gone(self, names: list[str]) -> None:
         """The cloud has just confirmed to us that these are gone; all are told."""
-        self.provisioner.freed(names)
         self.gone(names)
         rows = [(n,) for n in names]
         for peer in self.peers.values():
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import Any
 
 import curio
@@ -9,6 +10,10 @@
 
 from clayport.cloud import CloudError
 from clayport.fencing import Fences
+from clayport.fleet import Fleet
+from clayport.peers import PeerError
+
+from .world import Clock, simulate
 
 
 class Core:
@@ -84,3 +89,35 @@
     fences = Fences(core)  # type: ignore[arg-type]
     assert all(curio.run(fence_all, fences, ["i-000001"]))
     assert not fences.waiting and not fences.sending
+
+
+@pytest.mark.parametrize("ours, theirs, answers", [
+    (False, False, False), (True, False, True), (False, True, True), (False, None, False)])
+def test_a_silent_machine_is_asked_by_two_at_once(
+        monkeypatch: pytest.MonkeyPatch, ours: bool, theirs: bool | None, answers: bool) -> None:
+    """One after the other took until the machine's lease was over. Who can't be reached
+    (None) says nothing, and the next is asked."""
+    class Asked:
+        def __init__(self, says: bool | None) -> None:
+            self.says = says
+
+        async def call(self, *_: Any) -> tuple[bool | None]:
+            await curio.sleep(0.0 if self.says is None else 4.0)
+            if self.says is None:
+                raise PeerError("away")
+            return (self.says,)
+    fleet: Any = object.__new__(Fleet)
+    fleet.core = SimpleNamespace(peers={"out": Asked(True), "c1": Asked(None if theirs is None
+                                                                       else theirs),
+                                        "c2": Asked(False)})
+    fleet.command_s = 3.0
+
+    async def inspect(*_: Any) -> bool:
+        await curio.sleep(3.0)
+        return ours
+    fleet.inspect = inspect
+
+    async def main(clock: Clock) -> tuple[bool, float]:
+        began = clock()
+        return await fleet._answers("i-000001", "m:1", {"c0", "c1", "c2"}), clock() - began
+    assert simulate(monkeypatch, main) == (answers, 4.0)
