One reader of heads for both ends, one rule for what a job allows

Cause: reread, the change had the same thing twice in four places: what is asked of h11 about a request's head and an answer's; the loop that reads until a head is whole, in the server and in the client; a job's own conditions for a room and for a pool; and `dear` beside `dear_pool`.

Behaviour is as it was, and no test was changed.

--- a/clayport/fencing.py
+++ b/clayport/fencing.py
@@ -61,7 +61,8 @@
                 await self.core.cloud.turn()
                 if self.core.generation is not gen:
                     # Machines have new owners, who may have heard them meanwhile.
-                    await self._over(list(self.waiting), "the generation has moved on")
+                    waits, self.waiting = self.waiting, {}
+                    await self._told(waits, "the generation has moved on")
                     gen = self.core.generation
                     continue
                 await self._return(list(self.waiting)[:RETURN_MOST])
@@ -80,9 +81,6 @@
             error = repr(exc)
         await self._told(waits, error)
 
-    async def _over(self, names: list[str], error: str) -> None:
-        await self._told({n: self.waiting.pop(n) for n in names}, error)
-
     @staticmethod
     async def _told(waits: dict[str, _Wait], error: str) -> None:
         for wait in waits.values():
--- a/clayport/heads.py
+++ b/clayport/heads.py
@@ -9,9 +9,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from functools import lru_cache
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import h11
 
@@ -56,37 +55,32 @@
 def strange(data: bytearray) -> bool:
     """Whether h11 has to look at what has come of a head that isn't whole: it may be an
     error already, or have ended otherwise than most do."""
-    return len(data) > KEPT_BYTES or data[:1] < b"!" or b"\n\n" in data or b"\n\r\n" in data
+    return len(data) > KEPT_BYTES or b"" < data[:1] < b"!" or b"\n\n" in data or b"\n\r\n" in data
 
 
-def _length(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
-    """Bytes of the body by its length alone, -1 if none is given; None where something else
-    has a say."""
-    length = None
-    for name, value in headers:
-        if name in UNUSUAL:
-            return None
-        if name == b"content-length":
-            length = int(value)
-    return -1 if length is None else length
+def _event(conn: h11.Connection, head: bytes) -> tuple[Any, int | None]:
+    """What h11 makes of a head, and the bytes of the body if a length says so (None: none is
+    given); no event where h11 has to keep the connection."""
+    conn.receive_data(head)
+    try:
+        event = conn.next_event()
+    except h11.RemoteProtocolError:
+        return None, None
+    if not isinstance(event, (h11.Request, h11.Response)) or event.http_version != b"1.1" \
+            or conn.trailing_data[0] or any(name in UNUSUAL for name, _ in event.headers):
+        return None, None
+    return event, next((int(value) for name, value in event.headers
+                        if name == b"content-length"), None)
 
 
 @lru_cache(maxsize=HEADS_MOST)
 def asked(head: bytes) -> Asked | None:
     """A request's head, or None if its connection is to be left to h11."""
     conn = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_BYTES)
-    conn.receive_data(head)
-    try:
-        event = conn.next_event()
-    except h11.RemoteProtocolError:
+    event, length = _event(conn, head)
+    if event is None or event.method in (b"HEAD", b"CONNECT"):
         return None
-    if not isinstance(event, h11.Request) or event.http_version != b"1.1" \
-            or conn.trailing_data[0] or event.method in (b"HEAD", b"CONNECT"):
-        return None
-    length = _length(event.headers)
-    if length is None:
-        return None
-    return Asked(event.method.decode("latin-1"), event.target.decode("latin-1"), max(0, length))
+    return Asked(event.method.decode("latin-1"), event.target.decode("latin-1"), length or 0)
 
 
 @lru_cache(maxsize=HEADS_MOST)
@@ -95,16 +89,8 @@
     conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
     conn.send(h11.Request(method="GET", target="/", headers=PLAIN))
     conn.send(h11.EndOfMessage())
-    conn.receive_data(head)
-    try:
-        event = conn.next_event()
-    except h11.RemoteProtocolError:
-        return None
-    if not isinstance(event, h11.Response) or event.http_version != b"1.1" \
-            or conn.trailing_data[0]:
-        return None
-    length = _length(event.headers)
-    if length is None or length < 0 or event.status_code in (204, 304):
+    event, length = _event(conn, head)
+    if event is None or length is None or event.status_code in (204, 304):
         return None
     return Answered(event.status_code, length)
 
--- a/clayport/http.py
+++ b/clayport/http.py
@@ -32,6 +32,17 @@
     return b"".join(conn.send(event) or b"" for event in events)
 
 
+async def _head(data: bytearray, more: Callable[[], Awaitable[bytes]]) -> bytes | None:
+    """The next message's head, taken out of `data`, which `more` fills; None if the other
+    side is finished before that, or h11 has to look at what has come."""
+    while (head := heads.split(data)) is None:
+        received = b"" if heads.strange(data) else await more()
+        if not received:
+            return None
+        data.extend(received)
+    return head
+
+
 class Server:
     """Serves requests; past the budget the oldest idle connection is closed.
 
@@ -99,24 +110,18 @@
             while True:
                 if me in self.open:
                     self.open[me] = not kept
-                while (head := heads.split(data)) is None:
-                    more = b"" if data and heads.strange(data) \
-                        else await self._more(client, me, bool(data))
-                    data += more
-                    if not more:
-                        if data:
-                            await self._by_h11(client, me, bytes(data))
-                        return
-                asked = heads.asked(head)
-                if asked is None or asked.length > MAX_BODY:
-                    await self._by_h11(client, me, head + data)
+                head = await _head(data, lambda: self._more(client, me, bool(data)))
+                asked = heads.asked(head) if head is not None else None
+                if head is None or asked is None or asked.length > MAX_BODY:
+                    if head or data:
+                        await self._by_h11(client, me, (head or b"") + data)
                     return
                 while len(data) < asked.length:
                     more = await self._more(client, me, True)
                     if not more:
                         await self._by_h11(client, me, head + data)
                         return
-                    data += more
+                    data.extend(more)
                 body = bytes(data[:asked.length])
                 del data[:asked.length]
                 kept = asked.path.startswith(self.kept_path)
@@ -254,14 +259,10 @@
         length = None if body is None else len(body)
         await sock.sendall(heads.ask(method, path, self.name, length) + (body or b""))
         data = bytearray()
-        while (head := heads.split(data)) is None:
-            more = b"" if data and heads.strange(data) else await sock.recv(65536)
-            data += more
-            if not more:
-                return await self._by_h11(sock, method, path, body, bytes(data))
-        answered = heads.answered(head)
+        head = await _head(data, lambda: sock.recv(65536))
+        answered = heads.answered(head) if head is not None else None
         if answered is None:
-            return await self._by_h11(sock, method, path, body, head + data)
+            return await self._by_h11(sock, method, path, body, (head or b"") + data)
         while len(data) < answered.length:
             more = await sock.recv(65536)
             if not more:
--- a/clayport/index.py
+++ b/clayport/index.py
@@ -37,6 +37,12 @@
 Row = tuple[Level, Entry]
 
 
+def allows(job: Job, pool: Room | Pool) -> bool:
+    """The job's own conditions: type, zone and kind, which a pool's machines share."""
+    return (job.types is None or pool.type in job.types) and (job.spot or not pool.spot) \
+        and (job.zone is None or job.zone == pool.zone)
+
+
 class Shelf:
     """A pool's open rooms in order of preference: those with an image, or all (`""`)."""
 
@@ -106,11 +112,6 @@
         self.counted_rev = 0
         self.totals = Totals()
 
-    def allows(self, job: Job) -> bool:
-        """The job's own conditions: type, zone and kind."""
-        return (job.types is None or self.type in job.types) and (job.spot or not self.spot) \
-            and (job.zone is None or job.zone == self.zone)
-
     def changed(self, since: int) -> Iterator[str]:
         """Machines that changed after the revision, the latest first."""
         for machine in reversed(self.changes):
@@ -269,7 +270,7 @@
         if found is None:
             if len(self._allowed) >= MEMO_MOST:
                 self._allowed.clear()
-            found = self._allowed[key] = [p for p in self.pools.values() if p.allows(job)]
+            found = self._allowed[key] = [p for p in self.pools.values() if allows(job, p)]
         return found
 
     def cleared(self, policy: object) -> dict[tuple[object, ...], int]:
--- a/clayport/limits/door.py
+++ b/clayport/limits/door.py
@@ -14,7 +14,6 @@
 
     def __init__(self, patience_s: float, most_s: float) -> None:
         self.patience_s, self.most_s = patience_s, most_s
-        self.refused = 0
 
     def ask(self, backlog_s: float) -> int:
         """0: come in; otherwise the whole seconds after which to come back.
@@ -24,5 +23,4 @@
         """
         if backlog_s <= self.patience_s:
             return 0
-        self.refused += 1
         return int(min(self.most_s, max(1.0, math.ceil(backlog_s - self.patience_s / 2))))
--- a/clayport/limits/retry.py
+++ b/clayport/limits/retry.py
@@ -84,12 +84,11 @@
 class Attempt:
     """One request and its retries."""
 
-    __slots__ = ("retries", "deadline", "last_s", "tries")
+    __slots__ = ("retries", "deadline", "last_s")
 
     def __init__(self, retries: Retries, deadline: Deadline) -> None:
         self.retries, self.deadline = retries, deadline
         self.last_s = retries.base_s / 2
-        self.tries = 1
 
     def pause(self, now: float) -> float | None:
         """Seconds to wait before asking again; None: the answer would come too late.
@@ -105,7 +104,6 @@
             r.budget.give_back()
             return None
         self.last_s = wait
-        self.tries += 1
         return max(wait, turn)
 
     def served(self) -> None:
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -6,7 +6,7 @@
 from collections.abc import Container, Iterable
 from typing import Any
 
-from .index import EPSILON, Index, Pool, Row
+from .index import EPSILON, Index, Pool, Row, allows
 from .model import GANG, RANKS, SERVICE, Job, MachineType, fits
 
 # How much above the cheapest type's price a type is dear: beyond what types of
@@ -63,8 +63,7 @@
 
     def allows(self, job: Job) -> bool:
         """The job's own conditions: type, zone and kind."""
-        return (job.types is None or self.type in job.types) and (job.spot or not self.spot) \
-            and (job.zone is None or job.zone == self.zone)
+        return allows(job, self)
 
     def fits(self, job: Job) -> bool:
         return self.open and self.hold in ("", job.id) and self.cpus + EPSILON >= job.cpus \
@@ -187,7 +186,7 @@
     bound = job.one_zone or job.spread
     return [p for p in index.allowed(job) if (able is None or p.type in able)
             and (not bound or spread.allows(p.zone))
-            and not (patient and policy.dear_pool(job, p))]
+            and not (patient and policy.dear(job, p))]
 
 
 def _lasting(job: Job, index: Index, spread: Spread, without: Container[str]) -> bool:
@@ -224,7 +223,7 @@
             for room in index.news(job, since)):
         nowhere[asked] = index.rev
         return []
-    pools = [(policy.dear_pool(job, pool), fragile and pool.spot, pool)
+    pools = [(policy.dear(job, pool), fragile and pool.spot, pool)
              for pool in _usable(job, index, spread, policy, patient)]
     if job.one_zone and not spread.counts and not spread.unknown and len(
             {p.zone for _, _, p in pools}) > 1:
@@ -365,10 +364,7 @@
             found = self._dear[key] = {n for n, c in cost.items() if c > DEAR * least}
         return found
 
-    def dear(self, job: Job, room: Room) -> bool:
-        return self.dear_pool(job, room)
-
-    def dear_pool(self, job: Job, pool: Room | Pool) -> bool:
+    def dear(self, job: Job, pool: Room | Pool) -> bool:
         """The same for all machines of a type, zone and kind."""
         return pool.type in self.dear_types(job) and self._guest(pool) is None
 
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -202,7 +202,7 @@
         """Replicas that run on machines far dearer than they need."""
         found = []
         for job in policy.services:
-            cpus = sum(r.lasting for p in index.pools.values() if policy.dear_pool(job, p)
+            cpus = sum(r.lasting for p in index.pools.values() if policy.dear(job, p)
                        for r in p.rooms.values())
             if cpus > 0:
                 found.append(Need(job, math.ceil(cpus / max(job.cpus, 0.1))))
