Starts within a fraction of a second: flapping controllers are left out for a while

Cause: each end of one controller cost all the others a generation, however often it ended, and all that began together were taken in one by one. A start that found its address still held ended.

Change: after the third end within four leases a controller is left out of the next generation for a pause that doubles; only members propose while one of them is there; a listener waits for its address. Classes' further times to finish, and multiples of deadlines, are read from the objectives.

--- a/clayport/config.py
+++ b/clayport/config.py
@@ -46,6 +46,7 @@
     job_class: str | None = msgspec.field(name="class", default=None)
     within_s: float | None = None
     share: float | None = None
+    times: float | None = None
 
 
 class WorkerSettings(msgspec.Struct, frozen=True):
--- a/clayport/http.py
+++ b/clayport/http.py
@@ -16,6 +16,7 @@
 from curio import socket
 
 from . import heads
+from .listen import listener
 
 log = logging.getLogger("clayport.http")
 
@@ -59,7 +60,8 @@
         self.until: dict[curio.Task, float] = {}
 
     async def serve(self, host: str, port: int) -> None:
-        sock = curio.tcp_server_socket(host, port, backlog=128)
+        # A whole fleet may come at once, when a controller is back.
+        sock = await listener(host, port, self.budget)
         sweeper = await curio.spawn(self._sweep, daemon=True)
         try:
             await self._accept(sock)
--- a/clayport/membership.py
+++ b/clayport/membership.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from hashlib import blake2b
 from typing import Any
 
@@ -16,6 +16,8 @@
 COUNTER_BITS = 24
 # Places of jobs and machines that are remembered.
 PLACES_MOST = 20_000
+# Ends of a controller within the window that cost it no pause.
+FREE_ENDS = 2
 
 
 class Generation:
@@ -63,7 +65,56 @@
 NOBODY = Generation(0, {}, 0)
 
 
-def successor(current: Generation, present: dict[str, str]) -> Generation | None:
+class Flaps:
+    """Which controllers end over and over, and until when the next generation does without.
+
+    Each end costs all the others a generation: they announce it to their workers and read
+    their jobs anew. One that ends every few seconds would keep them at it. So after a few
+    ends in a short while it is left out, for a pause that doubles with each end more, and
+    the others serve what would be its. (What has ended once or twice is back at once, as
+    after a roll.) It is a matter of cost alone: who is in a generation is decided by the
+    commit.
+    """
+
+    def __init__(self, window_s: float, pause_s: float, pause_most_s: float) -> None:
+        self.window_s, self.pause_s, self.pause_most_s = window_s, pause_s, pause_most_s
+        self.seen: dict[str, str] = {}  # the last incarnation of each
+        self.ends: dict[str, list[float]] = {}
+        self.until: dict[str, float] = {}
+
+    def see(self, present: Mapping[str, str], now: float) -> list[str]:
+        """Take note of who is there; whoever is left out from now on."""
+        found = []
+        for label, incarnation in present.items():
+            before = self.seen.get(label)
+            self.seen[label] = incarnation
+            if before is None or before == incarnation:
+                continue
+            ends = [t for t in self.ends.get(label, ()) if now - t < self.window_s]
+            self.ends[label] = [*ends, now]
+            more = len(ends) - FREE_ENDS
+            if more >= 0:
+                self.until[label] = now + min(self.pause_most_s, self.pause_s * 2.0 ** more)
+                found.append(label)
+        return found
+
+    def admitted(self, members: Mapping[str, str], present: Mapping[str, str], now: float
+                 ) -> dict[str, str]:
+        """Who may be in the next generation: those that are in this one, and all others
+        whose pause is over. All, if that is nobody."""
+        found = {label: inc for label, inc in present.items()
+                 if members.get(label) == inc or now >= self.until.get(label, now)}
+        return found or dict(present)
+
+
+def may_propose(me: str, members: Mapping[str, str], present: Mapping[str, str]) -> bool:
+    """Whether a controller may propose a generation: a member, and whoever finds none of
+    the members there. One that has just begun doesn't know who has ended how often."""
+    return members.get(me) == present.get(me) is not None or not any(
+        present.get(label) == inc for label, inc in members.items())
+
+
+def successor(current: Generation, present: Mapping[str, str]) -> Generation | None:
     """The generation to propose for the controllers present, or None for no change.
 
     A restarted controller has a new incarnation: it has forgotten its
--- a/clayport/peers.py
+++ b/clayport/peers.py
@@ -13,6 +13,7 @@
 
 from . import peerwire as wire
 from .limits import Budget, Patience, Retries
+from .listen import listener
 
 log = logging.getLogger("clayport.peers")
 
@@ -171,11 +172,11 @@
         finally:
             connections.pop(me, None)
 
-    listener = curio.tcp_server_socket(host, port, backlog=32)
-    async with listener:
+    listening = await listener(host, port, limit)
+    async with listening:
         while True:
             try:
-                sock, _ = await listener.accept()
+                sock, _ = await listening.accept()
             except OSError as exc:
                 log.info("accept from a peer failed: %s", exc)
                 await curio.sleep(idle_s / 100)
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -22,7 +22,14 @@
 from .index import Index
 from .jobs import GENERATION_KEY, HomeJob, end_key, ended, parse_chunk_key
 from .limits import Attempt
-from .membership import NOBODY, Generation, should_leave, successor
+from .membership import (
+    NOBODY,
+    Flaps,
+    Generation,
+    may_propose,
+    should_leave,
+    successor,
+)
 from .mirror import FORMAT, NODE_PREFIX, VERSION_PREFIX, Mirror
 from .model import SERVICE, Chunk, Job, MachineType, chunk_size
 from .picture import Picture
@@ -69,8 +76,16 @@
         # What is aimed at for the classes: the time to finish, and which of them
         # are to start soon.
         self.finish_limits: dict[str, float] = {}
+        # All such times of a class, ascending: what can't keep the first may keep the next.
+        self.finish_all: dict[str, list[float]] = {}
+        self.deadline_times: dict[str, list[float]] = {}
         for aim in c.objectives:
+            if aim.kind == "deadline" and aim.job_class and aim.times:
+                self.deadline_times[aim.job_class] = sorted({
+                    *self.deadline_times.get(aim.job_class, ()), aim.times})
             if aim.kind == "finished" and aim.job_class and aim.within_s:
+                self.finish_all[aim.job_class] = sorted({
+                    *self.finish_all.get(aim.job_class, ()), aim.within_s})
                 self.finish_limits[aim.job_class] = min(
                     aim.within_s, self.finish_limits.get(aim.job_class, aim.within_s))
         # Work with more slack than this keeps off dear machines.
@@ -100,6 +115,7 @@
         # must not be filled, or emptied, because none of them runs at the moment.
         self.classes: dict[str, Job] = {}
         self.nodes: dict[str, str] = {}
+        self.flaps = Flaps(4 * c.workers.lease_s, c.workers.report_s, 4 * c.workers.lease_s)
         self.index = Index(settings.label)
         self.rooms: Mapping[str, Room] = self.index.rooms
         self.zones: dict[str, str] = {}
@@ -300,7 +316,7 @@
             self.signal(hj.name)
         self.dispatch.homes = {}
         self.dispatch.quotas.clear()
-        self.placer.demands.clear()
+        self.placer.begin()
         self.picture.begin()
         self.fleet.outboxes.clear()
         self.owner.begin(generation, self.label)
@@ -368,6 +384,7 @@
             hj.blocked = bool(link.needs)
             hj.since = link.ready
         self.dispatch.homes[job.id] = hj
+        self.placer.line.touch(job.id)
         self.spawn(self.dispatch.drive(hj))
 
     async def keep_lease(self) -> None:
@@ -422,10 +439,10 @@
             await self.wait("members", self.ttl_s / 2)
             if not self.state_known or not self.awake(time.monotonic()):
                 continue
-            if successor(self.generation, self.nodes) is None:
+            if self._proposal() is None:
                 continue
             await curio.sleep(self.jitter(self.ttl_s / 20))
-            proposal = successor(self.generation, self.nodes)
+            proposal = self._proposal()
             if proposal is None:
                 continue
             txn = Txn().require(GENERATION_KEY, self.generation.rev)
@@ -437,6 +454,16 @@
             except (Unavailable, Unknown, NoLease):
                 await curio.sleep(self.jitter(self.ttl_s / 10))
 
+    def _proposal(self) -> Generation | None:
+        """The next generation, if there is to be one and it is ours to propose."""
+        now = time.monotonic()
+        for label in self.flaps.see(self.nodes, now):
+            log.info("event=left-out label=%s seconds=%.1f", label, self.flaps.until[label] - now)
+        if not may_propose(self.label, self.generation.members, self.nodes):
+            return None
+        return successor(self.generation, self.flaps.admitted(
+            self.generation.members, self.nodes, now))
+
     async def keep_peers(self, peer: peers.Peer) -> None:
         """Exchange signs of life, demand and whether the state service answers."""
         while True:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -95,8 +95,8 @@
         await world.crash(label)
         await curio.sleep(world.rng.uniform(1.0, 4.0))
         world.old.discard(label)
-        if label not in world.controllers:
-            await world.start(label)
+        await world.crash(label)  # one that had crashed as well may have come back old
+        await world.start(label)
         await curio.sleep(world.rng.uniform(0.0, 8.0))
     world.upgraded_at = world.clock()
 
--- /dev/null
+++ b/tests/test_restarts.py
@@ -0,0 +1,189 @@
+"""Controllers that end and are started again within a fraction of a second, one and all,
+again and again: no rule is broken, and all is served once it is calm."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import curio
+import pytest
+
+from clayport.membership import Flaps, Generation, may_propose, successor
+
+from .test_model import JOBS, JOBS_A_DAY, held
+from .world import Clock, World, job, simulate
+
+QUICK_S = (0.05, 0.5)
+Scene = Callable[[World], Coroutine[Any, Any, None]]
+
+
+async def again(world: World, label: str) -> None:
+    """It ends and is started again at once."""
+    if label in world.controllers:
+        await world.crash(label)
+        await curio.sleep(world.rng.uniform(*QUICK_S))
+        if label not in world.controllers:
+            await world.start(label)
+
+
+async def all_again(world: World, times: int = 1, every_s: float = 1.3) -> None:
+    for _ in range(times):
+        tasks = [await curio.spawn(again, world, label) for label in world.labels]
+        await curio.sleep(every_s)
+        for task in tasks:
+            await task.join()
+
+
+async def one_twenty_times(world: World) -> None:
+    for _ in range(20):
+        await again(world, "c1")
+        await curio.sleep(world.rng.uniform(1.0, 4.0))
+
+
+async def all_three_times_in_four_seconds(world: World) -> None:
+    for _ in range(3):
+        await all_again(world, times=3)
+        await curio.sleep(world.rng.uniform(5.0, 15.0))
+
+
+async def as_soon_as_it_serves(world: World) -> None:
+    end = world.clock() + 60.0
+    while world.clock() < end:
+        c = world.controllers.get("c2")
+        if c is not None and c.serving:
+            await again(world, "c2")
+        await curio.sleep(0.05)
+
+
+async def in_an_outage(world: World) -> None:
+    for _ in range(4):
+        world.state.outage(world.clock(), world.rng.uniform(3.0, 9.0))
+        for _ in range(4):
+            await again(world, world.rng.choice(world.labels))
+            await curio.sleep(world.rng.uniform(0.2, 2.0))
+        await all_again(world)
+        await curio.sleep(world.rng.uniform(5.0, 12.0))
+
+
+async def with_all_that_is_on_its_way(world: World) -> None:
+    """Commands, commits and frames are held, and arrive when the next one has begun."""
+    world.hold_s = (0.1, 20.0)
+    for _ in range(10):
+        label = world.rng.choice(world.labels)
+        world.loss = 0.1
+        await curio.spawn(held, world, label, daemon=True)
+        await curio.sleep(world.rng.uniform(0.2, 1.5))
+        await again(world, label)
+        await curio.sleep(world.rng.uniform(0.5, 4.0))
+    world.loss = 0.0
+    world.held.clear()
+
+
+SCENES: list[Scene] = [one_twenty_times, all_three_times_in_four_seconds, as_soon_as_it_serves,
+                       in_an_outage, with_all_that_is_on_its_way]
+
+
+async def day(clock: Clock, scene: Scene, seed: int, controllers: int) -> World:
+    world = World(clock, seed, controllers)
+    for label in world.labels:
+        await world.start(label)
+    for routine in (world.spawner, world.poll, world.watch_rules):
+        await curio.spawn(routine, daemon=True)
+    trouble = await curio.spawn(scene, world, daemon=True)
+    for number in range(JOBS_A_DAY):
+        fields, run_s = JOBS[number % len(JOBS)]
+        await curio.spawn(world.submit, job(number, **fields), run_s, daemon=True)
+        if number % 5 == 1:
+            await curio.spawn(world.abort, job(number - 1)["id"], daemon=True)
+        await curio.sleep(world.rng.uniform(0.2, 3.0))
+    await trouble.join()
+    end = clock() + 260.0
+    while clock() < end and not world.broken:
+        await curio.sleep(2.0)
+        if len(world.accepted) == JOBS_A_DAY and all(
+                world.told.get(i) in ("done", "cancelled") for i in world.accepted
+                if world.jobs[i]["shape"] != "daemon"):
+            break
+    if not world.broken:
+        await curio.sleep(40.0)
+    return world
+
+
+@pytest.mark.parametrize("scene", SCENES)
+@pytest.mark.parametrize("seed, controllers", [(31, 3), (32, 5)])
+def test_rules_hold_when_controllers_are_back_at_once(
+        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, scene: Scene,
+        seed: int, controllers: int) -> None:
+    world = simulate(monkeypatch, lambda clock: day(clock, scene, seed, controllers))
+    assert world.broken == []
+    assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
+    assert len(world.accepted) == JOBS_A_DAY and world.launches > 0
+    assert {i: world.told.get(i) for i in world.accepted if world.jobs[i]["shape"] != "daemon"
+            and world.told.get(i) not in ("done", "cancelled")} == {}
+    # Nothing is kept of a start beyond the controller's own two records.
+    assert len([k for k in world.state.keys
+                if k.startswith("c/node/")]) <= controllers
+    assert len([k for k in world.state.keys if k.startswith("c/version/")]) == controllers
+    # Each end costs at most one generation without it and one with it.
+    assert all(c.serving for c in world.controllers.values())
+
+
+async def generations(clock: Clock, scene: Scene) -> tuple[int, list[str]]:
+    """How many generations a scene costs, and who is a member in the end."""
+    world = World(clock, 33)
+    for label in world.labels:
+        await world.start(label)
+    for routine in (world.spawner, world.watch_rules):
+        await curio.spawn(routine, daemon=True)
+    await curio.sleep(15.0)
+    before = world.controllers["c0"].generation.number
+    await scene(world)
+    cost = world.controllers["c0"].generation.number - before
+    await curio.sleep(90.0)
+    assert world.broken == []
+    return cost, sorted(world.controllers["c0"].generation.members)
+
+
+@pytest.mark.parametrize("scene, most", [
+    (one_twenty_times, 8), (as_soon_as_it_serves, 16), (all_three_times_in_four_seconds, 12)])
+def test_one_that_ends_over_and_over_costs_a_bounded_number_of_generations(
+        monkeypatch: pytest.MonkeyPatch, scene: Scene, most: int) -> None:
+    """All the others announced a generation and loaded their jobs for each of its ends."""
+    cost, members = simulate(monkeypatch, lambda clock: generations(clock, scene))
+    assert 1 <= cost <= most
+    assert members == ["c0", "c1", "c2"]  # it is back, once it stays
+
+
+@pytest.mark.parametrize("ends, now, left_out", [
+    ([0.0], 0.0, 0.0), ([0.0, 1.0], 1.0, 0.0), ([0.0, 1.0, 2.0], 2.0, 2.0),
+    ([0.0, 1.0, 2.0], 4.1, 0.0), ([0.0, 1.0, 2.0, 3.0], 3.0, 4.0),
+    ([0.0, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0], 6.0, 32.0), ([float(n) for n in range(30)], 29.0, 40.0),
+    ([0.0, 50.0, 100.0, 150.0], 150.0, 0.0)])
+def test_pauses_grow_with_the_ends_of_late(ends: list[float], now: float, left_out: float) -> None:
+    flaps = Flaps(40.0, 2.0, 40.0)
+    members = {"a": "a0", "b": "b0"}
+    flaps.see(members, -1.0)
+    for number, at in enumerate(ends):
+        flaps.see({"a": "a0", "b": f"b{number + 1}"}, at)
+    present = {"a": "a0", "b": f"b{len(ends)}"}
+    assert ("b" in flaps.admitted(members, present, now)) == (left_out == 0.0)
+    assert "b" in flaps.admitted(members, present, now + left_out)
+    assert "b" not in flaps.admitted(members, present, now + left_out - 0.1) or not left_out
+    # One that is a member is never put out for it, and nobody is left alone for it.
+    assert "b" in flaps.admitted({"b": f"b{len(ends)}"}, present, now)
+    assert flaps.admitted({}, {"b": "b9"}, now) == {"b": "b9"}
+
+
+@pytest.mark.parametrize("present, proposes", [
+    ({"a": "a0", "b": "b0", "c": "c1"}, {"a": True, "b": True, "c": False}),
+    ({"a": "a1", "b": "b0", "c": "c1"}, {"a": False, "b": True, "c": False}),
+    ({"a": "a1", "b": "b1", "c": "c1"}, {"a": True, "b": True, "c": True}),
+    ({"c": "c1"}, {"c": True})])
+def test_who_has_just_begun_leaves_the_proposal_to_the_members(
+        present: dict[str, str], proposes: dict[str, bool]) -> None:
+    """It doesn't know who has ended how often; and all that begin together are taken in by
+    one generation instead of one for each."""
+    members = {"a": "a0", "b": "b0", "c": "c0"}
+    assert {me: may_propose(me, members, present) for me in present} == proposes
+    assert successor(Generation(4, members, 1), present) is not None
