A line of waiting jobs kept up by what happens, and a share for whoever waits too long

Cause: a pass walked all waiting jobs (a later pass 1.0 ms with 300, 20 ms with 3,000), the renting controller counted machine by machine what nobody could rent at once, and tried out for each machine of a shrinking fleet whether all would still fit. Rank alone starved the lowest rank in a flood.

--- a/bench/passes.py
+++ b/bench/passes.py
@@ -65,6 +65,8 @@
     core.placer._pass(time.monotonic())
     took = time.perf_counter() - start
     for hj in core.dispatch.homes.values():
+        if hj.starts and hasattr(core.placer, "line"):
+            core.placer.line.touch(hj.job.id)
         hj.starts.clear()
         hj.placing.clear()
         hj.again.clear()
@@ -92,6 +94,8 @@
         job = core.judged(job)
         core.live[job.id] = (job, 1)
         core.dispatch.homes[job.id] = HomeJob(job, 1, 500, time.monotonic())
+        if hasattr(core.placer, "line"):
+            core.placer.line.touch(job.id)
     first = one_pass(core)
     later = []
     for _ in range(chosen.passes):
--- a/clayport/cloud.py
+++ b/clayport/cloud.py
@@ -20,7 +20,7 @@
 RETRIES, AGAIN = 0.1, 0.5
 PAUSE, PAUSE_MOST = 0.1, 0.2
 # The protocol's own figures: machines in one request.
-RENT_MOST, RETURN_MOST = 50, 100
+RETURN_MOST = 100
 
 
 class CloudError(Exception):
--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -97,6 +97,7 @@
                     continue
                 if hj.closed:
                     self.homes.pop(hj.job.id, None)
+                    core.placer.line.touch(hj.job.id)
                     core.descs.pop(hj.job.id, None)
                     return
                 await core.flush()
@@ -115,7 +116,15 @@
             core.events.pop(name, None)
 
     async def _step(self, hj: HomeJob) -> bool:
-        """One thing that is due; False when nothing is."""
+        """One thing that is due; False when nothing is. The line of what waits catches up
+        with whatever it changed."""
+        try:
+            return await self._due(hj)
+        finally:
+            if self.homes.get(hj.job.id) is hj:
+                self.core.placer.line.touch(hj.job.id)
+
+    async def _due(self, hj: HomeJob) -> bool:
         core = self.core
         if core.upgraded and hj.narrow(core.narrow_size) or hj.wide:
             await self._move(hj)
@@ -530,7 +539,10 @@
                 else:
                     verdict = OK if state == GONE else CLEAR if state == "exited" else KILL
             else:
+                started = hj.started
                 verdict = hj.event(machine, number, attempt, state, cause, now)
+                if hj.started != started:
+                    core.placer.line.touch(job)
                 if number in hj.outcomes:
                     hj.where[number] = machine if state == "exited" else ""
                     core.signal(hj.name)
--- a/clayport/index.py
+++ b/clayport/index.py
@@ -194,6 +194,7 @@
         elif len(pool.changes) > 2 * len(pool.rooms) + FORGET_LEAST:
             self._forget(pool)
         room.herd = crc32(f"{self.salt}{room.machine}".encode()) / 2**32
+        room.lot = crc32(room.machine.encode()) / 2**32
         room.index = self
         self.rooms[room.machine] = pool.rooms[room.machine] = room
         if room.hold:
--- a/clayport/mirror.py
+++ b/clayport/mirror.py
@@ -197,6 +197,7 @@
                 hj = core.dispatch.homes.get(name)
                 if hj is not None:
                     hj.job = job
+                    core.placer.line.touch(name)
                     core.signal("place")
 
     def _ready(self, name: str) -> None:
@@ -209,6 +210,7 @@
         if hj is not None and not hj.ended:
             hj.since = core.pipes.links[name].ready
             hj.blocked = False
+            core.placer.line.touch(name)
             log.info("job=%s event=ready", name)
             core.signal("place")
 
@@ -309,6 +311,7 @@
         if hj is not None and not hj.ended:
             hj.ended = status
             hj.kill_at = 0.0
+            core.placer.line.touch(job)
             core.signal(hj.name)
 
     def tell_end(self, job: str, status: str) -> None:
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Container, Iterable
-from typing import Any
+from typing import Any, NamedTuple
 
 from .index import EPSILON, Index, Pool, Row, allows
 from .model import GANG, RANKS, SERVICE, Job, MachineType, fits
@@ -19,7 +19,7 @@
 
     __slots__ = ("machine", "address", "type", "zone", "spot", "open", "cpus", "gpus",
                  "memory_gb", "tasks", "fillers", "images", "idle_since", "owner", "used", "hold",
-                 "index", "herd", "row")
+                 "index", "herd", "lot", "row")
 
     def __init__(self, machine: str, address: str, type: str, zone: str, spot: bool, open: bool,
                  cpus: float, gpus: float, memory_gb: float, tasks: int, images: Iterable[str],
@@ -35,6 +35,7 @@
         self.hold = ""  # the job that room made by preemption is kept for
         self.index: Index | None = None  # that is to know of changes
         self.herd = 0.0  # a hash: where equal machines come among each other
+        self.lot = 1.0  # the same at all controllers, below 1
         self.row: Row | None = None  # where it stands on shelves, while that is known
         # What is taken, by (standing, whether without GPUs): cpus, gpus, memory.
         self.used = {(rank, plain): [c, g, m] for rank, plain, c, g, m in used}
@@ -45,7 +46,7 @@
         other.machine, other.address, other.type = self.machine, self.address, self.type
         other.zone, other.spot, other.owner = self.zone, self.spot, self.owner
         other.images, other.idle_since, other.hold = self.images, self.idle_since, self.hold
-        other.herd, other.index, other.row = self.herd, None, None
+        other.herd, other.lot, other.index, other.row = self.herd, self.lot, None, None
         other.restore(self)
         return other
 
@@ -86,6 +87,12 @@
         taken[1] += gpus
         taken[2] += memory_gb
 
+    def spares(self, job: Job, wide: Job) -> bool:
+        """Whether a task of `job` leaves room for one of `wide` as the machine is now."""
+        return self.cpus - job.cpus + EPSILON >= wide.cpus \
+            and self.gpus - job.gpus + EPSILON >= wide.gpus \
+            and self.memory_gb - job.memory_gb + EPSILON >= wide.memory_gb
+
     def leaves(self, job: Job, guest: Job) -> bool:
         """Whether a task of `job` leaves room for `guest`, once other guests are done
         and work of lower rank than the guest's has been preempted."""
@@ -174,6 +181,24 @@
         return True
 
 
+class Kept(NamedTuple):
+    """A share of the machines that can hold a task of the job is kept free of narrower work
+    that leaves it no room. The same machines at all controllers, by a hash of their names."""
+
+    job: Job
+    share: float
+    types: frozenset[str] | None  # of which an empty machine holds a task; None: not known
+
+    def against(self, job: Job, room: Room) -> Job | None:
+        """The job that a task of `job` has to leave room for there, if any."""
+        wide = self.job
+        if room.lot >= self.share or self.types is not None and room.type not in self.types \
+                or not room.allows(wide) or not (
+                wide.cpus > job.cpus or wide.gpus > job.gpus or wide.memory_gb > job.memory_gb):
+            return None
+        return wide
+
+
 def shape(job: Job) -> tuple[Any, ...]:
     """What tells whether room that does for one job does for another."""
     return (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone, job.spot,
@@ -196,7 +221,8 @@
 
 def place(job: Job, wanted: int, index: Index, spread: Spread, policy: Policy | None = None,
           patient: bool = False, fragile: bool = False, without: Container[str] = (),
-          lodger: bool = False, uncached: frozenset[str] | None = None) -> list[Room]:
+          lodger: bool = False, uncached: frozenset[str] | None = None,
+          kept: Kept | None = None) -> list[Room]:
     """Machines for up to `wanted` tasks, one entry a task; rooms and spread are charged.
 
     In order: machines that aren't dear; without free GPUs, for work that needs none; image
@@ -207,7 +233,8 @@
     What is `fragile` would be late if its machine were taken back: it keeps off spot
     machines while others have room, and leaves them to work that saves its progress. A
     `lodger` keeps off ordinary machines that it alone would keep rented. `uncached` are the
-    types whose machines will do without the image (None: all).
+    types whose machines will do without the image (None: all). On machines that are `kept`,
+    room for a task of another job is left.
     """
     policy = policy or OPEN
     if wanted <= 0:
@@ -215,11 +242,11 @@
     # The same question finds nothing again until a room that changes fits.
     lasting = _lasting(job, index, spread, without)
     asked = (shape(job), job.one_zone, job.spread, wanted if job.kind == GANG else 0, patient,
-             lodger, uncached and (uncached, job.image))
+             lodger, uncached and (uncached, job.image), kept and (kept.share, kept.job.id))
     nowhere = index.cleared(policy)
     since = nowhere.get(asked) if lasting else None
     if since is not None and not any(
-            room.fits(job) and not (lodger and not room.spot and room.idle)
+            takes(job, room, policy, kept) and not (lodger and not room.spot and room.idle)
             for room in index.news(job, since)):
         nowhere[asked] = index.rev
         return []
@@ -235,9 +262,11 @@
                 or lodger and not room.spot and room.idle:
             continue
         guest = policy.guest(job, room)
+        wide = kept.against(job, room) if kept is not None else None
         while len(chosen) < wanted and room.fits(job) and spread.allows(room.zone) \
-                and (guest is None or room.leaves(job, guest)):
-            count = 1 if single or guest is not None else min(
+                and (guest is None or room.leaves(job, guest)) \
+                and (wide is None or room.spares(job, wide)):
+            count = 1 if single or guest is not None or wide is not None else min(
                 wanted - len(chosen), capacity(job, room))
             room.take(job, count)
             for _ in range(count):
@@ -255,6 +284,42 @@
     return chosen
 
 
+def takes(job: Job, room: Room, policy: Policy, kept: Kept | None) -> bool:
+    """Whether the room, as it is, may take a task of the job; the guest that its GPUs wait
+    for, and whoever it is kept for, go on finding theirs."""
+    if not room.fits(job):
+        return False
+    guest = policy.guest(job, room)
+    if guest is not None and not room.leaves(job, guest):
+        return False
+    wide = kept.against(job, room) if kept is not None else None
+    return wide is None or room.spares(job, wide)
+
+
+def holds(job: Job, wanted: int, index: Index, spread: Spread, policy: Policy, patient: bool,
+          without: set[str]) -> bool:
+    """Whether the rooms hold so many tasks, each machine counted for this job alone: those
+    counted are added to `without`. Nothing is charged, so it costs little where there is
+    room to spare; a no says only that it has to be looked at properly."""
+    if job.kind == GANG or job.one_zone:
+        return False
+    pools = [(policy.dear(job, pool), False, pool)
+             for pool in _usable(job, index, spread, policy, patient)]
+    for room in index.in_order(job, pools, None):
+        if room.machine in without or not takes(job, room, policy, None):
+            continue
+        guest = policy.guest(job, room)
+        without.add(room.machine)
+        for _ in range(capacity(job, room) if guest is None else 1):
+            if not spread.allows(room.zone):
+                break
+            spread.add(room.zone)
+            wanted -= 1
+            if wanted <= 0:
+                return True
+    return wanted <= 0
+
+
 def capacity(job: Job, room: Room) -> int:
     """How many tasks of the job fit into the room."""
     bounds = [10**6]
--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -5,8 +5,9 @@
 import logging
 import math
 import time
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 from functools import partial
+from heapq import heappop, heappush
 from typing import TYPE_CHECKING, NamedTuple
 
 import curio
@@ -14,10 +15,12 @@
 from . import peerwire
 from .index import Index
 from .jobs import HomeJob, amounts, quota_of
-from .model import GANG, RANKS, SERVICE, Job
+from .model import ARRAY, GANG, RANKS, SERVICE, Job
 from .peers import PeerError
-from .placement import Policy, Room, Spread, capacity, place, preempt
-from .provisioning import Need, remaining
+from .placement import Kept, Policy, Room, Spread, capacity, place, preempt, takes
+from .provisioning import Need
+from .queueing import Group, Line, Shares
+from .queueing.shares import Name, Owed, names_of
 from .statestore import Unavailable, Unknown
 
 if TYPE_CHECKING:
@@ -29,6 +32,17 @@
 FILL = 0.25
 # Demand told to peers: enough jobs to fill any fleet, and a bounded frame.
 DEMAND_MOST = 500
+# Leases that work without any aim can wait before it is owed a share of room.
+BEARS = 40.0
+# Of the machines, how many times the share that is still owed to somebody who found no room
+# is kept free of smaller work, in steps of one in so many.
+KEPT, KEPT_STEPS = 1.0, 16
+# The share of a report's interval for which room that comes free is gathered before arrays
+# that had found none are looked at again. On a full fleet machines come free one by one, and
+# each task had a pass, a commit and two requests to an owner of its own.
+GATHER = 0.2
+# Looks at the shares in the time between two reports.
+OWED_LOOKS = 10
 # Passes in the time between two reports of a worker, at most.
 PASSES = 50
 # Jobs looked at and tasks placed in one pass: as much as a few full transactions start, and
@@ -39,8 +53,14 @@
 class Look:
     """What one pass goes by, and what it has found out on its way."""
 
-    def __init__(self, now: float, index: Index, policy: Policy) -> None:
+    def __init__(self, now: float, index: Index, policy: Policy, owed: dict[Name, Owed],
+                 kept: Kept | None, given: dict[Name, float]) -> None:
         self.now, self.index, self.policy = now, index, policy
+        # Who is owed a share of room; what they have been given of late, and a job of theirs
+        # that found none.
+        self.owed, self.kept = owed, kept
+        self.given = given
+        self.missed: dict[Name, Job] = {}
         # Whether nothing but replicas is there, and what work without any aim may take:
         # only looked up once such work waits.
         self.quiet: bool | None = None
@@ -53,12 +73,14 @@
 
 class Nap(NamedTuple):
     """Why a group of waiting jobs need not be looked at: it found no room at the index's
-    revision `rev`, under the policy, for what its members (by id) had waiting."""
+    revision `rev`, under the policy and with those machines kept for others. Before `least`
+    what has come free since is left to be more."""
 
     rev: int
+    least: float
     until: float
     policy: Policy
-    pending: dict[str, int]
+    kept: Kept | None
 
 
 class Placer:
@@ -71,36 +93,60 @@
         self.known: Policy | None = None
         self.known_types: object = None
         self.known_until = -1e9
-        self.asleep: dict[tuple[object, ...], Nap] = {}
+        self.kept: Kept | None = None
+        workers = core.settings.cluster.workers
+        bears = {name: min(core.wait_limits.get(name, math.inf),
+                           core.finish_limits.get(name, math.inf) / 2)
+                 for name in {*core.wait_limits, *core.finish_limits}}
+        self.line = Line(lambda: core.dispatch.homes, core.finish_all, core.wait_limits,
+                         Shares(bears, BEARS * workers.lease_s, [
+                             ("team", gpus, t.name) for t in core.settings.cluster.teams
+                             for gpus in (False, True) if (t.gpus if gpus else t.cpus) > 0]),
+                         core.deadline_times)
+        self.swept_at = self.owed_until = -math.inf
+        self.owed: dict[Name, Owed] = {}
+        self.given: dict[Name, float] = {}  # CPUs begun for them since they were looked up
         self.disturber = ""  # a job that work without any aim could hinder
         # Work without any aim that has waited so long is placed, and has machines rented,
         # like any other (within its share).
         self.long_s = 20 * core.settings.cluster.workers.lease_s
 
+    def begin(self) -> None:
+        """A new generation: other homes, and nothing told by peers."""
+        self.demands.clear()
+        self.line.clear(time.monotonic())
+        self.owed_until = -math.inf
+        self.kept = None
+
     # -- demand ----------------------------------------------------------
 
     def demand(self) -> list[tuple[str, int, float, str]]:
-        """What waits here: (job, tasks, since, zones of its other tasks), bounded."""
+        """What waits here: (job, tasks, since, zones of its other tasks), bounded: the most
+        urgent is told, the rest when that has been served."""
         now = time.monotonic()
-        found = []
-        for hj in self.core.dispatch.homes.values():
-            waiting = hj.pending + len(hj.placing)
-            if waiting > 0 and now >= hj.not_before and not hj.at_fault:
-                zones = ""
-                if hj.job.spread or hj.job.one_zone:
-                    zones = " ".join(self.core.zones.get(m, "") for _, _, m in hj.assignments())
-                found.append((hj.job.id, waiting, now - hj.since, zones))
-        if len(found) > DEMAND_MOST:
-            # What is most urgent is told; the rest is when that has been served.
-            found.sort(key=lambda row: (*self._urgency(row[0]), -row[2]))
-            if now >= self.cut_logged_at:
-                self.cut_logged_at = now + 20 * self.core.ttl_s
-                log.info("event=demand-bounded told=%d jobs=%d", DEMAND_MOST, len(found))
+        line = self.line
+        line.catch_up(now)
+        found = [self._row(hj, now) for hj, _ in line.flying.values()
+                 if now >= hj.not_before and not hj.at_fault]
+        groups = sorted(line.groups.values(), key=lambda g: (
+            g.example.job.filler, -g.example.job.rank))
+        for name in (n for g in groups for lane in g.lanes.values() for n in lane):
+            if len(found) >= DEMAND_MOST:
+                if now >= self.cut_logged_at:
+                    self.cut_logged_at = now + 20 * self.core.ttl_s
+                    log.info("event=demand-bounded told=%d jobs=%d", DEMAND_MOST,
+                             len(line.marks) + len(line.flying))
+                break
+            hj = line.marks[name].hj
+            if not hj.at_fault:
+                found.append(self._row(hj, now))
         return found[:DEMAND_MOST]
 
-    def _urgency(self, job: str) -> tuple[bool, int]:
-        known = self.core.live.get(job)
-        return (known[0].filler, -known[0].rank) if known else (True, 0)
+    def _row(self, hj: HomeJob, now: float) -> tuple[str, int, float, str]:
+        zones = ""
+        if hj.job.spread or hj.job.one_zone:
+            zones = " ".join(self.core.zones.get(m, "") for _, _, m in hj.assignments())
+        return hj.job.id, hj.pending + len(hj.placing), now - hj.since, zones
 
     def all_demand(self) -> list[Need]:
         """Demand of the whole generation, most urgent first."""
@@ -123,7 +169,11 @@
         while True:
             await core.wait("place", core.ttl_s / 2)
             if core.serving:
-                self._pass(time.monotonic())
+                now = time.monotonic()
+                if now - self.swept_at > core.settings.cluster.workers.lease_s:
+                    self.swept_at = now
+                    self.line.sweep()
+                self._pass(now)
                 await core.flush()
             # Changes come one by one, and a pass takes them all.
             await curio.sleep(pause_s)
@@ -132,55 +182,117 @@
         """Look at what waits and may have found room since, the most urgent first.
 
         Of bounded work: what is left goes on in the next pass, when others have had their
-        turn.
+        turn. It costs as much as has happened, however many jobs wait: groups that can find
+        nothing sleep, and of one that is awake no more is looked at once it has found less
+        than it wants.
         """
-        core = self.core
-        groups: dict[tuple[object, ...], list[HomeJob]] = {}
-        for hj in core.dispatch.homes.values():
-            if not hj.starts and not hj.placing and now >= hj.not_before and hj.pending > 0:
-                groups.setdefault(hj.group, []).append(hj)
-        if not groups:
-            self.asleep.clear()
+        core, line = self.core, self.line
+        line.catch_up(now)
+        if not line.marks:
             core.picture.starved = False
             return
-        index = core.picture.index()
-        look = Look(now, index, self.policy())
-        waiting: list[HomeJob] = []
-        asleep, self.asleep = self.asleep, {}
-        for group, members in groups.items():
-            nap = asleep.get(group)
-            if nap is not None and self._sleeps(nap, members, look):
-                self.asleep[group] = nap
-                look.starved = look.starved or not members[0].job.filler
-            else:
-                waiting += members
-        waiting.sort(key=lambda hj: self._order(hj, now))
-        for hj in waiting:
+        look = Look(now, core.picture.index(), self.policy(), self._owed_now(now), self.kept,
+                    self.given)
+        groups = list(line.groups.values())
+        awake = [g for g in groups if not self._sleeps(g, look, True)]
+        if any(g.example.job.kind != SERVICE for g in awake):
+            # Then nobody gathers: what has come free is not left to those of a lower rank.
+            awake += [g for g in groups if g not in awake and not self._sleeps(g, look, False)]
+        for hj in self._in_order(awake, look):
             if look.work >= WORK_MOST:
                 core.signal("place")
                 break
             self._serve(hj, look)
-        for group, rev in look.full.items():
+        for key, rev in look.full.items():
+            group = line.groups.get(key)
             # Replicas are missed every second: they are looked at each time.
-            if group in groups and groups[group][0].job.kind != SERVICE:
-                self.asleep[group] = Nap(rev, now + core.ttl_s / 6, look.policy,
-                                         {hj.job.id: hj.pending for hj in groups[group]})
+            if group is not None and group.example.job.kind != SERVICE:
+                gather_s = core.settings.cluster.workers.report_s * GATHER \
+                    if group.example.job.kind == ARRAY else 0.0
+                group.nap = Nap(rev, now + gather_s, now + core.ttl_s / 6, look.policy, look.kept)
+                group.fresh = False
+        self._keep(look)
         if look.starved and not core.picture.starved:
             core.signal("starved")
             core.signal("demand")
         core.picture.starved = look.starved
 
-    @staticmethod
-    def _sleeps(nap: Nap, members: list[HomeJob], look: Look) -> bool:
+    def _owed_now(self, now: float) -> dict[Name, Owed]:
+        """Who is owed a share, looked up anew a few times between two reports."""
+        if now >= self.owed_until:
+            self.owed_until = now + self.core.settings.cluster.workers.report_s / OWED_LOOKS
+            self.owed = self.line.shares.owed(now)
+            self.given = {}
+        return self.owed
+
+    def _sleeps(self, group: Group, look: Look, gather: bool) -> bool:
         """Whether jobs of a group that found no room would find none now either: none has
         come or waits for more, nothing that has changed fits one of their tasks, and it is
         not yet time to see what else may be stopped, or who has become impatient."""
-        if look.now >= nap.until or nap.policy is not look.policy or any(
-                hj.pending > nap.pending.get(hj.job.id, 0) or hj.errors for hj in members):
+        nap, job = group.nap, group.example.job
+        if nap is None or group.fresh or look.now >= nap.until \
+                or nap.policy is not look.policy or nap.kept != look.kept:
+            group.nap = None
             return False
-        job = members[0].job
-        return not any(room.fits(job) or room.hold in nap.pending
-                       for room in look.index.news(job, nap.rev))
+        kept = None if job.kind == SERVICE or any(
+            self._lacks(names_of(job.gpus > 0, *which), look) > 0 for which in group.lanes
+            ) else look.kept
+        if gather and look.now < nap.least:
+            look.starved = look.starved or not job.filler
+            return True
+        for room in look.index.news(job, nap.rev):
+            mark = self.line.marks.get(room.hold) if room.hold else None
+            if mark is not None and mark.group is group \
+                    or takes(job, room, look.policy, kept):
+                group.nap = None
+                return False
+        look.starved = look.starved or not job.filler
+        return True
+
+    def _in_order(self, groups: list[Group], look: Look) -> Iterator[HomeJob]:
+        """The jobs of the groups as they are to be looked at; of a group that found less
+        than it wanted only those that room is held for."""
+        marks = self.line.marks
+        heap: list[tuple[tuple[float, ...], int, HomeJob, Iterator[str] | None]] = []
+        held = {name: marks[name].hj for name in look.index.held if name in marks}
+        for hj in held.values():
+            heappush(heap, (self._order(hj, look), len(heap), hj, None))
+        serial = len(heap)
+        lanes = [(iter(lane), group) for group in groups for lane in group.lanes.values()]
+        for rows, _ in lanes:
+            name = next(rows, None)
+            if name is not None:
+                heappush(heap, (self._order(marks[name].hj, look), serial, marks[name].hj, rows))
+                serial += 1
+        while heap:
+            _, _, hj, lane = heappop(heap)
+            if lane is None or hj.job.id not in held:
+                yield hj
+            if lane is None:
+                continue
+            if hj.group in look.full:
+                look.starved = look.starved or not hj.job.filler
+                continue
+            name = next(lane, None)
+            if name is not None:
+                heappush(heap, (self._order(marks[name].hj, look), serial, marks[name].hj, lane))
+                serial += 1
+
+    def _keep(self, look: Look) -> None:
+        """Which machines small work keeps off until what is owed a share has found room.
+        (What needs GPUs has them kept free by the policy.)
+
+        One that takes more of a machine than the rest would wait for ever, since each
+        smaller room that comes free is taken as soon as it is there.
+        """
+        self.kept = None
+        for which, owed in look.owed.items():
+            found = look.missed.get(which)
+            if found is not None and owed.missing > 0 and owed.total > 0:
+                share = min(1.0, KEPT * owed.missing / owed.total)
+                steps = math.ceil(share * KEPT_STEPS) / KEPT_STEPS
+                if found.gpus == 0 and (self.kept is None or steps > self.kept.share):
+                    self.kept = Kept(found, steps, look.policy.able(found))
 
     def _serve(self, hj: HomeJob, look: Look) -> None:
         """Find room for one job, or have it made; what is found is to be started."""
@@ -193,9 +305,6 @@
             # failed on three sick machines would have been missing for good.)
             return
         look.work += 1
-        if hj.group in look.full and not hj.errors and job.id not in look.index.held:
-            look.starved = look.starved or not job.filler
-            return
         wanted = self._wanted(hj, look)
         if wanted <= 0 or (job.kind == GANG and wanted < hj.pending):
             return
@@ -204,11 +313,13 @@
             look.fill -= len(chosen) * job.cpus
         if len(chosen) < wanted:
             look.starved = look.starved or not job.filler
+            for which in names_of(job.gpus > 0, job.job_class, job.team):
+                look.missed.setdefault(which, job)
             if job.id not in look.index.held and not hj.errors and not hj.left:
                 look.full.setdefault(hj.group, look.index.rev)
         look.work += len(chosen)
         if chosen:
-            self._begin(hj, chosen)
+            self._begin(hj, chosen, look)
 
     def _wanted(self, hj: HomeJob, look: Look) -> int:
         """Tasks to look for: what one transaction holds, and the job may have."""
@@ -218,6 +329,11 @@
         wanted = self._within_limit(job, wanted)
         if hj.at_fault and job.kind != GANG:
             wanted = min(wanted, 1)
+        lacks = self._lacks(names_of(job.gpus > 0, job.job_class, job.team), look)
+        if job.kind == ARRAY and lacks > 0 and job.cpus > 0:
+            # It goes first for what is owed, and no further: the rest would be stopped again
+            # for whoever it went before.
+            wanted = min(wanted, math.ceil(lacks / job.cpus))
         if job.filler and job.cpus > 0:
             # Without a bound there are infinitely many, which is no whole number.
             wanted = int(max(0.0, min(wanted, look.fill / job.cpus)))
@@ -234,9 +350,10 @@
         patient, fragile = core.patient(job, age), core.fragile(job, age)
         spread = self.spread(hj)
         limit = core.wait_limits.get(job.job_class)
-        most = self._stops(job, age, patient)
+        most = self._spared(job, self._stops(job, age, patient), look)
         find = partial(place, index=index, spread=spread, policy=policy, fragile=fragile,
-                       without=without, lodger=lodger)
+                       without=without, lodger=lodger,
+                       kept=None if job.kind == SERVICE or self._is_owed(job, look) else look.kept)
         make = partial(self._make_room, hj, spread=spread, look=look, without=without)
         chosen: list[Room] = []
         if hj.at_fault:
@@ -279,44 +396,45 @@
                 core.spawn(self._claim(job, machines))
         return chosen, wanted
 
-    def _begin(self, hj: HomeJob, chosen: list[Room]) -> None:
+    def _begin(self, hj: HomeJob, chosen: list[Room], look: Look) -> None:
         """Hand what was found to the job's routine."""
         for room in chosen:
             if room.machine in hj.made:
                 left, until = hj.made[room.machine]
                 hj.made[room.machine] = (max(0, left - 1), until)
         numbers = hj.take(len(chosen), self.core.dispatch.start_chunks)
+        for which in names_of(hj.job.gpus > 0, hj.job.job_class, hj.job.team):
+            look.given[which] = look.given.get(which, 0.0) + len(numbers) * hj.job.cpus
         for room in chosen[len(numbers):]:
             room.take(hj.job, -1)  # the next transaction's
         hj.starts = [(n, r.machine) for n, r in zip(numbers, chosen)]
+        self.line.touch(hj.job.id)
         for number, machine in hj.starts:
             self.core.picture.inflight[(hj.job.id, number)] = (machine, hj.job)
         self.core.signal(hj.name)
 
-    def _order(self, hj: HomeJob, now: float) -> tuple[float, ...]:
-        """By rank; then what can still be in time before what can't, so that not all
-        is late when there is too much; then what has the least time left.
-
-        Work that is to start soon comes before what has missed that and may still be
-        finished in time: else a queue once too long makes all that follow miss it too.
-        """
+    def _order(self, hj: HomeJob, look: Look) -> tuple[float, ...]:
+        """By rank, but for who is owed a share and hasn't had it: these come after replicas
+        and before all others; then as the line says; what is owed to a team before what it
+        borrows."""
         job = hj.job
-        age = now - hj.since
-        left = remaining(job, age, self.core.finish_limits)
-        late = 1.0 if left < 0 else 0.0
-        limit = self.core.wait_limits.get(job.job_class)
-        if limit is not None and job.kind != SERVICE and not late:
-            if age < limit and not hj.started:
-                left = min(left, limit - age)
-            else:
-                late = 0.5
-        borrowing = float(not self._in_guarantee(job))
-        if job.filler:
-            # Nobody waits for it, and what runs at its rank can't make way for others.
-            return (-job.rank, 2.0, borrowing, 0.0, hj.live_rev)
-        if left == math.inf:
-            return (-job.rank, 0.0, borrowing, 0.0, hj.live_rev)
-        return (-job.rank, late, borrowing, left, hj.live_rev)
+        band, (start_by, rev, _), _ = self.line.standing(hj, look.now)
+        left = start_by - look.now if math.isfinite(start_by) and not job.filler else 0.0
+        rank = float(job.rank)
+        if self._is_owed(job, look):
+            rank = RANKS["production"] - 0.5
+        return (-rank, band, float(not self._in_guarantee(job)), left, rev)
+
+    def _is_owed(self, job: Job, look: Look) -> bool:
+        """Whether its class or its team lacks some of what it is owed."""
+        return job.kind != SERVICE and self._lacks(
+            names_of(job.gpus > 0, job.job_class, job.team), look) > 0
+
+    @staticmethod
+    def _lacks(names: Iterable[Name], look: Look) -> float:
+        """The CPUs that the names still lack of what they are owed."""
+        return max((owed.missing - look.given.get(which, 0.0) for which in names
+                    if (owed := look.owed.get(which)) is not None), default=0.0)
 
     def fill_cpus(self, index: Index) -> float:
         """What work without any aim may still take beside work that has one.
@@ -420,6 +538,17 @@
             return max(own - 1, RANKS["best_effort"])
         return job.rank - 1
 
+    def _spared(self, job: Job, most: int, look: Look) -> int:
+        """The same, less the ranks of those who hold no more than the share that they are
+        owed: what they have been given isn't taken away again. Replicas stop them all the
+        same."""
+        if job.kind == SERVICE or not look.owed:
+            return most
+        for (kind, gpus, name), owed in look.owed.items():
+            if kind == "class" and gpus == (job.gpus > 0) and name != job.job_class:
+                most = min(most, owed.standing - 1)
+        return most
+
     def _grace(self, job: Job, age_s: float) -> float:
         """How long victims may take to save: as they need, but not while it may make a
         start late that is to be soon (six seconds of saving and a fetch did). A replica
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -11,7 +11,7 @@
 
 from .index import Index
 from .model import ARRAY, SERVICE, Job, MachineType, fits
-from .placement import Policy, Room, Spread, capacity, place
+from .placement import Policy, Room, Spread, capacity, holds, place
 
 Kind = tuple[str, str, bool]  # type, zone, spot
 
@@ -33,6 +33,8 @@
 # A machine that takes this many times its type's boot time is given up, and
 # one that takes this many times is no longer counted on.
 GIVE_UP, LATE = 4.0, 1.6
+# Machines that the cloud rents with one request, at most.
+RENT_MOST = 50
 # Boots that are remembered of a type, and as many as say something.
 SEEN_MOST, SEEN_LEAST = 8, 3
 
@@ -122,6 +124,19 @@
     return left
 
 
+def ample(index: Index, demand: Iterable[Need], policy: Policy, without: Iterable[str] = (),
+          patient: bool = False) -> bool:
+    """Whether all of the demand fits with room to spare, without some of the machines.
+
+    On a fleet that shrinks it nearly always does, and trying it out (`short` in a trial)
+    for one machine after the other was most of what the renting controller computed.
+    """
+    taken = set(without)
+    return all(need.tasks <= 0 or holds(need.job, need.tasks, index,
+                                        Spread(need.job, need.zones), policy, patient, taken)
+               for need in demand)
+
+
 class Arrivals:
     """How often tasks of a class arrive, from what was seen over a sliding span."""
 
@@ -135,7 +150,12 @@
     def note(self, job: Job, now: float) -> None:
         if now < self.began:
             return
-        self.seen.setdefault(job.job_class, deque(maxlen=200)).append((now, job))
+        # As many as come within the span: a bound of two hundred made a flood look like
+        # less than half of what it was.
+        seen = self.seen.setdefault(job.job_class, deque())
+        while seen and now - seen[0][0] > self.span_s:
+            seen.popleft()
+        seen.append((now, job))
 
     def expected(self, job_class: str, within_s: float, now: float) -> float:
         """Tasks of the class to be expected within the time."""
@@ -255,45 +275,56 @@
     says is as much dearer: they are charged meanwhile, and what waits goes on waiting.
     """
     bought: list[Kind] = []
+    counts: dict[Kind, int] = {}
     rooms = Index()
     expected = EXPECTED * busy_cpus + sum(n.job.cpus * n.tasks for n in missing)
     for job, wanted, _, others in missing:
         spread = Spread(job, others)
         likely = int(expected / job.cpus) if job.cpus else wanted
-        dear = policy.dear_types(job)
-        time_left = left.get(job.id, math.inf)
-        wanted -= len(place(job, wanted, rooms, spread))
+        offers = _offers(types, job, refused, policy, left.get(job.id, math.inf), boot_s)
+        wanted -= len(place(job, wanted, rooms, spread)) if offers else wanted
         zones: dict[str, int] = {}
         while wanted > 0:
-            best: tuple[float, int, str, MachineType, bool] | None = None
-            for kind in types:
-                if not fits(job, kind) or (kind.name in dear and time_left < ready_s(job, kind)):
-                    continue
-                for zone in kind.zones:
-                    if job.zone is not None and job.zone != zone or not spread.allows(zone):
-                        continue
-                    for spot in ((True, False) if job.spot else (False,)):
-                        if (kind.name, zone, spot) in refused:
-                            continue
-                        room = empty_room(kind, "", zone, spot)
-                        held = min(max(wanted, likely), capacity(job, room))
-                        late = kind.boot_s / boot_s[kind.name] if boot_s else 1.0
-                        offer = (price_of(kind, spot) * max(1.0, late) / held,
-                                 zones.get(zone, 0), zone, kind, spot)
-                        if best is None or offer[:3] < best[:3]:
-                            best = offer
+            best = min(((price / min(max(wanted, likely), most), zones.get(zone, 0), zone, n)
+                        for n, (price, most, zone, _, _) in enumerate(offers)
+                        if spread.allows(zone)), default=None)
             if best is None:
                 break
-            _, _, zone, kind, spot = best
+            _, most, zone, kind, spot = offers[best[3]]
+            which = (kind.name, zone, spot)
+            if counts.get(which, 0) >= RENT_MOST:
+                # As many as are rented at once: the rest is looked at with the next round,
+                # and a flood costs no more than that.
+                break
             room = empty_room(kind, f"new-{len(bought)}", zone, spot)
             held = 0
-            while held < min(wanted, capacity(job, empty_room(kind, "", zone, spot))) \
-                    and spread.allows(zone):
+            while held < min(wanted, most) and spread.allows(zone):
                 spread.add(zone)
                 held += 1
             room.take(job, held)
             rooms.add(room)
             zones[zone] = zones.get(zone, 0) + 1
-            bought.append((kind.name, zone, spot))
+            counts[which] = counts.get(which, 0) + 1
+            bought.append(which)
             wanted -= held
     return bought
+
+
+def _offers(types: list[MachineType], job: Job, refused: set[Kind], policy: Policy,
+            time_left: float, boot_s: dict[str, float] | None
+            ) -> list[tuple[float, int, str, MachineType, bool]]:
+    """What could be rented for a job: price, how many of its tasks one machine holds, zone,
+    type and whether it is a spot machine."""
+    dear = policy.dear_types(job)
+    found = []
+    for kind in types:
+        if not fits(job, kind) or (kind.name in dear and time_left < ready_s(job, kind)):
+            continue
+        most = capacity(job, empty_room(kind, "", "", False))
+        late = max(1.0, kind.boot_s / boot_s[kind.name]) if boot_s else 1.0
+        for zone in kind.zones:
+            for spot in ((True, False) if job.spot else (False,)):
+                if most > 0 and job.zone in (None, zone) \
+                        and (kind.name, zone, spot) not in refused:
+                    found.append((price_of(kind, spot) * late, most, zone, kind, spot))
+    return found
--- /dev/null
+++ b/clayport/queueing/line.py
@@ -0,0 +1,237 @@
+"""The jobs that wait at a home, in the order in which they are to be looked at.
+
+A pass of the placer must not cost the more the more jobs wait: on a flooded fleet thousands
+do, and hardly any of them finds room. So nothing here walks all of them. What happens to a job
+is noted (`Line.touch`), and the line catches up with it before the next look. Jobs that can
+use the same room are a group; in it each class and team has a lane, whose jobs stand in
+three bands (can be in time; has missed its start; will be late). The order in a band is
+by instants, which don't change as time passes; the bands change at instants that are known.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from heapq import heappop, heappush
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from sortedcontainers import SortedList
+
+from ..model import SERVICE
+from .shares import Shares, names_of
+
+if TYPE_CHECKING:
+    from ..jobs import HomeJob
+
+# Bands of a lane, the first to be looked at first; a late job's is LATE and a step more for
+# each further limit that it can't keep.
+IN_TIME, STARTS_LATE, LATE, STEP, FILLS = 0.0, 0.5, 1.0, 0.01, 2.0
+# Estimates are often wrong by half: of a class's time to finish, what has less left than so
+# many times its own is taken to be late. (Taken as right, each job of a queue that is too
+# long was served just when it could no longer be in time.) A deadline of its own is derived
+# from the estimate, and is as wrong as that.
+LINE = 1.5
+Key = tuple[float, int, str]  # the instant by which it has to start, its record's revision, id
+
+
+class Mark(NamedTuple):
+    """Where a job stands in the line."""
+
+    hj: HomeJob
+    group_key: tuple[Any, ...]
+    group: Group
+    lane: Lane
+    band: float
+    key: Key
+    until: float
+    pending: int
+
+
+class Lane:
+    """Jobs of a group that belong to one class and team."""
+
+    __slots__ = ("job_class", "team", "bands")
+
+    def __init__(self, job_class: str, team: str) -> None:
+        self.job_class, self.team = job_class, team
+        self.bands: dict[float, SortedList] = {}
+
+    def __iter__(self) -> Iterator[str]:
+        """The ids of its jobs in order; those that leave meanwhile disturb nothing."""
+        for band in sorted(self.bands):
+            rows = self.bands.get(band)
+            at = 0
+            while rows is not None and at < len(rows):
+                row = rows[at]
+                yield row[2]
+                if at < len(rows) and rows[at] is row:
+                    at += 1
+
+
+class Group:
+    """Jobs that can use the same room: what one found none for, none does."""
+
+    __slots__ = ("lanes", "nap", "fresh", "example", "size")
+
+    def __init__(self, example: HomeJob) -> None:
+        self.lanes: dict[tuple[str, str], Lane] = {}
+        self.nap: Any = None  # why it need not be looked at, as the placer keeps it
+        self.fresh = True  # somebody has come, or waits for more, since the last look
+        self.example = example
+        self.size = 0
+
+
+class Line:
+    """Everything that waits here."""
+
+    def __init__(self, homes: Callable[[], Mapping[str, HomeJob]],
+                 finish_limits: Mapping[str, Sequence[float]], wait_limits: Mapping[str, float],
+                 shares: Shares, deadline_times: Mapping[str, Sequence[float]] | None = None
+                 ) -> None:
+        self.homes = homes
+        self.finish_limits, self.wait_limits = finish_limits, wait_limits
+        # Of jobs with a deadline of their own, which multiples of it are aimed at.
+        self.deadline_times = deadline_times or {}
+        self.shares = shares
+        self.clear(-math.inf)
+
+    def clear(self, now: float) -> None:
+        """A new generation: other homes, and all of them are told anew."""
+        self.groups: dict[tuple[Any, ...], Group] = {}
+        self.marks: dict[str, Mark] = {}
+        # Being placed, and how many of its tasks wait beside: it comes back with as many
+        # where all has gone well, and then nothing is new for its group.
+        self.flying: dict[str, tuple[HomeJob, int]] = {}
+        self.dirty: dict[str, None] = {}
+        self.due: list[tuple[float, str]] = []  # when a job changes its band, or waits again
+        self.shares.clear(now)
+
+    def touch(self, name: str) -> None:
+        """Something has happened to the job."""
+        self.dirty[name] = None
+
+    def sweep(self) -> None:
+        """Look at all of them anew: a safety net, to be used rarely."""
+        self.dirty.update(dict.fromkeys(self.marks))
+        self.dirty.update(dict.fromkeys(self.homes()))
+
+    def catch_up(self, now: float) -> None:
+        """Be in order for `now`."""
+        while self.due and self.due[0][0] <= now:
+            self.dirty[heappop(self.due)[1]] = None
+        if self.dirty:
+            homes = self.homes()
+            dirty, self.dirty = self.dirty, {}
+            for name in dirty:
+                self._place(name, homes.get(name), now)
+
+    def _place(self, name: str, hj: HomeJob | None, now: float) -> None:
+        known = self.marks.get(name)
+        if hj is None or hj.ended or hj.blocked:
+            self.flying.pop(name, None)
+            self._drop(name, known)
+            self.shares.forget(name)
+            return
+        pending = hj.pending
+        flown = self.flying.pop(name, None)
+        if hj.starts or hj.placing:
+            self.flying[name] = (hj, pending)
+        if hj.job.kind != SERVICE:
+            self.shares.note(name, hj.job, hj.assigned + len(hj.placing), pending, hj.since)
+        if pending <= 0 or hj.starts or hj.placing:
+            self._drop(name, known)
+            return
+        if now < hj.not_before:
+            self._drop(name, known)
+            heappush(self.due, (hj.not_before, name))
+            return
+        band, key, until = self.standing(hj, now)
+        group_key = hj.group
+        group = self.groups.get(group_key)
+        if known is not None and group is not None and known.group is group \
+                and known.hj is hj and (known.band, known.key) == (band, key):
+            if pending > known.pending:
+                group.fresh = True
+            if pending != known.pending:
+                self.marks[name] = known._replace(pending=pending)
+            return
+        back = known is not None and known.group is group and pending <= known.pending \
+            or known is None and flown is not None and flown[0] is hj and pending <= flown[1]
+        self._drop(name, known, group)
+        if group is None:
+            group = self.groups[group_key] = Group(hj)
+        elif not back:
+            group.fresh = True
+        which = (hj.job.job_class, hj.job.team)
+        lane = group.lanes.get(which)
+        if lane is None:
+            lane = group.lanes[which] = Lane(*which)
+        rows = lane.bands.get(band)
+        if rows is None:
+            rows = lane.bands[band] = SortedList()
+        rows.add(key)
+        group.size += 1
+        self.marks[name] = Mark(hj, group_key, group, lane, band, key, until, pending)
+        if until < math.inf and (known is None or known.until != until):
+            heappush(self.due, (until, name))
+
+    def _drop(self, name: str, mark: Mark | None, staying: Group | None = None) -> None:
+        """Take it out of its place; not with its group, where it only gets another there."""
+        if mark is None:
+            return
+        del self.marks[name]
+        rows = mark.lane.bands[mark.band]
+        rows.remove(mark.key)
+        if not rows:
+            del mark.lane.bands[mark.band]
+            if not mark.lane.bands:
+                del mark.group.lanes[mark.lane.job_class, mark.lane.team]
+        mark.group.size -= 1
+        if mark.group.size == 0 and mark.group is not staying:
+            del self.groups[mark.group_key]
+
+    def _size_s(self, hj: HomeJob, most_s: float) -> float:
+        """How long what its class runs here takes for what the job still waits for.
+
+        A job is no use before its last task is done: where there is too much, a few wide ones
+        made many narrow ones late. So a wide one stands as if it had so much more time.
+        """
+        job = hj.job
+        account = self.shares.accounts.get(names_of(job.gpus > 0, job.job_class, job.team)[0])
+        running = max(job.cpus, account.running if account is not None else 0.0, 1e-3)
+        return min(max(0.0, most_s), hj.pending * job.cpus * job.estimate_s / running)
+
+    def standing(self, hj: HomeJob, now: float) -> tuple[float, Key, float]:
+        """The job's band, its place in it, and until when it stays in that band.
+
+        What can still be in time comes before what can't, so that not all is late when
+        there is too much; then what has the least time left, its size considered. Work that
+        is to start soon comes before what has missed that and may still be finished in time:
+        else a queue once too long makes all that follow miss it too.
+        """
+        job = hj.job
+        if job.filler:
+            # Nobody waits for it, and what runs at its rank can't make way for others.
+            return FILLS, (0.0, hj.live_rev, job.id), math.inf
+        limits, estimate_s = self.finish_limits.get(job.job_class, ()), LINE * job.estimate_s
+        if job.deadline_s is not None:
+            estimate_s = job.estimate_s
+            limits = [job.deadline_s * n for n in self.deadline_times.get(job.job_class, (1.0,))]
+        start_by, band = math.inf, IN_TIME
+        for limit in limits:
+            start_by = hj.since + limit - estimate_s
+            if now <= start_by:
+                break
+            band = LATE if band == IN_TIME else band + STEP
+        until = start_by if now <= start_by else math.inf
+        wait = self.wait_limits.get(job.job_class)
+        if wait is not None and job.kind != SERVICE and band == IN_TIME:
+            if now - hj.since < wait and not hj.started:
+                until = start_by = min(start_by, hj.since + wait)
+            elif start_by < math.inf:
+                band = STARTS_LATE
+        if start_by == math.inf:
+            return IN_TIME, (-math.inf, hj.live_rev, job.id), math.inf
+        start_by += self._size_s(hj, start_by - hj.since)
+        # The instant itself is still in time: what is due then is looked at just after it.
+        return band, (start_by, hj.live_rev, job.id), math.nextafter(until, math.inf)
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -11,17 +11,19 @@
 import curio
 
 from . import peerwire
-from .cloud import RENT_MOST, RETURN_MOST, CloudError, NoCapacity
+from .cloud import RETURN_MOST, CloudError, NoCapacity
 from .index import Index
 from .model import RANKS, Listed, MachineType, fits
 from .placement import Policy, Room
 from .provisioning import (
     GIVE_UP,
     LATE,
+    RENT_MOST,
     Boot,
     Boots,
     Kind,
     Need,
+    ample,
     empty_room,
     pressing,
     remaining,
@@ -157,17 +159,19 @@
         boot_s = min(t.boot_s for t in observed)
         needs = pressing(demand, core.finish_limits, cpus, boot_s=boot_s)
         moving = self._on_dear(index, policy)
+        if not needs and ample(index, spare, policy, patient=True) \
+                and ample(index, moving, policy, patient=True):
+            return self._fill(waiting, needs, spare, busy, booting, index, policy)
         with index.trial(extra=booting):
             # Room for replicas on dear machines has to be where it is cheap: else it would
             # keep dear machines rented.
             kept = short(index, moving, policy, True)
-        fill = math.inf if core.placer.quiet() else core.placer.fill_cpus(index)
         with index.trial(extra=booting):
             missing = short(index, needs, policy)
             # And so has room that is only kept.
             kept = short(index, spare, policy, True) + kept
-            if not missing and not kept:
-                return self._filling(waiting, fill, busy, index, policy)
+        if not missing and not kept:
+            return self._fill(waiting, needs, spare, busy, booting, index, policy)
         late = {n.job.id for n in pressing(demand, core.finish_limits, cpus, 1.0, 1.0, boot_s)}
         left = {n.job.id: -math.inf if n.job.aimless or n.job.id not in late
                 else remaining(n.job, n.age_s, core.finish_limits) for n in demand}
@@ -175,6 +179,18 @@
         return wanted + shopping(observed, kept, set(self.refused), busy, policy,
                                  {n.job.id: -math.inf for n in kept}, boots)
 
+    def _fill(self, waiting: list[Need], needs: list[Need], spare: list[Need], busy: float,
+              booting: list[Room], index: Index, policy: Policy) -> list[Kind]:
+        """Machines for work without any aim, once nothing else lacks any."""
+        if not any(n.job.filler for n in waiting):
+            return []
+        placer = self.core.placer
+        fill = math.inf if placer.quiet() else placer.fill_cpus(index)
+        with index.trial(extra=booting):
+            short(index, needs, policy)
+            short(index, spare, policy, True)
+            return self._filling(waiting, fill, busy, index, policy)
+
     def _filling(self, waiting: list[Need], fill: float, busy: float, index: Index,
                  policy: Policy) -> list[Kind]:
         """Machines for work without any aim: only once nothing else lacks any, within its
@@ -345,6 +361,8 @@
     @staticmethod
     def _lost(index: Index, without: Sequence[str], needs: list[Need], policy: Policy) -> int:
         """How many tasks of what is needed don't fit without the machines."""
+        if ample(index, needs, policy, without):
+            return 0
         with index.trial(without):
             return sum(n.tasks for n in short(index, needs, policy))
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -15,7 +15,7 @@
 from clayport.jobs import HomeJob
 from clayport.membership import Generation
 from clayport.model import Job, MachineType, Piece, Report
-from clayport.placer import DEMAND_MOST
+from clayport.placer import DEMAND_MOST, GATHER, Look
 from clayport.server import Controller
 from clayport.workers import Owner
 
@@ -46,6 +46,7 @@
         self.c.live[job.id] = (job, 1)
         self.c.placer.learn(job)
         hj = self.c.dispatch.homes[job.id] = HomeJob(job, 1, 50, self.now)
+        self.c.placer.line.touch(job.id)
         return hj
 
     def report(self, name: str, zone: str, kind: str, *tasks: str) -> None:
@@ -55,8 +56,13 @@
         self.c.owner.take_report(Report(name, "m:1", kind, zone, False, 1, self.seq, token,
                                         pieces), self.now, True)
 
+    def order(self, hj: HomeJob) -> tuple[float, ...]:
+        placer = self.c.placer
+        return placer._order(hj, Look(self.now, self.c.index, placer.policy(), {}, None, {}))
+
     def look(self) -> None:
         """One pass of the placer and what it asks of the owner; nothing is started."""
+        self.c.placer.line.sweep()
         self.c.placer._pass(self.now)
         coros, self.c.coros = self.c.coros, []
 
@@ -186,9 +192,9 @@
     home.c.wait_limits["batch"] = 30.0
     late, early = home.wait(PAIR), home.wait(SMALL)
     late.since -= 40.0
-    assert home.c.placer._order(early, home.now) < home.c.placer._order(late, home.now)
+    assert home.order(early) < home.order(late)
     late.since += 20.0
-    assert home.c.placer._order(late, home.now) < home.c.placer._order(early, home.now)
+    assert home.order(late) < home.order(early)
 
 
 def test_demand_beyond_its_bound_is_told_by_urgency(monkeypatch: pytest.MonkeyPatch,
@@ -274,6 +280,7 @@
 @pytest.mark.parametrize("happens, looked", [
     ("nothing", []), ("an equal job", ["j-000001"]), ("another job", ["j-000009"]),
     ("a full machine reports", []), ("a machine has room", ["j-000001"]),
+    ("a machine has room, a moment ago", []),
     ("room kept for it", ["j-000002"]), ("time", ["j-000001"]), ("prices", ["j-000001"])])
 def test_what_found_no_room_sleeps_until_it_may(monkeypatch: pytest.MonkeyPatch, happens: str,
                                                 looked: list[str]) -> None:
@@ -289,13 +296,15 @@
     home.look()
     assert not first.starts and not second.starts
     found = looks(home, monkeypatch)
+    if happens != "a machine has room, a moment ago":
+        home.now += GATHER * home.c.settings.cluster.workers.report_s
     if happens == "an equal job":
         home.wait(msgspec.convert(wire_job(3, **big), Job))
     elif happens == "another job":
         home.wait(msgspec.convert(wire_job(9, vcpus=16.0, due_s=1000.0), Job))
     elif happens == "a full machine reports":
         home.report("m1", "north", "plain", f"{busy.id}/0", f"{busy.id}/1")
-    elif happens == "a machine has room":
+    elif happens.startswith("a machine has room"):
         home.report("m2", "north", "plain")
     elif happens == "room kept for it":
         home.report("m2", "north", "plain")
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -143,7 +143,7 @@
     guest = home.wait(made(1, jobclass="unnamed", rank="best_effort", pieces=32))
     late = home.wait(made(2, rank="best_effort", pieces=4))
     late.since -= 500.0
-    assert home.c.placer._order(late, home.now) < home.c.placer._order(guest, home.now)
+    assert home.order(late) < home.order(guest)
     home.look()
     assert len(late.starts) == 4 and len(guest.starts) == 8  # a quarter of 64 CPUs
     used = {m for _, m in late.starts}
--- /dev/null
+++ b/tests/test_sizes.py
@@ -0,0 +1,70 @@
+"""What is bounded holds at three times the machines and jobs of the largest deployment."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import pytest
+
+from clayport import peerwire
+from clayport.membership import Generation
+from clayport.model import Job
+from clayport.provisioning import Arrivals
+
+from .test_dispatch import Home
+from .world import job as wire_job
+
+MACHINES = 3 * 639
+
+
+def test_sizes_hold_at_three_times_the_files(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An owner alone with all of them, its table pulled whole and in parts, and a line of as
+    many jobs: nothing is lost, and each frame is within its bound."""
+    home = Home(monkeypatch)
+    rng = random.Random(1)
+    busy = msgspec.convert(wire_job(1, pieces=4 * MACHINES, rank="production"), Job)
+    home.c.live[busy.id] = (busy, 1)
+    owner = home.c.owner
+    for n in range(MACHINES):
+        home.report(f"m{n}", rng.choice(("north", "south")), "plain",
+                    *(f"{busy.id}/{4 * n + k}" for k in range(4)))
+    home.c.serving = True
+    whole = home.c.picture.table(0, [])
+    assert whole[2] and len(whole[4]) == MACHINES
+    assert len(peerwire.encode(peerwire.TABLE, 1, whole)) < peerwire.MAX_BODY
+    before = owner.room_rev
+    for n in range(0, MACHINES, 2):
+        home.report(f"m{n}", "north", "plain", f"{busy.id}/{4 * n}")
+    changed = owner.changed(before)
+    assert changed is not None and len(changed) == (MACHINES + 1) // 2
+    assert len(home.c.picture.table(before, [])[4]) == (MACHINES + 1) // 2
+    for n in range(MACHINES):
+        home.wait(msgspec.convert(wire_job(10 + n, vcpus=8.0, due_s=1000.0 + n), Job))
+    home.look()
+    assert len(home.c.placer.line.marks) == MACHINES
+    rows = home.c.placer.demand()
+    assert {row[0] for row in rows} == {f"j-{10 + n:06d}" for n in range(len(rows))}
+    frame = (home.c.label, 1, True, owner.room_rev, rows)
+    assert len(peerwire.encode(peerwire.PING, 1, frame)) < peerwire.MAX_BODY
+
+
+def test_places_of_more_than_are_remembered_are_the_same() -> None:
+    members = {f"c{n}": "x" for n in range(5)}
+    one, other = Generation(1, members, 1), Generation(1, members, 1)
+    names = [f"i-{n:06d}" for n in range(30_000)]
+    assert [one.place(n) for n in names][:100] == [other.place(n) for n in names[:100]]
+    assert len(one._places) <= 20_000
+
+
+@pytest.mark.parametrize("jobs", [150, 1500])
+def test_a_flood_is_counted_whole(jobs: int) -> None:
+    """Of more than two hundred jobs only the last were: what was to be expected was less the
+    more there were."""
+    arrivals = Arrivals(300.0, 0.0)
+    job = msgspec.convert(wire_job(1, pieces=4), Job)
+    for n in range(jobs):
+        arrivals.note(job, 30.0 + 270.0 * n / jobs)
+    assert arrivals.expected("batch", 270.0, 300.0) == pytest.approx(4 * jobs, rel=0.01)
+    arrivals.note(job, 1e4)
+    assert len(arrivals.seen["batch"]) == 1
