Narrow jobs before wide ones, begun arrays go on, shares no further than owed

Cause: in a flood each job was served just when it could no longer be in time; arrays that had begun waited behind all that had not; who was owed a share took whole arrays, which were stopped again for whoever it went before; and machines kept for a wide job woke all sleepers with each pass.

--- a/clayport/picture.py
+++ b/clayport/picture.py
@@ -171,16 +171,18 @@
         core = self.core
         due = time.monotonic() + self.asc.interval
         looked = -math.inf
+        # Between two looks for want of room: what machines report in between comes together.
+        apart_s = max(self.asc.least, core.settings.cluster.workers.report_s) / 2
         while True:
             await core.wait("starved", min(self.asc.least, max(0.01, due - time.monotonic())))
             if not core.serving:
                 continue
             now = time.monotonic()
-            if now < min(due, looked + self.asc.least / 2):
+            if now < min(due, looked + apart_s):
                 # Each of the peers' heartbeats wakes us: one look at all that they announce
                 # costs as much as one at a single table. (With five controllers, tables were
                 # a seventh of what a controller computed.)
-                await curio.sleep(min(due, looked + self.asc.least / 2) - now)
+                await curio.sleep(min(due, looked + apart_s) - now)
                 now = time.monotonic()
             if now >= due:
                 interval = self.asc.step()
--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -17,7 +17,7 @@
 from .jobs import HomeJob, amounts, quota_of
 from .model import ARRAY, GANG, RANKS, SERVICE, Job
 from .peers import PeerError
-from .placement import Kept, Policy, Room, Spread, capacity, place, preempt, takes
+from .placement import Kept, Policy, Room, Spread, capacity, place, preempt, shape, takes
 from .provisioning import Need
 from .queueing import Group, Line, Shares
 from .queueing.shares import Name, Owed, names_of
@@ -36,7 +36,7 @@
 BEARS = 40.0
 # Of the machines, how many times the share that is still owed to somebody who found no room
 # is kept free of smaller work, in steps of one in so many.
-KEPT, KEPT_STEPS = 1.0, 16
+KEPT, KEPT_STEPS = 1.0, 8
 # The share of a report's interval for which room that comes free is gathered before arrays
 # that had found none are looked at again. On a full fleet machines come free one by one, and
 # each task had a pass, a commit and two requests to an owner of its own.
@@ -56,11 +56,9 @@
     def __init__(self, now: float, index: Index, policy: Policy, owed: dict[Name, Owed],
                  kept: Kept | None, given: dict[Name, float]) -> None:
         self.now, self.index, self.policy = now, index, policy
-        # Who is owed a share of room; what they have been given of late, and a job of theirs
-        # that found none.
+        # Who is owed a share of room, and what they have been given of late.
         self.owed, self.kept = owed, kept
         self.given = given
-        self.missed: dict[Name, Job] = {}
         # Whether nothing but replicas is there, and what work without any aim may take:
         # only looked up once such work waits.
         self.quiet: bool | None = None
@@ -94,6 +92,7 @@
         self.known_types: object = None
         self.known_until = -1e9
         self.kept: Kept | None = None
+        self.missed: dict[Name, Job] = {}  # who is owed a share: a job that found no room
         workers = core.settings.cluster.workers
         bears = {name: min(core.wait_limits.get(name, math.inf),
                            core.finish_limits.get(name, math.inf) / 2)
@@ -117,6 +116,7 @@
         self.line.clear(time.monotonic())
         self.owed_until = -math.inf
         self.kept = None
+        self.missed = {}
 
     # -- demand ----------------------------------------------------------
 
@@ -231,7 +231,7 @@
         not yet time to see what else may be stopped, or who has become impatient."""
         nap, job = group.nap, group.example.job
         if nap is None or group.fresh or look.now >= nap.until \
-                or nap.policy is not look.policy or nap.kept != look.kept:
+                or nap.policy is not look.policy or nap.kept is not look.kept:
             group.nap = None
             return False
         kept = None if job.kind == SERVICE or any(
@@ -285,14 +285,20 @@
         One that takes more of a machine than the rest would wait for ever, since each
         smaller room that comes free is taken as soon as it is there.
         """
-        self.kept = None
-        for which, owed in look.owed.items():
-            found = look.missed.get(which)
-            if found is not None and owed.missing > 0 and owed.total > 0:
+        self.missed = {which: job for which, job in self.missed.items()
+                       if which in look.owed and look.owed[which].missing > 0}
+        kept: Kept | None = None
+        for which, found in self.missed.items():
+            owed = look.owed[which]
+            if found.gpus == 0 and owed.total > 0:
                 share = min(1.0, KEPT * owed.missing / owed.total)
                 steps = math.ceil(share * KEPT_STEPS) / KEPT_STEPS
-                if found.gpus == 0 and (self.kept is None or steps > self.kept.share):
-                    self.kept = Kept(found, steps, look.policy.able(found))
+                if kept is None or steps > kept.share:
+                    kept = Kept(found, steps, look.policy.able(found))
+        # Whoever sleeps is woken when it changes: it stays as it is while it says the same.
+        if kept is None or self.kept is None or kept.share != self.kept.share \
+                or shape(kept.job) != shape(self.kept.job):
+            self.kept = kept
 
     def _serve(self, hj: HomeJob, look: Look) -> None:
         """Find room for one job, or have it made; what is found is to be started."""
@@ -314,9 +320,13 @@
         if len(chosen) < wanted:
             look.starved = look.starved or not job.filler
             for which in names_of(job.gpus > 0, job.job_class, job.team):
-                look.missed.setdefault(which, job)
-            if job.id not in look.index.held and not hj.errors and not hj.left:
-                look.full.setdefault(hj.group, look.index.rev)
+                self.missed.setdefault(which, job)
+        else:
+            for which in names_of(job.gpus > 0, job.job_class, job.team):
+                self.missed.pop(which, None)
+        if len(chosen) < wanted and job.id not in look.index.held \
+                and not hj.errors and not hj.left:
+            look.full.setdefault(hj.group, look.index.rev)
         look.work += len(chosen)
         if chosen:
             self._begin(hj, chosen, look)
--- a/clayport/queueing/line.py
+++ b/clayport/queueing/line.py
@@ -17,7 +17,7 @@
 
 from sortedcontainers import SortedList
 
-from ..model import SERVICE
+from ..model import ARRAY, SERVICE
 from .shares import Shares, names_of
 
 if TYPE_CHECKING:
@@ -31,6 +31,8 @@
 # long was served just when it could no longer be in time.) A deadline of its own is derived
 # from the estimate, and is as wrong as that.
 LINE = 1.5
+# How much of its size counts against a job.
+SIZE = 2.0
 Key = tuple[float, int, str]  # the instant by which it has to start, its record's revision, id
 
 
@@ -199,7 +201,7 @@
         job = hj.job
         account = self.shares.accounts.get(names_of(job.gpus > 0, job.job_class, job.team)[0])
         running = max(job.cpus, account.running if account is not None else 0.0, 1e-3)
-        return min(max(0.0, most_s), hj.pending * job.cpus * job.estimate_s / running)
+        return min(max(0.0, most_s), SIZE * hj.pending * job.cpus * job.estimate_s / running)
 
     def standing(self, hj: HomeJob, now: float) -> tuple[float, Key, float]:
         """The job's band, its place in it, and until when it stays in that band.
@@ -207,7 +209,8 @@
         What can still be in time comes before what can't, so that not all is late when
         there is too much; then what has the least time left, its size considered. Work that
         is to start soon comes before what has missed that and may still be finished in time:
-        else a queue once too long makes all that follow miss it too.
+        else a queue once too long makes all that follow miss it too. (An array that has begun
+        goes on as if it had not: else all of a flood are begun, and none gets done in time.)
         """
         job = hj.job
         if job.filler:
@@ -226,7 +229,7 @@
         until = start_by if now <= start_by else math.inf
         wait = self.wait_limits.get(job.job_class)
         if wait is not None and job.kind != SERVICE and band == IN_TIME:
-            if now - hj.since < wait and not hj.started:
+            if now - hj.since < wait and (not hj.started or job.kind == ARRAY):
                 until = start_by = min(start_by, hj.since + wait)
             elif start_by < math.inf:
                 band = STARTS_LATE
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -225,17 +225,19 @@
             if want is not None and want.phase == SENT:
                 want.phase = LIVE if key in m.kills else QUEUED
         m.by_response = []
-        m.kills = {k: g for k, g in m.kills.items() if k in listed or k in m.want}
+        if m.kills:
+            m.kills = {k: g for k, g in m.kills.items() if k in listed or k in m.want}
         if m.notice_at is not None:
             self._save(m)
         if m.fenced:
             for key, want in m.want.items():
                 if want.phase == LIVE and key not in listed and m.told.get(key, ("",))[0] != GONE:
                     self._tell(m, key, (GONE, "", False))
-        for key in list(m.told):
-            if key not in listed and key not in m.want:
+        if len(m.told) > len(listed):
+            for key in [k for k in m.told if k not in listed and k not in m.want]:
                 del m.told[key]
-        m.clears = dict.fromkeys(key for key in m.clears if key in listed)
+        if m.clears:
+            m.clears = dict.fromkeys(key for key in m.clears if key in listed)
         if before != listed or shown != (True, m.notice_at is None, self.sick(m)):
             self._touched(m, now)
         return m
@@ -251,8 +253,8 @@
     def sick(self, m: Machine) -> bool:
         """A machine that fails the work of several jobs, or again and again that of one that
         runs well elsewhere, and completes none."""
-        return len(m.errors) >= 2 or any(
-            n >= 2 and job in self.sound for job, n in m.errors.items())
+        return bool(m.errors) and (len(m.errors) >= 2 or any(
+            n >= 2 and job in self.sound for job, n in m.errors.items()))
 
     def judge(self, name: str, job: str, at_fault: bool) -> None:
         """A home says whose fault an error was. What a job failed by its own is held
