--- a/bench/passes.py
+++ b/bench/passes.py
@@ -103,8 +103,8 @@
             show(core, room)
         later.append(one_pass(core))
     print(f"{chosen.jobs} jobs, {chosen.machines} machines: first pass {first * 1e3:.1f} ms, "
-          f"later ones {statistics.median(later) * 1e3:.1f} ms "
-          f"({min(later) * 1e3:.1f} to {max(later) * 1e3:.1f})")
+          f"later ones {statistics.median(later) * 1e3:.2f} ms "
+          f"({min(later) * 1e3:.2f} to {max(later) * 1e3:.2f})")
 
 
 if __name__ == "__main__":
