--- a/clayport/queueing/line.py
+++ b/clayport/queueing/line.py
@@ -31,8 +31,6 @@
 # long was served just when it could no longer be in time.) A deadline of its own is derived
 # from the estimate, and is as wrong as that.
 LINE = 1.5
-# How much of its size counts against a job.
-SIZE = 2.0
 Key = tuple[float, int, str]  # the instant by which it has to start, its record's revision, id
 
 
@@ -201,7 +199,7 @@
         job = hj.job
         account = self.shares.accounts.get(names_of(job.gpus > 0, job.job_class, job.team)[0])
         running = max(job.cpus, account.running if account is not None else 0.0, 1e-3)
-        return min(max(0.0, most_s), SIZE * hj.pending * job.cpus * job.estimate_s / running)
+        return min(max(0.0, most_s), hj.pending * job.cpus * job.estimate_s / running)
 
     def standing(self, hj: HomeJob, now: float) -> tuple[float, Key, float]:
         """The job's band, its place in it, and until when it stays in that band.
