--- a/bench/scaled_site.py
+++ b/bench/scaled_site.py
@@ -38,7 +38,6 @@
             job["initial"] = round(job["initial"] * factor)
         if "rate" in job.get("arrivals", {}):
             job["arrivals"]["rate"] = round(job["arrivals"]["rate"] * factor, 9)
-    site["name"] = f"{site['name']}-x{factor:g}"
 
 
 def parts(text: str, zones: int) -> list[float]:
@@ -116,7 +115,7 @@
     if chosen.zones or chosen.split:
         rezone(site, zones, shares)
         suffix += f"-z{count}" + (f"-{chosen.split.replace(':', '_')}" if chosen.split else "")
-        site["name"] = f"{chosen.site.stem}{suffix}"
+    site["name"] += suffix
     chosen.out.mkdir(parents=True, exist_ok=True)
     made = chosen.out / f"{chosen.site.stem}{suffix}.toml"
     made.write_text(tomlkit.dumps(site), encoding="utf-8")
--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 import math
 import time
@@ -20,7 +21,7 @@
 from .placement import Kept, Policy, Room, Spread, capacity, place, preempt, shape, takes
 from .provisioning import Need
 from .queueing import Group, Line, Shares
-from .queueing.shares import Name, Owed, names_of
+from .queueing.shares import Name, Owed, names, names_of
 from .statestore import Unavailable, Unknown
 
 if TYPE_CHECKING:
@@ -193,24 +194,26 @@
             return
         look = Look(now, core.picture.index(), self.policy(), self._owed_now(now), self.kept,
                     self.given)
-        groups = list(line.groups.values())
-        awake = [g for g in groups if not self._sleeps(g, look, True)]
+        awake: list[Group] = []
+        asleep: list[Group] = []
+        for group in line.groups.values():
+            (asleep if self._sleeps(group, look, True) else awake).append(group)
         if any(g.example.job.kind != SERVICE for g in awake):
             # Then nobody gathers: what has come free is not left to those of a lower rank.
-            awake += [g for g in groups if g not in awake and not self._sleeps(g, look, False)]
+            awake += [g for g in asleep if not self._sleeps(g, look, False)]
         for hj in self._in_order(awake, look):
             if look.work >= WORK_MOST:
                 core.signal("place")
                 break
             self._serve(hj, look)
         for key, rev in look.full.items():
-            group = line.groups.get(key)
+            full = line.groups.get(key)
             # Replicas are missed every second: they are looked at each time.
-            if group is not None and group.example.job.kind != SERVICE:
+            if full is not None and full.example.job.kind != SERVICE:
                 gather_s = core.settings.cluster.workers.report_s * GATHER \
-                    if group.example.job.kind == ARRAY else 0.0
-                group.nap = Nap(rev, now + gather_s, now + core.ttl_s / 6, look.policy, look.kept)
-                group.fresh = False
+                    if full.example.job.kind == ARRAY else 0.0
+                full.nap = Nap(rev, now + gather_s, now + core.ttl_s / 6, look.policy, look.kept)
+                full.fresh = False
         self._keep(look)
         if look.starved and not core.picture.starved:
             core.signal("starved")
@@ -234,12 +237,12 @@
                 or nap.policy is not look.policy or nap.kept is not look.kept:
             group.nap = None
             return False
-        kept = None if job.kind == SERVICE or any(
-            self._lacks(names_of(job.gpus > 0, *which), look) > 0 for which in group.lanes
-            ) else look.kept
         if gather and look.now < nap.least:
             look.starved = look.starved or not job.filler
             return True
+        kept = None if job.kind == SERVICE or any(
+            self._lacks(names(job.gpus > 0, *which), look) > 0 for which in group.lanes
+            ) else look.kept
         for room in look.index.news(job, nap.rev):
             mark = self.line.marks.get(room.hold) if room.hold else None
             if mark is not None and mark.group is group \
@@ -252,31 +255,27 @@
     def _in_order(self, groups: list[Group], look: Look) -> Iterator[HomeJob]:
         """The jobs of the groups as they are to be looked at; of a group that found less
         than it wanted only those that room is held for."""
-        marks = self.line.marks
-        heap: list[tuple[tuple[float, ...], int, HomeJob, Iterator[str] | None]] = []
-        held = {name: marks[name].hj for name in look.index.held if name in marks}
-        for hj in held.values():
-            heappush(heap, (self._order(hj, look), len(heap), hj, None))
-        serial = len(heap)
-        lanes = [(iter(lane), group) for group in groups for lane in group.lanes.values()]
-        for rows, _ in lanes:
-            name = next(rows, None)
+        marks, serial = self.line.marks, itertools.count()
+        heap: list[tuple[tuple[float, ...], int, HomeJob, Iterator[str]]] = []
+        held = {name: None for name in look.index.held if name in marks}
+
+        def push(rest: Iterator[str]) -> None:
+            name = next(rest, None)
             if name is not None:
-                heappush(heap, (self._order(marks[name].hj, look), serial, marks[name].hj, rows))
-                serial += 1
+                hj = marks[name].hj
+                heappush(heap, (self._order(hj, look), next(serial), hj, rest))
+        for name in held:
+            push(iter((name,)))
+        for group in groups:
+            for lane in group.lanes.values():
+                push(name for name in lane if name not in held)
         while heap:
-            _, _, hj, lane = heappop(heap)
-            if lane is None or hj.job.id not in held:
-                yield hj
-            if lane is None:
-                continue
+            _, _, hj, rest = heappop(heap)
+            yield hj
             if hj.group in look.full:
                 look.starved = look.starved or not hj.job.filler
-                continue
-            name = next(lane, None)
-            if name is not None:
-                heappush(heap, (self._order(marks[name].hj, look), serial, marks[name].hj, lane))
-                serial += 1
+            else:
+                push(rest)
 
     def _keep(self, look: Look) -> None:
         """Which machines small work keeps off until what is owed a share has found room.
@@ -319,14 +318,13 @@
             look.fill -= len(chosen) * job.cpus
         if len(chosen) < wanted:
             look.starved = look.starved or not job.filler
-            for which in names_of(job.gpus > 0, job.job_class, job.team):
+            for which in names_of(job):
                 self.missed.setdefault(which, job)
+            if job.id not in look.index.held and not hj.errors and not hj.left:
+                look.full.setdefault(hj.group, look.index.rev)
         else:
-            for which in names_of(job.gpus > 0, job.job_class, job.team):
+            for which in names_of(job):
                 self.missed.pop(which, None)
-        if len(chosen) < wanted and job.id not in look.index.held \
-                and not hj.errors and not hj.left:
-            look.full.setdefault(hj.group, look.index.rev)
         look.work += len(chosen)
         if chosen:
             self._begin(hj, chosen, look)
@@ -339,7 +337,7 @@
         wanted = self._within_limit(job, wanted)
         if hj.at_fault and job.kind != GANG:
             wanted = min(wanted, 1)
-        lacks = self._lacks(names_of(job.gpus > 0, job.job_class, job.team), look)
+        lacks = self._lacks(names_of(job), look)
         if job.kind == ARRAY and lacks > 0 and job.cpus > 0:
             # It goes first for what is owed, and no further: the rest would be stopped again
             # for whoever it went before.
@@ -413,7 +411,7 @@
                 left, until = hj.made[room.machine]
                 hj.made[room.machine] = (max(0, left - 1), until)
         numbers = hj.take(len(chosen), self.core.dispatch.start_chunks)
-        for which in names_of(hj.job.gpus > 0, hj.job.job_class, hj.job.team):
+        for which in names_of(hj.job):
             look.given[which] = look.given.get(which, 0.0) + len(numbers) * hj.job.cpus
         for room in chosen[len(numbers):]:
             room.take(hj.job, -1)  # the next transaction's
@@ -429,7 +427,7 @@
         borrows."""
         job = hj.job
         band, (start_by, rev, _), _ = self.line.standing(hj, look.now)
-        left = start_by - look.now if math.isfinite(start_by) and not job.filler else 0.0
+        left = start_by - look.now if math.isfinite(start_by) else 0.0
         rank = float(job.rank)
         if self._is_owed(job, look):
             rank = RANKS["production"] - 0.5
@@ -438,7 +436,7 @@
     def _is_owed(self, job: Job, look: Look) -> bool:
         """Whether its class or its team lacks some of what it is owed."""
         return job.kind != SERVICE and self._lacks(
-            names_of(job.gpus > 0, job.job_class, job.team), look) > 0
+            names_of(job), look) > 0
 
     @staticmethod
     def _lacks(names: Iterable[Name], look: Look) -> float:
--- a/clayport/queueing/line.py
+++ b/clayport/queueing/line.py
@@ -18,6 +18,7 @@
 from sortedcontainers import SortedList
 
 from ..model import ARRAY, SERVICE
+from ..provisioning import LINE
 from .shares import Shares, names_of
 
 if TYPE_CHECKING:
@@ -26,11 +27,6 @@
 # Bands of a lane, the first to be looked at first; a late job's is LATE and a step more for
 # each further limit that it can't keep.
 IN_TIME, STARTS_LATE, LATE, STEP, FILLS = 0.0, 0.5, 1.0, 0.01, 2.0
-# Estimates are often wrong by half: of a class's time to finish, what has less left than so
-# many times its own is taken to be late. (Taken as right, each job of a queue that is too
-# long was served just when it could no longer be in time.) A deadline of its own is derived
-# from the estimate, and is as wrong as that.
-LINE = 1.5
 Key = tuple[float, int, str]  # the instant by which it has to start, its record's revision, id
 
 
@@ -197,7 +193,7 @@
         made many narrow ones late. So a wide one stands as if it had so much more time.
         """
         job = hj.job
-        account = self.shares.accounts.get(names_of(job.gpus > 0, job.job_class, job.team)[0])
+        account = self.shares.accounts.get(names_of(job)[0])
         running = max(job.cpus, account.running if account is not None else 0.0, 1e-3)
         return min(max(0.0, most_s), hj.pending * job.cpus * job.estimate_s / running)
 
@@ -213,7 +209,10 @@
         job = hj.job
         if job.filler:
             # Nobody waits for it, and what runs at its rank can't make way for others.
-            return FILLS, (0.0, hj.live_rev, job.id), math.inf
+            return FILLS, (-math.inf, hj.live_rev, job.id), math.inf
+        # Estimates are often wrong by half: taken as right, each job of a queue that is too long
+        # was served just when it could no longer be in time. A deadline of its own is derived
+        # from the estimate, and is as wrong as that.
         limits, estimate_s = self.finish_limits.get(job.job_class, ()), LINE * job.estimate_s
         if job.deadline_s is not None:
             estimate_s = job.estimate_s
--- a/clayport/queueing/shares.py
+++ b/clayport/queueing/shares.py
@@ -37,11 +37,16 @@
 Name = tuple[str, bool, str]  # "class" or "team", whether GPUs are used, which
 
 
-def names_of(gpus: bool, job_class: str, team: str) -> tuple[Name, Name]:
-    """The accounts that a job counts for."""
+def names(gpus: bool, job_class: str, team: str) -> tuple[Name, Name]:
+    """The accounts that all jobs of a class and team count for."""
     return ("class", gpus, job_class), ("team", gpus, team)
 
 
+def names_of(job: Job) -> tuple[Name, Name]:
+    """The accounts that a job counts for."""
+    return names(job.gpus > 0, job.job_class, job.team)
+
+
 class Row(NamedTuple):
     """What one job counts for."""
 
@@ -97,8 +102,7 @@
 
     def note(self, name: str, job: Job, running: int, pending: int, since: float) -> None:
         """What a job runs and waits for now."""
-        gpus = job.gpus > 0
-        row = Row(names_of(gpus, job.job_class, job.team), running * job.cpus, pending * job.cpus,
+        row = Row(names_of(job), running * job.cpus, pending * job.cpus,
                   pending * job.cpus * max(1.0, job.estimate_s),
                   (since, name) if pending > 0 else None, job.standing)
         known = self.rows.get(name)
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -75,19 +75,15 @@
             for m in settings.members}
         # What is aimed at for the classes: the time to finish, and which of them
         # are to start soon.
-        self.finish_limits: dict[str, float] = {}
         # All such times of a class, ascending: what can't keep the first may keep the next.
         self.finish_all: dict[str, list[float]] = {}
         self.deadline_times: dict[str, list[float]] = {}
         for aim in c.objectives:
-            if aim.kind == "deadline" and aim.job_class and aim.times:
-                self.deadline_times[aim.job_class] = sorted({
-                    *self.deadline_times.get(aim.job_class, ()), aim.times})
-            if aim.kind == "finished" and aim.job_class and aim.within_s:
-                self.finish_all[aim.job_class] = sorted({
-                    *self.finish_all.get(aim.job_class, ()), aim.within_s})
-                self.finish_limits[aim.job_class] = min(
-                    aim.within_s, self.finish_limits.get(aim.job_class, aim.within_s))
+            for kind, value, times in (("finished", aim.within_s, self.finish_all),
+                                       ("deadline", aim.times, self.deadline_times)):
+                if aim.kind == kind and aim.job_class and value:
+                    times[aim.job_class] = sorted({*times.get(aim.job_class, ()), value})
+        self.finish_limits = {name: times[0] for name, times in self.finish_all.items()}
         # Work with more slack than this keeps off dear machines.
         self.patience_s = 2 * c.workers.lease_s
         self.wait_limits = {a.job_class: a.within_s for a in c.objectives
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -189,6 +189,20 @@
     assert any(".0" in k for k in world.moved), "something was moved"
 
 
+async def until_over(world: World) -> World:
+    """Until all finite jobs are over, or a rule is broken, or they should long have been."""
+    end = world.clock() + 260.0
+    while world.clock() < end and not world.broken:
+        await curio.sleep(2.0)
+        finite = [i for i in world.accepted if world.jobs[i]["shape"] != "daemon"]
+        if len(world.accepted) == JOBS_A_DAY and all(
+                world.told.get(i) in ("done", "cancelled") for i in finite):
+            break
+    if not world.broken:
+        await curio.sleep(40.0)  # long enough for a cancelled task to be seen
+    return world
+
+
 async def day(clock: Clock, seed: int, troubled: bool, controllers: int = 3) -> World:
     world = World(clock, seed, controllers)
     for label in world.labels:
@@ -206,16 +220,7 @@
         await curio.sleep(world.rng.uniform(0.2, 3.0))
         if aborted and world.rng.random() < 0.5:
             await curio.spawn(world.abort, job(aborted.pop())["id"], daemon=True)
-    end = clock() + 260.0
-    while clock() < end and not world.broken:
-        await curio.sleep(2.0)
-        finite = [i for i in world.accepted if world.jobs[i]["shape"] != "daemon"]
-        if len(world.accepted) == JOBS_A_DAY and all(
-                world.told.get(i) in ("done", "cancelled") for i in finite):
-            break
-    if not world.broken:
-        await curio.sleep(40.0)  # long enough for a cancelled task to be seen
-    return world
+    return await until_over(world)
 
 
 @pytest.mark.parametrize("seed, troubled, controllers", [
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -10,7 +10,7 @@
 
 from clayport.index import Index
 from clayport.jobs import HomeJob
-from clayport.model import Job
+from clayport.model import Chunk, Job
 from clayport.placement import Kept, Policy, Room, Spread, place
 from clayport.queueing import Line, Shares
 from clayport.queueing.line import IN_TIME, LATE, STARTS_LATE, STEP
@@ -254,7 +254,6 @@
     home.c.aimed.add("low")
     flood = home.wait(made(1, pieces=400, due_s=1000.0, guess_s=50.0))
     flood.load({})
-    from clayport.model import Chunk
     chunk = Chunk()
     for n in range(4 * machines):
         chunk.assigned[n] = (1, f"m{n // 4}")
@@ -290,7 +289,6 @@
     home, flood = flooded(monkeypatch)
     low = home.wait(made(2, jobclass="low", rank="best_effort", pieces=8, vcpus=4.0,
                          guess_s=50.0))
-    from clayport.model import Chunk
     chunk = Chunk()
     chunk.assigned = {0: (1, "m0"), 1: (1, "m0")}
     low.load({0: chunk})
--- a/tests/test_real_restarts.py
+++ b/tests/test_real_restarts.py
@@ -57,8 +57,7 @@
             end = now + int(args["block_ms"]) / 1000
             while True:
                 self.state.expire(time.monotonic())
-                found = [c for c in self.state.log if c["key_rev"] > int(args["since"])
-                         and (c.get("write") or c.get("remove", "")).startswith(args["prefix"])]
+                found = self.state.changes(args["prefix"], int(args["since"]))
                 if found or time.monotonic() >= end:
                     answer: Any = {"store_rev": self.state.rev, "log": found}
                     return 200, json.dumps(answer).encode(), []
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -11,7 +11,7 @@
 
 from clayport.membership import Flaps, Generation, may_propose, successor
 
-from .test_model import JOBS, JOBS_A_DAY, held
+from .test_model import JOBS, JOBS_A_DAY, held, until_over
 from .world import Clock, World, job, simulate
 
 QUICK_S = (0.05, 0.5)
@@ -98,16 +98,7 @@
             await curio.spawn(world.abort, job(number - 1)["id"], daemon=True)
         await curio.sleep(world.rng.uniform(0.2, 3.0))
     await trouble.join()
-    end = clock() + 260.0
-    while clock() < end and not world.broken:
-        await curio.sleep(2.0)
-        if len(world.accepted) == JOBS_A_DAY and all(
-                world.told.get(i) in ("done", "cancelled") for i in world.accepted
-                if world.jobs[i]["shape"] != "daemon"):
-            break
-    if not world.broken:
-        await curio.sleep(40.0)
-    return world
+    return await until_over(world)
 
 
 @pytest.mark.parametrize("scene", SCENES)
@@ -125,7 +116,6 @@
     assert len([k for k in world.state.keys
                 if k.startswith("c/node/")]) <= controllers
     assert len([k for k in world.state.keys if k.startswith("c/version/")]) == controllers
-    # Each end costs at most one generation without it and one with it.
     assert all(c.serving for c in world.controllers.values())
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -119,6 +119,10 @@
             self.keys[key] = (value, rev, lease)
             self.log.append({"write": key, "data": value, "key_rev": rev})
 
+    def changes(self, prefix: str, since: int) -> list[dict[str, Any]]:
+        return [c for c in self.log if c["key_rev"] > since
+                and (c.get("write") or c.get("remove", "")).startswith(prefix)]
+
     def expire(self, now: float) -> None:
         if now < self.down_until:
             return
@@ -585,8 +589,7 @@
                 raise http.NoAnswer("cut")
             self.state.expire(self.clock())
             if self.clock() >= self.state.down_until:
-                found = [c for c in self.state.log if c["key_rev"] > int(args["since"])
-                         and (c.get("write") or c.get("remove", "")).startswith(args["prefix"])]
+                found = self.state.changes(args["prefix"], int(args["since"]))
                 if found or self.clock() >= end:
                     return 200, json.dumps({"store_rev": self.state.rev, "log": found}).encode()
             elif self.clock() >= end:
