Work without any aim is bounded only beside what can't have it stopped

Change: the quarter holds only while work with an aim of the same rank or a lower one is live; what such a class is owed it may take in any case.

--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -60,8 +60,8 @@
         # Who is owed a share of room, and what they have been given of late.
         self.owed, self.kept = owed, kept
         self.given = given
-        # Whether nothing but replicas is there, and what work without any aim may take:
-        # only looked up once such work waits.
+        # Whether nothing but replicas is there, and what work without any aim may take beside
+        # work that can't make it stop: only looked up once such work waits.
         self.quiet: bool | None = None
         self.fill = math.inf
         # Groups that found less than they want, and the index's revision at that time.
@@ -106,7 +106,9 @@
         self.swept_at = self.owed_until = -math.inf
         self.owed: dict[Name, Owed] = {}
         self.given: dict[Name, float] = {}  # CPUs begun for them since they were looked up
-        self.disturber = ""  # a job that work without any aim could hinder
+        # A job of each rank that work without any aim could hinder, as last looked for.
+        self.disturbers: dict[int, str] = {}
+        self.looked_until = -math.inf
         # Work without any aim that has waited so long is placed, and has machines rented,
         # like any other (within its share).
         self.long_s = 20 * core.settings.cluster.workers.lease_s
@@ -118,6 +120,7 @@
         self.owed_until = -math.inf
         self.kept = None
         self.missed = {}
+        self.looked_until = -math.inf
 
     # -- demand ----------------------------------------------------------
 
@@ -303,8 +306,8 @@
         """Find room for one job, or have it made; what is found is to be started."""
         job = hj.job
         if job.filler and look.quiet is None:
-            look.quiet = self.quiet()
-            look.fill = math.inf if look.quiet else self.fill_cpus(look.index)
+            look.quiet = not self.hinders(RANKS["production"])
+            look.fill = self.fill_cpus(look.index)
         if hj.at_fault and hj.assigned > hj.running:
             # One trial at a time. (Not none while others of it run: a replica that had
             # failed on three sick machines would have been missing for good.)
@@ -342,9 +345,8 @@
             # It goes first for what is owed, and no further: the rest would be stopped again
             # for whoever it went before.
             wanted = min(wanted, math.ceil(lacks / job.cpus))
-        if job.filler and job.cpus > 0:
-            # Without a bound there are infinitely many, which is no whole number.
-            wanted = int(max(0.0, min(wanted, look.fill / job.cpus)))
+        if job.filler and job.cpus > 0 and self.hinders(job.rank):
+            wanted = int(max(0.0, min(wanted, max(look.fill, lacks) / job.cpus)))
         return wanted
 
     def _seek(self, hj: HomeJob, wanted: int, look: Look) -> tuple[list[Room], int]:
@@ -445,10 +447,11 @@
                     if (owed := look.owed.get(which)) is not None), default=0.0)
 
     def fill_cpus(self, index: Index) -> float:
-        """What work without any aim may still take beside work that has one.
-
-        Work of the same rank can't make it stop: an array of a guest that fills the fleet
-        for minutes would make all others of its rank late.
+        """What work without any aim may still take beside work that has one and can't make
+        it stop: an array of a guest that fills the fleet for minutes would make all others
+        of its rank late. (What it is owed it may take in any case. Work of a higher rank has
+        it stopped: bound to a quarter beside that as well, 4,500 tasks waited for most of a
+        day while a third of the fleet was free.)
         """
         cpus = filled = 0.0
         for pool in index.pools.values():
@@ -458,15 +461,19 @@
             filled += totals.filled
         return FILL * cpus - filled
 
-    def quiet(self) -> bool:
-        """Whether nothing but replicas is there that work without any aim could hinder."""
-        if self._disturbs(self.disturber):
-            return False
-        for name in self.core.live:
-            if self._disturbs(name):
-                self.disturber = name
-                return False
-        return True
+    def hinders(self, rank: int) -> bool:
+        """Whether there is work with an aim, of this rank or a lower one, that work without
+        any could hinder. (Replicas are placed ahead of all.)"""
+        found = [self._disturbs(name) for r, name in self.disturbers.items() if r <= rank]
+        if any(found):
+            return True
+        now = time.monotonic()
+        if found or now >= self.looked_until:
+            # The newest of each rank is likely to stay longest.
+            self.looked_until = now + self.core.settings.cluster.workers.report_s / OWED_LOOKS
+            self.disturbers = {job.rank: name for name, (job, _) in self.core.live.items()
+                               if self._disturbs(name)}
+        return any(r <= rank for r in self.disturbers)
 
     def _disturbs(self, name: str) -> bool:
         known = self.core.live.get(name)
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -185,7 +185,7 @@
         if not any(n.job.filler for n in waiting):
             return []
         placer = self.core.placer
-        fill = math.inf if placer.quiet() else placer.fill_cpus(index)
+        fill = placer.fill_cpus(index) if placer.hinders(RANKS["production"]) else math.inf
         with index.trial(extra=booting):
             short(index, needs, policy)
             short(index, spare, policy, True)
