--- a/bench/scaled_site.py
+++ b/bench/scaled_site.py
@@ -1,15 +1,16 @@
 """Make a deployment of another size from one that the users' bench takes.
 
     python -m bench.scaled_site SITE.toml FACTOR [--restart SECONDS] [--zones N]
-                                [--split A:B:...] [--out DIR]
+                                [--split A:B:...] [--heavy TIMES] [--out DIR]
 
 Machines (capacity, and those up at the start), arrivals and the jobs at the start are
 multiplied; everything else stays, the limits of state service, cloud and controllers
 included: that is what is to be seen. `--restart` sets how long a controller that has ended
 takes to be started again. `--split` puts the machines of each type into the zones in other
 parts; `--zones` gives the deployment another number of zones first (alike in all else, and
-days whose troubles name a zone that has gone are left out). The copy and what it refers to
-go under `target/`, never into the repository.
+days whose troubles name a zone that has gone are left out). `--heavy` has one of the teams
+submit so many times as much as each of the others does. The copy and what it refers to go
+under `target/`, never into the repository.
 """
 
 from __future__ import annotations
@@ -81,6 +82,20 @@
         del days[n]
 
 
+def burden(site: dict[str, Any], times: float) -> None:
+    """Make one of the first kind of teams a kind of its own, of `times` the weight."""
+    first = site["teams"][0]
+    if int(first.get("count", 1)) < 2:
+        raise ValueError("--heavy: there is only one team of the first kind")
+    one = tomlkit.table()
+    for key, value in first.items():
+        one[key] = value
+    one["name"], one["count"] = f"{first['name']}-heavy", 1
+    one["weight"] = float(first.get("weight", 1.0)) * times
+    first["count"] -= 1
+    site["teams"].append(one)
+
+
 def main() -> int:
     args = argparse.ArgumentParser(description="A deployment of another size, under target/.")
     args.add_argument("site", type=Path)
@@ -91,6 +106,8 @@
     args.add_argument("--zones", type=int, metavar="N", help="so many zones")
     args.add_argument("--split", default="", metavar="A:B:...",
                       help="parts of the machines of each type in each zone")
+    args.add_argument("--heavy", type=float, metavar="TIMES",
+                      help="one team submits so many times as much as each of the others")
     chosen = args.parse_args()
     if not 0 < chosen.factor <= 100:
         args.error("FACTOR: a positive number, 100 at most")
@@ -98,12 +115,16 @@
         args.error("--restart: seconds, 0 to 3600")
     if chosen.zones is not None and not 1 <= chosen.zones <= 100:
         args.error("--zones: 1 to 100")
+    if chosen.heavy is not None and not 0 < chosen.heavy <= 1000:
+        args.error("--heavy: a positive number, 1000 at most")
     try:
         site: Any = tomlkit.parse(chosen.site.read_text(encoding="utf-8"))
         there = list(site["nodes"]["zones"])
         count = chosen.zones or len(there)
         zones = [*there[:count], *(f"zone-{n + 1}" for n in range(len(there), count))]
         shares = parts(chosen.split, count)
+        if chosen.heavy is not None:
+            burden(site, chosen.heavy)
     except (OSError, UnicodeDecodeError, TOMLKitError, KeyError, ValueError) as exc:
         print(f"{chosen.site}: {exc}", file=sys.stderr)
         return 2
@@ -115,6 +136,7 @@
     if chosen.zones or chosen.split:
         rezone(site, zones, shares)
         suffix += f"-z{count}" + (f"-{chosen.split.replace(':', '_')}" if chosen.split else "")
+    suffix += f"-h{chosen.heavy:g}" if chosen.heavy is not None else ""
     site["name"] += suffix
     chosen.out.mkdir(parents=True, exist_ok=True)
     made = chosen.out / f"{chosen.site.stem}{suffix}.toml"
