Records that the state service has lost are put together again while controllers live on

Cause: every rule rests on the state service never losing a commit, and nothing noticed when it did: after 0.5 s lost 25 to 36 answers were 404, after 5 s tasks ran twice.

Change: clayport/rebuild (switched on by the operator's file): a history with a name that is never used again, whose anchors every commit names; revisions below what anybody has seen, and anchors or a generation that are gone, raise doubt; in doubt nothing is launched, ended, rented or answered from records; the controllers' memories are merged, written back in bounded transactions, and a generation begins above all that was seen. With a controller's memory gone every machine is told a higher token and asked, or returned.

It is off unless switched on; nothing of it is imported then.

--- a/clayport/api.py
+++ b/clayport/api.py
@@ -14,7 +14,7 @@
 from .limits import Deadline, Door
 from .model import SERVICE, Job, fits
 from .peers import PeerError
-from .statestore import CANCEL_S, URGENT_S, Conflict, Lookups, Txn, Unavailable, Unknown
+from .statestore import ANCHORS, CANCEL_S, URGENT_S, Conflict, Lookups, Txn, Unavailable, Unknown
 
 if TYPE_CHECKING:
     from .server import Controller
@@ -94,14 +94,30 @@
         live = core.live.get(job)
         if live is not None and await self.lookups.unchanged(live_key(job), live[1]):
             return "live"
-        if await core.store.get(live_key(job), deadline) is not None:
+        entry = await core.store.get(live_key(job), deadline)
+        if entry is not None:
+            await self._guard({live_key(job): entry.rev}, deadline)
             return "live"
         entry = await core.store.get(end_key(job), deadline)
+        await self._guard({live_key(job): 0, end_key(job): entry.rev if entry else 0}, deadline)
         if entry is None:
             return None
         core.mirror.note_end(job, *ended(entry.value))
         return str(entry.value["s"])
 
+    async def _guard(self, revs: dict[str, int], deadline: Deadline) -> None:
+        """That what was read is from the history of the records that we act on: a read by
+        itself says nothing of that."""
+        if self.core.recovery is None:
+            return
+        txn = Txn()
+        for key, rev in revs.items():
+            txn.require(key, rev)
+        try:
+            await self.core.store.commit(txn, deadline)
+        except Conflict:
+            raise Unavailable("the record is just changing") from None
+
     async def _answer(self, job: str, status: str) -> dict[str, Any]:
         """The body of a poll or a repeated submission."""
         core = self.core
@@ -221,7 +237,7 @@
             elif known is not None and known[0].kind == SERVICE:
                 return f"{name} is a service"
         # Of many at once, which records there are: a comparison names those that exist.
-        most = max(1, core.bounds.txn_ops * 2)
+        most = max(1, core.bounds.txn_ops * 2 - (ANCHORS if core.recovery is not None else 0))
         for first in range(0, len(unknown), most):
             part = unknown[first:first + most]
             txn = Txn()
--- a/clayport/cli.py
+++ b/clayport/cli.py
@@ -29,12 +29,13 @@
     if name not in LEVELS:
         print(f"LOG_LEVEL: {name!r} is none of error, info, debug", file=sys.stderr)
         return 2
-    refresh = None
+    refresh, rebuild = None, False
     try:
         settings = load(args.config)
         if args.operator:
             from . import operator
-            refresh = operator.load(args.operator).refresh
+            own = operator.load(args.operator)
+            refresh, rebuild = own.refresh, own.rebuild
     except ConfigError as exc:
         print(f"clayport: {exc}", file=sys.stderr)
         return 2
@@ -48,7 +49,7 @@
 
     from .refresh import Asc
     from .server import Controller
-    controller = Controller(settings)
+    controller = Controller(settings, rebuild=rebuild)
     if refresh is not None:
         controller.picture.asc = Asc(refresh.start_s, refresh.least_s, refresh.most_s)
     curio.run(controller.run)
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -22,6 +22,8 @@
 FAULT_MACHINES = 3
 
 GENERATION_KEY = "c/generation"
+# Which history of the records holds (`rebuild`).
+HEAD_KEY = "c/lineage"
 
 
 def live_key(job: str) -> str:
--- a/clayport/mirror.py
+++ b/clayport/mirror.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from . import peers, peerwire
-from .jobs import GENERATION_KEY, end_key, ended, live_key
+from .jobs import GENERATION_KEY, HEAD_KEY, end_key, ended, live_key
 from .membership import Generation
 from .model import Job
 from .statestore import Change, Compacted, Conflict, Txn, Unavailable, Unknown
@@ -105,6 +105,9 @@
         keys = {e.key for e in entries}
         for label in [n for n in core.nodes if NODE_PREFIX + n not in keys]:
             del core.nodes[label]
+            if label == core.label:
+                core.lease = None  # the lease may be there, and the key is not
+                core.signal("lease")
         for entry in entries:
             self._put(entry.key, entry.value, entry.rev)
         for job, (_, since) in list(core.live.items()):
@@ -139,6 +142,8 @@
                 if rev > core.generation.rev:
                     core.begin(Generation.parse(value, rev))
                 core.signal("members")
+            elif key == HEAD_KEY:
+                core.note_head(value)
             elif key.startswith(NODE_PREFIX):
                 core.nodes[key[len(NODE_PREFIX):]] = str(value["inc"])
                 core.signal("members")
@@ -167,6 +172,8 @@
     def note_live(self, job: Job, rev: int, submitted: float) -> None:
         """A job is accepted; its home sets to work."""
         core = self.core
+        if job.id in core.live and rev > core.live[job.id][1]:
+            core.live[job.id] = (core.live[job.id][0], rev)  # written anew by a rebuild
         if job.id in core.live or job.id in core.ended:
             return
         changed = core.pipes.add(job, submitted)
--- a/clayport/operator.py
+++ b/clayport/operator.py
@@ -1,6 +1,7 @@
 """The operator's own settings, in protobuf text format.
 
     refresh { start_s: 10 least_s: 1 most_s: 60 }
+    rebuild { on: true }
 
 Imported only when such a file is given: protobuf costs memory and start time
 that a controller without one should not pay. The schema is declared here, so
@@ -32,6 +33,7 @@
 @dataclass(frozen=True)
 class Operator:
     refresh: Refresh = Refresh()
+    rebuild: bool = False  # whether records that the state service loses are rebuilt
 
 
 def _message() -> Any:
@@ -42,9 +44,12 @@
     for number, name in enumerate(REFRESH, 1):
         refresh.field.add(name=name, number=number, type=field.TYPE_DOUBLE,
                           label=field.LABEL_OPTIONAL)
-    file.message_type.add(name="Operator").field.add(
-        name="refresh", number=1, type=field.TYPE_MESSAGE, label=field.LABEL_OPTIONAL,
-        type_name=".clayport.Refresh")
+    rebuild = file.message_type.add(name="Rebuild")
+    rebuild.field.add(name="on", number=1, type=field.TYPE_BOOL, label=field.LABEL_OPTIONAL)
+    whole = file.message_type.add(name="Operator")
+    for number, name in enumerate(("Refresh", "Rebuild"), 1):
+        whole.field.add(name=name.lower(), number=number, type=field.TYPE_MESSAGE,
+                        label=field.LABEL_OPTIONAL, type_name=f".clayport.{name}")
     pool = descriptor_pool.DescriptorPool()
     pool.Add(file)
     return message_factory.GetMessageClass(pool.FindMessageTypeByName("clayport.Operator"))()
@@ -65,7 +70,7 @@
             raise ConfigError(f"refresh.{name}: must be a positive number")
     if not refresh.least_s <= refresh.start_s <= refresh.most_s:
         raise ConfigError("refresh.start_s: must lie between least_s and most_s")
-    return Operator(refresh)
+    return Operator(refresh, message.rebuild.on)
 
 
 def load(path: str) -> Operator:
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -30,6 +30,8 @@
 FENCE, DRAIN, GONE = 18, 19, 20
 INSPECT = 21
 PREEMPT, EVACUATE, MOVE = 22, 23, 24
+# Only between controllers that understand histories of the records (`rebuild`).
+HISTORY, HISTORY_TOLD, EVIDENCE, EVIDENCE_TOLD = 25, 26, 27, 28
 
 # generation leads every request that acts on machines or tasks: one from
 # another generation is refused as a whole.
@@ -75,6 +77,12 @@
     # generation, machine, job, its tasks that are to fit, longest time its victims may
     # take to save, teams that have borrowed and whose work of any rank may be stopped
     PREEMPT: ("Q", "s", "s", "I", "d", ("s",)),
+    # history, its number, highest revision seen, whether the sender stands still
+    HISTORY: ("s", "Q", "Q", "?"),
+    HISTORY_TOLD: ("s", "Q", "Q", "?"),
+    # history that is to be, part; parts there are, the part
+    EVIDENCE: ("s", "I"),
+    EVIDENCE_TOLD: ("I", "b"),
 }
 
 
--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -602,7 +602,8 @@
             entries, _ = await core.store.scan("quota/")
         except (Unavailable, Unknown):
             return
-        used = {e.key.partition("/")[2]: quota_of(e.value) for e in entries}
+        used = {e.key.partition("/")[2]: quota_of(e.value) for e in entries
+                if "/~" not in e.key}
         own, have = core.guarantees[job.team], used.get(job.team, (0.0, 0.0))
         need = amounts(job, 1 if job.kind != GANG else job.tasks)
         which = 1 if job.gpus > 0 else 0
--- /dev/null
+++ b/clayport/rebuild/__init__.py
@@ -0,0 +1,6 @@
+"""Rebuilding the records after the state service has lost some of them.
+
+`history` notices, and stands in the way of every commit that rests on a history that is
+gone; `evidence` is what each controller still knows; `merge` says what the records have to
+be; `recovery` carries it out. `docs/rebuild.md` has the ways weighed and what is provable.
+"""
--- /dev/null
+++ b/clayport/rebuild/evidence.py
@@ -0,0 +1,100 @@
+"""What a controller still knows when the state service has lost records."""
+
+from __future__ import annotations
+
+import time
+import zlib
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+if TYPE_CHECKING:
+    from ..server import Controller
+
+# A frame's share of it, and the most that a whole may unpack to.
+PART, WHOLE_MOST = 1024 * 1024, 512 * 1024 * 1024
+
+
+class Evidence(msgspec.Struct):
+    """One controller's word, from when it had come to stand still.
+
+    Its homes' chunks are complete if it had taken over its share of its generation
+    (`loaded`): a machine and attempt are known to the home before anything is launched.
+    """
+
+    label: str
+    incarnation: str
+    generation: int = 0
+    members: dict[str, str] = {}
+    loaded: bool = False
+    live: dict[str, tuple[Any, float]] = {}  # description, time of day of the submission
+    # status, time of day (0: not known), description (None: not known)
+    ended: dict[str, tuple[str, float, Any]] = {}
+    chunks: dict[str, Any] = {}  # key: value, of the jobs at home there
+    versions: dict[str, int] = {}
+    classes: dict[str, Any] = {}
+    machines: dict[str, str] = {}  # name: address
+
+
+class Task(msgspec.Struct, frozen=True):
+    """A task as its machine has listed it."""
+
+    job: str
+    number: int
+    attempt: int
+    machine: str
+
+
+def gather(core: Controller, loaded: bool) -> Evidence:
+    """This controller's own evidence."""
+    now, day = time.monotonic(), time.time()
+    found = Evidence(core.label, core.incarnation, core.generation.number,
+                     dict(core.generation.members), loaded)
+    for name, (job, _) in core.live.items():
+        link = core.pipes.links.get(name)
+        found.live[name] = (msgspec.to_builtins(link.job if link else job),
+                            round(day - (now - link.submitted), 3) if link else day)
+    for name, status in core.ended.items():
+        at = core.pipes.ends.get(name, ("", 0.0))[1]
+        desc = core.descs.get(name)
+        found.ended[name] = (status, round(day - (now - at), 3) if at else 0.0,
+                             msgspec.to_builtins(desc) if desc is not None else None)
+    for hj in core.dispatch.homes.values():
+        for index, chunk in hj.chunks.items():
+            found.chunks[hj.key(index)] = chunk.value()
+    found.versions = {label: number for label, (number, _) in core.versions.items()}
+    found.classes = {name: msgspec.to_builtins(msgspec.structs.replace(job, prereqs=None))
+                     for name, job in core.classes.items()}
+    found.machines = {name: room.address for name, room in core.rooms.items()}
+    found.machines.update({name: m.address for name, m in core.owner.machines.items()
+                           if m.address})
+    return found
+
+
+def pack(found: Evidence) -> list[bytes]:
+    """In parts, each of which fits a frame."""
+    raw = zlib.compress(msgspec.json.encode(found), 1)
+    return [raw[at:at + PART] for at in range(0, len(raw), PART)]
+
+
+def unpack(parts: list[bytes]) -> Evidence:
+    """ValueError if it can't be read."""
+    try:
+        unzip = zlib.decompressobj()
+        raw = unzip.decompress(b"".join(parts), WHOLE_MOST)
+        if not unzip.eof:
+            raise ValueError("cut off, or larger than anything of ours")
+        return msgspec.json.decode(raw, type=Evidence)
+    except (zlib.error, msgspec.MsgspecError) as exc:
+        raise ValueError(str(exc)) from None
+
+
+def split(parts: Mapping[str, Evidence]) -> tuple[int, dict[str, str], dict[str, Evidence]]:
+    """The last generation that anybody began, its members, and the evidence of those of
+    them that hold the whole of their share."""
+    number = max((e.generation for e in parts.values()), default=0)
+    members = next((e.members for e in parts.values() if e.generation == number), {})
+    return number, members, {
+        label: e for label, e in parts.items()
+        if e.generation == number and e.loaded and members.get(label) == e.incarnation}
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -8,7 +8,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Coroutine, Mapping
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import curio
 import msgspec
@@ -49,13 +49,17 @@
 )
 from .workers import Owner
 
+if TYPE_CHECKING:
+    from .rebuild.recovery import Recovery
+
 log = logging.getLogger("clayport.server")
 
 
 class Controller:
     """The state shared by the routines of one process, and membership itself."""
 
-    def __init__(self, settings: Settings, incarnation: str = "") -> None:
+    def __init__(self, settings: Settings, incarnation: str = "", rebuild: bool = False
+                 ) -> None:
         self.settings = settings
         self.label = settings.label
         # Drawn anew by each process; all that is drawn later follows from it.
@@ -140,6 +144,37 @@
         self.dispatch = Dispatch(self)
         self.provisioner = Provisioner(self)
         self.api = Api(self)
+        # Where the records may be rebuilt (the operator's file, or the records, say so).
+        self.recovery: Recovery | None = None
+        if rebuild:
+            self.rebuilds()
+
+    def rebuilds(self) -> None:
+        """Take part in histories of the records from now on."""
+        from .rebuild.recovery import Recovery  # imported only where it is used
+        self.recovery = Recovery(self)
+
+    def note_head(self, value: Any) -> None:
+        """The records say which history they belong to."""
+        if self.recovery is None:
+            # Not switched on here; but whoever changes records without naming their history
+            # may change what is not there any more.
+            log.info("event=rebuilds cause='the records have a history'")
+            self.rebuilds()
+            assert self.recovery is not None
+            self.spawn(self.duty(self.recovery.run))
+        else:
+            self.recovery.note_head(value)
+
+    @property
+    def format(self) -> int:
+        """What this controller understands, as its version's record says it."""
+        return FORMAT if self.recovery is None else FORMAT + 1
+
+    @property
+    def in_doubt(self) -> bool:
+        """Whether the records may not be those that were left: nothing rests on them then."""
+        return self.recovery is not None and bool(self.recovery.history.doubt)
 
     # -- small services for the routines ---------------------------------
 
@@ -293,7 +328,7 @@
         if self.state_known and len(heard) == len(self.peers) \
                 and not any(p.state_ok for p in heard):
             self.clear_at = now
-        elif self.store.ok:
+        elif self.store.ok and not self.in_doubt:
             self.clear_at = max(self.clear_at, self.store.last_ok)
         return now - self.clear_at < bound
 
@@ -308,6 +343,8 @@
         self.serving = False
         log.info("generation=%d event=begin members=%s", generation.number,
                  ",".join(sorted(generation.members)))
+        if self.recovery is not None:
+            self.recovery.history.unsure = True  # who has seen more than the records show?
         for hj in self.dispatch.homes.values():
             self.signal(hj.name)
         self.dispatch.homes = {}
@@ -328,6 +365,8 @@
                 found: dict[str, dict[tuple[int, int], Chunk]] = {}
                 unreadable: set[str] = set()
                 for e in entries:
+                    if "/~" in e.key:
+                        continue  # an anchor of the records' history
                     try:
                         job, size, index = parse_chunk_key(e.key)
                         if generation.place(job) == self.label:
@@ -346,7 +385,7 @@
                     if "j" in entry.value:
                         orphans[job] = (self.judged(msgspec.convert(entry.value["j"], Job)),
                                         entry.value["s"])
-                if self.generation is not generation:
+                if self.generation is not generation or self.in_doubt:
                     return
                 for job, (desc, rev) in self.live.items():
                     if generation.place(job) == self.label and job not in unreadable:
@@ -417,14 +456,14 @@
         while True:
             txn = Txn().put(NODE_PREFIX + self.label, {"inc": self.incarnation}, lease)
             number, rev = self.versions.get(self.label, (0, 0))
-            if number < FORMAT:
-                txn.require(key, rev).put(key, {"format": FORMAT})
+            if number < self.format:
+                txn.require(key, rev).put(key, {"format": self.format})
             try:
-                await self.store.commit(txn, ahead_s=LEASE_S)
+                await self.store.commit(txn, ahead_s=LEASE_S, doubtful=True)
                 return
             except Conflict:
                 # Written by a process before this one: the mirror has not been read yet.
-                entry = await self.store.get(key)
+                entry = await self.store.get(key, doubtful=True)
                 if entry is None:
                     raise
                 self.mirror.note_version(self.label, entry.value, entry.rev)
@@ -541,6 +580,11 @@
             if values[1] in ("done", "cancelled") and values[0] not in self.ended:
                 self.mirror.note_end(values[0], values[1])
             return peerwire.ACK, (True,)
+        if kind in (peerwire.HISTORY, peerwire.EVIDENCE):
+            if self.recovery is not None:
+                return self.recovery.answer(kind, values)
+            return (peerwire.HISTORY_TOLD, ("", 0, 0, False)) if kind == peerwire.HISTORY \
+                else (peerwire.EVIDENCE_TOLD, (0, b""))
         if kind == peerwire.INSPECT:
             return peerwire.ACK, (await self.fleet.inspect(values[0], values[1]),)
         current = self.serving and values[0] == self.generation.number
@@ -686,7 +730,8 @@
 
     def duties(self) -> tuple[Callable[..., Coroutine[Any, Any, None]], ...]:
         """The long-lived routines besides the listeners and those for each controller."""
-        return (self.keep_awake, self.mirror.follow, self.keep_lease, self.keep_members,
+        return (*((self.recovery.run,) if self.recovery is not None else ()),
+                self.keep_awake, self.mirror.follow, self.keep_lease, self.keep_members,
                 self.mirror.keep_prereqs, self.keep_catalogue, self.picture.refresh,
                 self.placer.place_all, self.fleet.watch_silence, self.provisioner.run)
 
--- a/clayport/statestore.py
+++ b/clayport/statestore.py
@@ -4,8 +4,8 @@
 
 import random
 import time
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any
 
 import curio
 import msgspec
@@ -13,6 +13,9 @@
 from . import http
 from .limits import Budget, Closed, Deadline, Gate, Inflight, Patience, Retries
 
+if TYPE_CHECKING:
+    from .rebuild.history import History
+
 # How far what users and replicas wait for may go ahead of the queue (the service allows
 # bursts of a whole second's worth), how far cancellations may, which have a limit of their
 # own, and how far the few requests that keep our lease and the generation may.
@@ -25,6 +28,8 @@
 # Requests on their way at a time: as many as are answered in a twentieth of a second at the
 # full rate to begin with, never fewer than keep the work going.
 START_S, FLYING_LEAST = 0.05, 4
+# Conditions that a commit may have beside its own: one for each prefix of the records.
+ANCHORS = 4
 
 
 class Unavailable(Exception):
@@ -96,6 +101,12 @@
     rev: int = msgspec.field(name="store_rev")
 
 
+class _Shown(msgspec.Struct):
+    """The revision of the store, in whichever answer carries one."""
+
+    rev: int = msgspec.field(name="store_rev", default=0)
+
+
 class _Lease(msgspec.Struct):
     id: int = msgspec.field(name="hold")
 
@@ -173,6 +184,10 @@
         self.patience = Patience(Retries(timeout_s / 8, timeout_s, Budget(
             RETRIES, max(1.0, AGAIN * rate), max(1.0, AGAIN * rate), now), uniform))
         self.begin, self.rest = self.patience.begin, self.patience.rest
+        # Where records may be rebuilt: the history that commits rest on, and how the peers
+        # are asked what they have seen of it.
+        self.history: History | None = None
+        self.check_in: Callable[[], Awaitable[None]] | None = None
 
     def backlog(self, ahead_s: float = 0.0) -> float:
         """Seconds that a change would have to wait for its turn."""
@@ -185,9 +200,11 @@
         return self.last_ok >= self.last_bad
 
     async def _call(self, method: str, path: str, body: Any = None, changes: int = 0,
-                    deadline: Deadline | None = None, ahead_s: float = 0.0
-                    ) -> tuple[int, bytes]:
+                    deadline: Deadline | None = None, ahead_s: float = 0.0,
+                    doubtful: bool = False) -> tuple[int, bytes]:
         deadline = deadline or Deadline()
+        if self.history is not None and self.history.doubt and not doubtful:
+            raise Unavailable("the records are in doubt", self.timeout_s)
         now = time.monotonic()
         wait = self.requests.delay(1, now, ahead_s)
         if changes:
@@ -203,21 +220,30 @@
         raw = None if body is None else msgspec.json.encode(body)
         if ahead_s >= LEASE_S:
             # A lease and the generation wait for nobody.
-            return await self._send(method, path, raw, self.timeout_s, self.client)
+            return await self._send(method, path, raw, self.timeout_s, self.client, doubtful)
         try:
             async with self.gate.passing(ahead_s, deadline) as passage:
                 left = deadline.left(time.monotonic(), self.timeout_s)
                 if left <= 0:
                     raise Closed("its time is over")
-                status, payload = await self._send(method, path, raw, left, self.client)
+                status, payload = await self._send(method, path, raw, left, self.client,
+                                                   doubtful)
                 passage.served = True
                 return status, payload
         except Closed as exc:
             raise Unavailable(str(exc), self.timeout_s) from None
 
     async def _send(self, method: str, path: str, raw: bytes | None, timeout_s: float,
-                    client: http.Client) -> tuple[int, bytes]:
-        """One exchange, and what it says of the service."""
+                    client: http.Client, doubtful: bool = False) -> tuple[int, bytes]:
+        """One exchange, and what it says of the service. With records in doubt only what is
+        asked in spite of that (`doubtful`)."""
+        floor = 0
+        if self.history is not None and not doubtful:
+            if self.history.unsure and self.check_in is not None:
+                await self.check_in()
+            if self.history.doubt:
+                raise Unavailable("the records are in doubt", self.timeout_s)
+            floor = self.history.floor
         self.sent += 1
         try:
             status, payload = await client.request(method, path, raw, timeout_s)
@@ -233,19 +259,31 @@
             raise Unavailable(f"{status} {path}")
         self.last_ok = time.monotonic()
         await self.patience.seen(True)
+        if self.history is not None and not doubtful and status in (200, 404, 409):
+            self._shown(payload, floor)
         return status, payload
 
+    def _shown(self, payload: bytes, floor: int) -> None:
+        """Hold the answer against the history: Unknown if it comes from another."""
+        assert self.history is not None
+        rev = self._decode(payload, _Shown).rev
+        if rev and not self.history.answered(rev, floor) or self.history.doubt:
+            raise Unknown("the records are in doubt")
+
     async def _failed(self) -> None:
         self.last_bad = time.monotonic()
+        if self.history is not None:
+            self.history.unsure = True
         await self.patience.seen(False)
 
-    async def _read(self, path: str, deadline: Deadline | None = None) -> tuple[int, bytes]:
+    async def _read(self, path: str, deadline: Deadline | None = None, doubtful: bool = False
+                    ) -> tuple[int, bytes]:
         """A read may be repeated: an unanswered one is tried once more."""
         try:
             return await self._call("GET", path, deadline=deadline and deadline.part(
-                time.monotonic(), 0.5))
+                time.monotonic(), 0.5), doubtful=doubtful)
         except Unknown:
-            return await self._call("GET", path, deadline=deadline)
+            return await self._call("GET", path, deadline=deadline, doubtful=doubtful)
 
     @staticmethod
     def _decode(payload: bytes, kind: Any) -> Any:
@@ -255,8 +293,9 @@
         except msgspec.MsgspecError as exc:
             raise Unknown(f"malformed answer: {exc}") from None
 
-    async def get(self, key: str, deadline: Deadline | None = None) -> Entry | None:
-        status, payload = await self._read(f"/keys/{key}", deadline)
+    async def get(self, key: str, deadline: Deadline | None = None, doubtful: bool = False
+                  ) -> Entry | None:
+        status, payload = await self._read(f"/keys/{key}", deadline, doubtful)
         if status == 404:
             return None
         if status != 200:
@@ -264,13 +303,13 @@
         entry: Entry = self._decode(payload, Entry)
         return entry
 
-    async def scan(self, prefix: str) -> tuple[list[Entry], int]:
+    async def scan(self, prefix: str, doubtful: bool = False) -> tuple[list[Entry], int]:
         """All keys with the prefix, and the revision of the first page."""
         entries: list[Entry] = []
         first, since = 0, ""
         while True:
             path = f"/keys?prefix={prefix}&most=1000" + (f"&since={since}" if since else "")
-            status, payload = await self._read(path)
+            status, payload = await self._read(path, doubtful=doubtful)
             if status != 200:
                 raise Unavailable(f"{status} for {prefix}")
             page: _Page = self._decode(payload, _Page)
@@ -286,21 +325,29 @@
         self.changes.rate = write_rps * 0.9 / self.controllers
 
     async def commit(self, txn: Txn, deadline: Deadline | None = None,
-                     ahead_s: float = 0.0) -> int:
+                     ahead_s: float = 0.0, doubtful: bool = False) -> int:
         """Apply; the revision. Conflict, NoLease, Unavailable or Unknown otherwise.
 
+        It holds in the history that is acted on, and in no other (`rebuild.history`).
+
         `ahead_s` is for what users and replicas wait for: the outcomes of a job of
         thousands of short tasks once delayed submissions.
         """
-        body: dict[str, Any] = {"when": [{"key": k, "key_rev": r} for k, r in txn.when.items()]}
+        when = txn.when if doubtful or self.history is None else {
+            **txn.when, **self.history.conditions(txn.when)}
+        body: dict[str, Any] = {"when": [{"key": k, "key_rev": r} for k, r in when.items()]}
         if txn.writes:
             body["writes"] = txn.writes
         status, payload = await self._call("POST", "/commit", body, changes=len(txn.writes),
-                                           deadline=deadline, ahead_s=ahead_s)
+                                           deadline=deadline, ahead_s=ahead_s,
+                                           doubtful=doubtful)
         if status == 200:
             return int(self._decode(payload, _Revision).rev)
         if status == 409:
-            raise Conflict(self._decode(payload, _Failed).failed)
+            failed = self._decode(payload, _Failed).failed
+            if self.history is not None and not doubtful and self.history.failed(failed):
+                raise Unavailable("the records are in doubt", self.timeout_s)
+            raise Conflict(failed)
         if b"no such lease" in payload:
             raise NoLease
         if status in (400, 413):
@@ -309,7 +356,7 @@
 
     async def lease(self, ttl_s: float) -> int:
         status, payload = await self._call("POST", "/leases", {"ttl_ms": int(ttl_s * 1000)},
-                                           ahead_s=LEASE_S)
+                                           ahead_s=LEASE_S, doubtful=True)
         if status != 200:
             raise Unavailable(f"{status} for a lease")
         return int(self._decode(payload, _Lease).id)
@@ -317,7 +364,8 @@
     async def renew(self, lease: int) -> bool:
         """False when the lease has ended."""
         # Never behind users' reads: a controller that many asked once lost its lease.
-        status, _ = await self._call("POST", f"/leases/{lease}/touch", {}, ahead_s=LEASE_S)
+        status, _ = await self._call("POST", f"/leases/{lease}/touch", {}, ahead_s=LEASE_S,
+                                     doubtful=True)
         return status == 200
 
     async def watch(self, prefix: str, since: int, wait_s: float) -> tuple[list[Change], int]:
@@ -355,7 +403,8 @@
     """
 
     def __init__(self, store: StateStore, most: int, timeout_s: float) -> None:
-        self.store, self.most, self.timeout_s = store, most, timeout_s
+        self.store, self.timeout_s = store, timeout_s
+        self.most = most
         # A fifth of this controller's requests at most.
         self.pause_s = 5.0 / store.requests.rate
         self.next = _Batch()
@@ -389,9 +438,10 @@
 
     async def _compare(self, batch: _Batch) -> None:
         keys = list(batch.revs)
-        for first in range(0, len(keys), self.most):
+        most = max(1, self.most - (0 if self.store.history is None else ANCHORS))
+        for first in range(0, len(keys), most):
             txn = Txn()
-            for key in keys[first:first + self.most]:
+            for key in keys[first:first + most]:
                 txn.require(key, batch.revs[key])
             try:
                 until = Deadline.within(time.monotonic(), 2 * self.timeout_s)
--- a/tests/world.py
+++ b/tests/world.py
@@ -110,6 +110,34 @@
         self.down_until = 0.0
         self.next_lease = 1
         self.limits = {k: v for k, v in SETTINGS["state"].items() if k != "next"}
+        # What it held after each change, where it is to lose some of that.
+        self.past: list[tuple[float, int, dict[str, Any], int]] | None = None
+
+    def remember(self) -> None:
+        if self.past is not None:
+            self.past.append((self.world.clock(), self.rev, dict(self.keys), len(self.log)))
+
+    def lose(self, seconds: float) -> int:
+        """Be as it was so long ago, revisions and leases as well; how many changes are gone."""
+        assert self.past is not None
+        since, before = self.world.clock() - seconds, self.rev
+        while len(self.past) > 1 and self.past[-1][0] > since:
+            self.past.pop()
+        if self.past[-1][0] > since:
+            self.past[:] = [(since, 1, {}, 0)]
+        _, self.rev, keys, length = self.past[-1]
+        self.keys = dict(keys)
+        del self.log[length:]
+        self.leases = {i: v for i, v in self.leases.items()
+                       if any(k[2] == i for k in self.keys.values())}
+        return before - self.rev
+
+    def lose_keys(self, prefix: str) -> int:
+        """Be without some records, at the same revision."""
+        gone = [k for k in self.keys if k.startswith(prefix)]
+        for key in gone:
+            del self.keys[key]
+        return len(gone)
 
     def change(self, key: str, value: Any, lease: int | None, rev: int) -> None:
         if value is None:
@@ -136,6 +164,7 @@
             self.rev += 1
         for key in attached:
             self.change(key, None, None, self.rev)
+        self.remember()
 
     def outage(self, now: float, for_s: float) -> None:
         self.down_until = now + for_s
@@ -201,6 +230,8 @@
                 self.change(write["write"], write["data"], write.get("hold"), self.rev)
             else:
                 self.change(write["remove"], None, None, self.rev)
+        if writes:
+            self.remember()
         return 200, {"store_rev": self.rev}
 
 
@@ -371,7 +402,9 @@
 class World:
     """Everything outside the controllers, and the Rules."""
 
-    def __init__(self, clock: Clock, seed: int, controllers: int = 3) -> None:
+    def __init__(self, clock: Clock, seed: int, controllers: int = 3, rebuild: bool = False
+                 ) -> None:
+        self.rebuild = rebuild  # whether controllers rebuild what the state service loses
         self.clock, self.rng = clock, random.Random(seed)
         self.labels = [f"c{i}" for i in range(controllers)]
         self.state = State(self)
@@ -645,7 +678,8 @@
         }
         # Given at the start: pauses before asking again are drawn from what it seeds. (They
         # were drawn from the process's own, and one run in forty had another verdict.)
-        c = Controller(parse(json.dumps(settings).encode()), f"{label}-{self.rng.random()}")
+        c = Controller(parse(json.dumps(settings).encode()), f"{label}-{self.rng.random()}",
+                       self.rebuild)
         c.store.client = c.store.watcher = self.client(label, "state")
         c.cloud.client = self.client(label, "cloud")
         c.fleet.client = lambda address: self.client(label, address.split(":")[0])  # type: ignore
