--- a/clayport/api.py
+++ b/clayport/api.py
@@ -92,7 +92,7 @@
         if job in core.ended:
             return core.ended[job]
         live = core.live.get(job)
-        if live is not None and await self.lookups.unchanged(live_key(job), live[1]):
+        if live is not None and live[1] and await self.lookups.unchanged(live_key(job), live[1]):
             return "live"
         entry = await core.store.get(live_key(job), deadline)
         if entry is not None:
@@ -100,6 +100,9 @@
             return "live"
         entry = await core.store.get(end_key(job), deadline)
         await self._guard({live_key(job): 0, end_key(job): entry.rev if entry else 0}, deadline)
+        if entry is None and job in core.live:
+            core.suspect(f"{job} is gone")
+            raise Unavailable("the records are in doubt")
         if entry is None:
             return None
         core.mirror.note_end(job, *ended(entry.value))
--- a/clayport/cli.py
+++ b/clayport/cli.py
@@ -29,13 +29,13 @@
     if name not in LEVELS:
         print(f"LOG_LEVEL: {name!r} is none of error, info, debug", file=sys.stderr)
         return 2
-    refresh, rebuild = None, False
+    refresh, rebuild, directory = None, False, ""
     try:
         settings = load(args.config)
         if args.operator:
             from . import operator
             own = operator.load(args.operator)
-            refresh, rebuild = own.refresh, own.rebuild
+            refresh, rebuild, directory = own.refresh, own.rebuild, own.directory
     except ConfigError as exc:
         print(f"clayport: {exc}", file=sys.stderr)
         return 2
@@ -49,7 +49,7 @@
 
     from .refresh import Asc
     from .server import Controller
-    controller = Controller(settings, rebuild=rebuild)
+    controller = Controller(settings, rebuild=rebuild, snapshots=directory)
     if refresh is not None:
         controller.picture.asc = Asc(refresh.start_s, refresh.least_s, refresh.most_s)
     curio.run(controller.run)
--- a/clayport/mirror.py
+++ b/clayport/mirror.py
@@ -103,6 +103,9 @@
         core.confirmed = woke
         core.rescan = woke != core.woke
         keys = {e.key for e in entries}
+        if core.recovery is not None and not core.recovery.history.complete("c/", keys):
+            core.rescan = True
+            raise Unavailable("the records are in doubt")
         for label in [n for n in core.nodes if NODE_PREFIX + n not in keys]:
             del core.nodes[label]
             if label == core.label:
@@ -111,7 +114,7 @@
         for entry in entries:
             self._put(entry.key, entry.value, entry.rev)
         for job, (_, since) in list(core.live.items()):
-            if LIVE_PREFIX + job not in keys and since <= rev:
+            if LIVE_PREFIX + job not in keys and 0 < since <= rev:
                 self._gone_live(job)
         core.state_known = True
         self.count_versions()
@@ -174,6 +177,8 @@
         core = self.core
         if job.id in core.live and rev > core.live[job.id][1]:
             core.live[job.id] = (core.live[job.id][0], rev)  # written anew by a rebuild
+            if job.id in core.dispatch.homes:
+                core.dispatch.homes[job.id].live_rev = rev
         if job.id in core.live or job.id in core.ended:
             return
         changed = core.pipes.add(job, submitted)
@@ -248,7 +253,7 @@
             for name in sorted(self._awaited()):
                 known = core.live.get(name)
                 try:
-                    if known is not None and not await core.api.lookups.unchanged(
+                    if known is not None and known[1] and not await core.api.lookups.unchanged(
                             live_key(name), known[1]):
                         self._gone_live(name)
                 except Unavailable:
@@ -269,9 +274,10 @@
 
     def _gone_live(self, job: str) -> None:
         if job in self.core.live and job not in self.core.ended:
-            self.core.spawn(self._learn(job))
+            self.core.spawn(self.learn(job))
 
-    async def _learn(self, job: str) -> None:
+    async def learn(self, job: str) -> None:
+        """How a job ended whose live record is gone."""
         core = self.core
         while job in core.live:
             try:
@@ -281,6 +287,8 @@
                 continue
             if entry is not None:
                 self._note_end(job, entry.value)
+            elif job in core.live:
+                core.suspect(f"{job} is gone")
             return
 
     def _note_end(self, job: str, record: Any) -> None:
--- a/clayport/operator.py
+++ b/clayport/operator.py
@@ -1,7 +1,7 @@
 """The operator's own settings, in protobuf text format.
 
     refresh { start_s: 10 least_s: 1 most_s: 60 }
-    rebuild { on: true }
+    rebuild { on: true directory: "/var/lib/clayport" }
 
 Imported only when such a file is given: protobuf costs memory and start time
 that a controller without one should not pay. The schema is declared here, so
@@ -34,6 +34,7 @@
 class Operator:
     refresh: Refresh = Refresh()
     rebuild: bool = False  # whether records that the state service loses are rebuilt
+    directory: str = ""  # where this controller keeps snapshots of them; none: nowhere
 
 
 def _message() -> Any:
@@ -46,6 +47,8 @@
                           label=field.LABEL_OPTIONAL)
     rebuild = file.message_type.add(name="Rebuild")
     rebuild.field.add(name="on", number=1, type=field.TYPE_BOOL, label=field.LABEL_OPTIONAL)
+    rebuild.field.add(name="directory", number=2, type=field.TYPE_STRING,
+                      label=field.LABEL_OPTIONAL)
     whole = file.message_type.add(name="Operator")
     for number, name in enumerate(("Refresh", "Rebuild"), 1):
         whole.field.add(name=name.lower(), number=number, type=field.TYPE_MESSAGE,
@@ -70,7 +73,9 @@
             raise ConfigError(f"refresh.{name}: must be a positive number")
     if not refresh.least_s <= refresh.start_s <= refresh.most_s:
         raise ConfigError("refresh.start_s: must lie between least_s and most_s")
-    return Operator(refresh, message.rebuild.on)
+    if message.rebuild.directory and not message.rebuild.on:
+        raise ConfigError("rebuild.directory: needs rebuild.on")
+    return Operator(refresh, message.rebuild.on, message.rebuild.directory)
 
 
 def load(path: str) -> Operator:
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -35,6 +35,8 @@
 GIVE_UP, LATE = 4.0, 1.6
 # Machines that the cloud rents with one request, at most.
 RENT_MOST = 50
+# Types whose machines will do without an image that all are taken to have.
+NOWHERE: frozenset[str] = frozenset()
 # Boots that are remembered of a type, and as many as say something.
 SEEN_MOST, SEEN_LEAST = 8, 3
 
@@ -112,12 +114,17 @@
 def short(index: Index, demand: Iterable[Need], policy: Policy, patient: bool = False,
           lodger: bool = False) -> list[Need]:
     """The demand that doesn't fit into the rooms (which are charged): off dear machines for
-    the `patient`, off ordinary ones that it alone would keep for a `lodger`."""
+    the `patient`, off ordinary ones that it alone would keep for a `lodger`.
+
+    Whichever machines have the image: for how much fits that is all the same, and with an
+    order of the machines for each image the renting controller took most of its core.
+    """
     left = []
     for need in demand:
         # A gang gets all or none of what it needs.
-        chosen = place(need.job, need.tasks, index, Spread(need.job, need.zones), policy,
-                       patient, lodger=lodger)
+        chosen = place(msgspec.structs.replace(need.job, image=""), need.tasks, index,
+                       Spread(need.job, need.zones), policy, patient, lodger=lodger,
+                       uncached=NOWHERE)
         if len(chosen) < need.tasks:
             zones = (*need.zones, *(r.zone for r in chosen)) if need.job.spread else need.zones
             left.append(need._replace(tasks=need.tasks - len(chosen), zones=zones))
--- a/clayport/rebuild/evidence.py
+++ b/clayport/rebuild/evidence.py
@@ -35,6 +35,7 @@
     versions: dict[str, int] = {}
     classes: dict[str, Any] = {}
     machines: dict[str, str] = {}  # name: address
+    remembered: Evidence | None = None  # what its disk held when it began
 
 
 class Task(msgspec.Struct, frozen=True):
--- a/clayport/rebuild/merge.py
+++ b/clayport/rebuild/merge.py
@@ -78,6 +78,8 @@
     stored = _by_job(((k, v) for k, (v, _) in records.items() if k.startswith("run/")
                       and not is_anchor(k)), first_size)
     said = {label: _by_job(e.chunks.items(), first_size) for label, e in homes.items()}
+    # What is older than the last generation says what was done, and which attempts were used.
+    before = [_by_job(e.chunks.items(), first_size) for e in order if homes.get(e.label) is not e]
     seen: dict[str, list[Task]] = {}
     for task in listed:
         seen.setdefault(task.job, []).append(task)
@@ -86,6 +88,9 @@
     for name in sorted({*live, *ended, *stored, *(j for s in said.values() for j in s)}):
         if name not in live and name not in ended:
             continue  # nobody knows what it was
+        for known in before:
+            if name in known:
+                stored[name] = _older(stored.get(name), known[name], first_size)
         home = said.get(rendezvous(name, members))
         here = _united(stored.get(name), home.get(name) if home is not None else None,
                        () if home is not None else seen.get(name, ()), first_size)
@@ -211,6 +216,22 @@
     return Chunks(lead.layout, chunks, keys)
 
 
+def _older(stored: Chunks | None, known: Chunks, first_size: int) -> Chunks:
+    """The same with what an older copy says was done, and the attempts that it has seen."""
+    lead = stored or Chunks(known.layout, {}, set())
+    size = lead.layout or first_size
+    chunks = {i: c.copy() for i, c in lead.chunks.items()}
+    most = max((c.last_attempt for c in known.chunks.values()), default=0)
+    for chunk in known.chunks.values():
+        for number in (*chunk.done, *chunk.assigned):
+            mine = chunks.setdefault(number // size, Chunk())
+            mine.last_attempt = max(mine.last_attempt, most)
+            if number in chunk.done:
+                mine.done.add(number)
+                mine.assigned.pop(number, None)
+    return Chunks(lead.layout, chunks, lead.keys)
+
+
 def _same(stored: tuple[Any, int] | None, chunk: Chunk) -> bool:
     if stored is None:
         return not chunk.assigned and not chunk.done and chunk.last_attempt == 0
--- a/clayport/rebuild/recovery.py
+++ b/clayport/rebuild/recovery.py
@@ -6,6 +6,7 @@
 import logging
 import math
 import time
+from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import curio
@@ -34,6 +35,7 @@
 
 if TYPE_CHECKING:
     from ..server import Controller
+    from .recorder import Recorder
 
 log = logging.getLogger("clayport.rebuild")
 
@@ -59,8 +61,14 @@
 class Recovery:
     """Notices that records are gone, stands still, and puts them together again."""
 
-    def __init__(self, core: Controller) -> None:
+    def __init__(self, core: Controller, directory: str = "") -> None:
         self.core = core
+        self.recorder: Recorder | None = None
+        self.remembered: Evidence | None = None
+        if directory:
+            from .recorder import Recorder  # imported only where there is a disk
+            self.recorder = Recorder(core, Path(directory))
+            self.remembered = self.recorder.load()
         self.history = History(self._stand_still)
         core.store.history = self.history
         core.store.check_in = self.check_in
@@ -83,19 +91,29 @@
         core.signal("history")
 
     async def check_in(self) -> None:
-        """Ask the peers what they have seen: the state service has not answered for a
-        moment, or a generation begins, and what it says next is held against that."""
+        """Ask the peers what they have seen, and then the state service, before anything is
+        written: it has not answered for a moment, or a generation begins. (Unavailable if it
+        doesn't answer now.)
+
+        Read before the first write of each of us: the revisions of what is written after a
+        loss soon are what they were, and nobody would have noticed.
+        """
         if self.asking is not None:
             await self.asking.wait()
             return
+        h, core, now = self.history, self.core, time.monotonic()
         self.asking = curio.Event()
         try:
-            self.history.unsure = False
-            now = time.monotonic()
             async with curio.TaskGroup(wait=all) as group:
-                for label, peer in self.core.peers.items():
-                    if now - peer.heard < self.core.ttl_s and self._understands(label):
+                for label, peer in core.peers.items():
+                    if now - peer.heard < core.ttl_s and self._understands(label):
                         await group.spawn(self._exchange, label)
+            floor = h.floor
+            _, rev = await core.store.scan(HEAD_KEY, doubtful=True)
+            h.unsure = False
+            h.answered(rev, floor)
+        except Unknown as exc:
+            raise Unavailable(str(exc)) from None
         finally:
             asking, self.asking = self.asking, None
             await asking.set()
@@ -124,7 +142,7 @@
         name, part = values
         if self.packed[0] != name:
             h.suspect("the records are rebuilt")
-            self.packed = (name, evidence.pack(evidence.gather(self.core, self.loaded)))
+            self.packed = (name, evidence.pack(self._own()))
         parts = self.packed[1]
         return peerwire.EVIDENCE_TOLD, (len(parts), parts[part] if part < len(parts) else b"")
 
@@ -218,8 +236,11 @@
             self._rejoin()
             return
         if head is not None and self._holds(head, told):
-            await self._join(head)
-            return
+            anchors = await self._anchors(str(head.value["id"]))
+            if len(anchors) == len(PREFIXES):
+                await self._join(head, anchors)
+                return
+            # Whole when it was written, and not any more.
         if core.away or self._somebody_else(head):
             await curio.sleep(core.ttl_s / 16)
             return
@@ -250,15 +271,15 @@
 
     # -- joining ---------------------------------------------------------
 
-    async def _join(self, head: Entry) -> None:
-        """Act on the history that the head names, if all of it is there."""
+    async def _anchors(self, name: str) -> dict[str, int]:
+        """The anchors of a history that are there, with their revisions."""
+        found = [await self.core.store.get(anchor_key(prefix, name), doubtful=True)
+                 for prefix in PREFIXES]
+        return {e.key: e.rev for e in found if e is not None}
+
+    async def _join(self, head: Entry, revs: dict[str, int]) -> None:
+        """Act on the history that the head names."""
         core, name = self.core, str(head.value["id"])
-        revs = {}
-        for prefix in PREFIXES:
-            entry = await core.store.get(anchor_key(prefix, name), doubtful=True)
-            if entry is None:
-                raise Again
-            revs[entry.key] = entry.rev
         late = evidence.gather(core, self.loaded)
         self.head_rev = head.rev
         self.history.join(name, int(head.value["n"]), revs, max(head.rev, *revs.values()))
@@ -271,6 +292,8 @@
         core = self.core
         core.generation = Generation(core.generation.number, {}, 0)
         core.serving = False
+        # Without a revision until its record has been seen under this history: none of them
+        # is worked on, or answered for, before that.
         core.live = {name: (job, 0) for name, (job, _) in core.live.items()}
         core.rescan = True
         core.signal("members")
@@ -288,7 +311,8 @@
                     name, desc, at = todo[-1]
                     txn = Txn().require(live_key(name), 0).require(end_key(name), 0)
                     txn.put(live_key(name), {"j": desc, "t": at})
-                    await self._once(txn, "job", name)
+                    if not await self._once(txn, "job", name):
+                        await core.mirror.learn(name)
                     todo.pop()
                 else:
                     name, (status, at, desc) = ends[-1]
@@ -297,16 +321,18 @@
             except (Unavailable, Unknown):
                 await core.store.rest(attempt)
 
-    async def _once(self, txn: Txn, what: str, name: str) -> None:
+    async def _once(self, txn: Txn, what: str, name: str) -> bool:
+        """Write what nobody else had; False if something else is there instead."""
         try:
             await self.core.store.commit(Txn().require(*next(iter(txn.when.items()))))
         except Conflict:
-            return  # it is there: one comparison, and no write
+            return True  # it is there: one comparison, and no write
         try:
             await self.core.store.commit(txn)
             log.info("event=late-evidence %s=%s", what, name)
+            return True
         except Conflict:
-            pass
+            return False
 
     async def _end(self, name: str, status: str, at: float, desc: Any) -> None:
         core = self.core
@@ -355,21 +381,27 @@
 
     async def _begin(self, head: Entry | None, records: dict[str, Entry], name: str,
                      number: int) -> tuple[str, int]:
-        """End the history that was: nothing that was sent under it is applied from here on."""
+        """End the history that was: nothing that was sent under it is applied from here on,
+        since it names the anchor under `c/`. The others follow, each with its predecessors."""
         core = self.core
-        txn = Txn().require(HEAD_KEY, head.rev if head is not None else 0)
         olds = {self.history.name, head.value["id"] if head is not None else "",
                 *(k[len("c/~"):] for k in records if k.startswith("c/~"))} - {""}
-        for old in olds:
-            for prefix in PREFIXES:
-                entry = await core.store.get(anchor_key(prefix, old), doubtful=True)
-                txn.require(anchor_key(prefix, old), entry.rev if entry else 0)
-                if entry is not None:
-                    txn.delete(entry.key)
-        for prefix in PREFIXES:
-            txn.put(anchor_key(prefix, name), anchor_value(name))
+        there = {old: await self._anchors(old) for old in sorted(olds)}
+
+        def renew(txn: Txn, prefix: str) -> Txn:
+            for old, revs in there.items():
+                key = anchor_key(prefix, old)
+                txn.require(key, revs.get(key, 0))
+                if key in revs:
+                    txn.delete(key)
+            return txn.put(anchor_key(prefix, name), anchor_value(name))
+        txn = renew(Txn().require(HEAD_KEY, head.rev if head is not None else 0), "c/")
         txn.put(HEAD_KEY, {"id": name, "n": number, "state": REBUILDING, "by": core.label})
-        return anchor_key("c/", name), await self._write(txn)
+        anchor = anchor_key("c/", name), await self._write(txn)
+        for prefix in PREFIXES:
+            if prefix != "c/":
+                await self._write(renew(Txn().require(*anchor), prefix))
+        return anchor
 
     async def _write(self, txn: Txn) -> int:
         """Commit until it is known whether; Again if somebody else came first."""
@@ -392,7 +424,7 @@
     async def _gather(self, name: str) -> dict[str, Evidence]:
         """The evidence of all controllers that answer, ours included."""
         core = self.core
-        parts = {core.label: evidence.gather(core, self.loaded)}
+        parts = {core.label: self._own()}
         for _ in range(3):
             for label in core.peers:
                 if label not in parts:
@@ -402,8 +434,16 @@
             if len(parts) == len(core.settings.labels):
                 break
             await curio.sleep(core.ttl_s / 8)
+        for found in list(parts.values()):
+            if found.remembered is not None:
+                parts[found.remembered.label] = found.remembered
         return parts
 
+    def _own(self) -> Evidence:
+        found = evidence.gather(self.core, self.loaded)
+        found.remembered = self.remembered
+        return found
+
     async def _evidence_of(self, label: str, name: str) -> Evidence | None:
         peer, parts = self.core.peers[label], []
         try:
@@ -425,13 +465,16 @@
         stored = found.get(GENERATION_KEY)
         later = 1 + max(epoch >> COUNTER_BITS, int(stored[0]["number"]) if stored else 0,
                          *(e.generation for e in parts.values()))
-        members = {label: e.incarnation for label, e in parts.items()}
+        members = {label: e.incarnation for label, e in parts.items() if e.incarnation}
         present = await self._present(members)
         txn = Txn().require(*anchor).require(GENERATION_KEY, stored[1] if stored else 0)
         txn.put(GENERATION_KEY, Generation(later, present, 0).value())
         head = {"id": name, "n": number, "state": WHOLE, "by": core.label}
         rev = await self._write(txn.put(HEAD_KEY, head).put(anchor[0], anchor_value(name)))
-        await self._join(Entry(HEAD_KEY, head, rev))
+        anchors = await self._anchors(name)
+        if len(anchors) < len(PREFIXES):
+            raise Again  # lost in the very moment
+        await self._join(Entry(HEAD_KEY, head, rev), anchors)
 
     async def _present(self, members: dict[str, str]) -> dict[str, str]:
         """Of those whose evidence is there, who has a key: all others would have to be taken
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -162,10 +162,12 @@
         if not needs and ample(index, spare, policy, patient=True) \
                 and ample(index, moving, policy, patient=True):
             return self._fill(waiting, needs, spare, busy, booting, index, policy)
-        with index.trial(extra=booting):
-            # Room for replicas on dear machines has to be where it is cheap: else it would
-            # keep dear machines rented.
-            kept = short(index, moving, policy, True)
+        kept: list[Need] = []
+        if moving:
+            with index.trial(extra=booting):
+                # Room for replicas on dear machines has to be where it is cheap: else it
+                # would keep dear machines rented.
+                kept = short(index, moving, policy, True)
         with index.trial(extra=booting):
             missing = short(index, needs, policy)
             # And so has room that is only kept.
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -58,8 +58,8 @@
 class Controller:
     """The state shared by the routines of one process, and membership itself."""
 
-    def __init__(self, settings: Settings, incarnation: str = "", rebuild: bool = False
-                 ) -> None:
+    def __init__(self, settings: Settings, incarnation: str = "", rebuild: bool = False,
+                 snapshots: str = "") -> None:
         self.settings = settings
         self.label = settings.label
         # Drawn anew by each process; all that is drawn later follows from it.
@@ -147,12 +147,13 @@
         # Where the records may be rebuilt (the operator's file, or the records, say so).
         self.recovery: Recovery | None = None
         if rebuild:
-            self.rebuilds()
+            self.rebuilds(snapshots)
 
-    def rebuilds(self) -> None:
-        """Take part in histories of the records from now on."""
+    def rebuilds(self, snapshots: str = "") -> None:
+        """Take part in histories of the records from now on, and keep snapshots of them in
+        a directory, if one is given."""
         from .rebuild.recovery import Recovery  # imported only where it is used
-        self.recovery = Recovery(self)
+        self.recovery = Recovery(self, snapshots)
 
     def note_head(self, value: Any) -> None:
         """The records say which history they belong to."""
@@ -166,6 +167,11 @@
         else:
             self.recovery.note_head(value)
 
+    def suspect(self, why: str) -> None:
+        """A record that is known here is gone, though nobody removes it."""
+        if self.recovery is not None and self.recovery.history.name:
+            self.recovery.history.suspect(why)
+
     @property
     def format(self) -> int:
         """What this controller understands, as its version's record says it."""
@@ -362,6 +368,9 @@
         while self.generation is generation:
             try:
                 entries, _ = await self.store.scan("run/")
+                if self.recovery is not None and not self.recovery.history.complete(
+                        "run/", [e.key for e in entries]):
+                    return
                 found: dict[str, dict[tuple[int, int], Chunk]] = {}
                 unreadable: set[str] = set()
                 for e in entries:
@@ -388,7 +397,7 @@
                 if self.generation is not generation or self.in_doubt:
                     return
                 for job, (desc, rev) in self.live.items():
-                    if generation.place(job) == self.label and job not in unreadable:
+                    if rev and generation.place(job) == self.label and job not in unreadable:
                         self.home(desc, rev, found.get(job, {}), "")
                 for job, (desc, status) in orphans.items():
                     self.descs[job] = desc
@@ -730,7 +739,9 @@
 
     def duties(self) -> tuple[Callable[..., Coroutine[Any, Any, None]], ...]:
         """The long-lived routines besides the listeners and those for each controller."""
-        return (*((self.recovery.run,) if self.recovery is not None else ()),
+        recovery = self.recovery
+        return (*((recovery.run,) if recovery is not None else ()),
+                *((recovery.recorder.run,) if recovery is not None and recovery.recorder else ()),
                 self.keep_awake, self.mirror.follow, self.keep_lease, self.keep_members,
                 self.mirror.keep_prereqs, self.keep_catalogue, self.picture.refresh,
                 self.placer.place_all, self.fleet.watch_silence, self.provisioner.run)
--- a/clayport/statestore.py
+++ b/clayport/statestore.py
@@ -168,6 +168,7 @@
                  ) -> None:
         self.client = http.Client(host, port, keep=8)
         self.watcher = http.Client(host, port, keep=1)
+        self.recorder = http.Client(host, port, keep=1)
         self.timeout_s = timeout_s
         self.controllers = controllers
         now = time.monotonic()
@@ -220,30 +221,32 @@
         raw = None if body is None else msgspec.json.encode(body)
         if ahead_s >= LEASE_S:
             # A lease and the generation wait for nobody.
-            return await self._send(method, path, raw, self.timeout_s, self.client, doubtful)
+            return await self._send(method, path, raw, self.timeout_s, self.client, doubtful,
+                                    changes > 0)
         try:
             async with self.gate.passing(ahead_s, deadline) as passage:
                 left = deadline.left(time.monotonic(), self.timeout_s)
                 if left <= 0:
                     raise Closed("its time is over")
                 status, payload = await self._send(method, path, raw, left, self.client,
-                                                   doubtful)
+                                                   doubtful, changes > 0)
                 passage.served = True
                 return status, payload
         except Closed as exc:
             raise Unavailable(str(exc), self.timeout_s) from None
 
     async def _send(self, method: str, path: str, raw: bytes | None, timeout_s: float,
-                    client: http.Client, doubtful: bool = False) -> tuple[int, bytes]:
+                    client: http.Client, doubtful: bool = False, wrote: bool = False
+                    ) -> tuple[int, bytes]:
         """One exchange, and what it says of the service. With records in doubt only what is
         asked in spite of that (`doubtful`)."""
-        floor = 0
+        name, floor = "", 0
         if self.history is not None and not doubtful:
             if self.history.unsure and self.check_in is not None:
                 await self.check_in()
             if self.history.doubt:
                 raise Unavailable("the records are in doubt", self.timeout_s)
-            floor = self.history.floor
+            name, floor = self.history.name, self.history.floor
         self.sent += 1
         try:
             status, payload = await client.request(method, path, raw, timeout_s)
@@ -260,14 +263,16 @@
         self.last_ok = time.monotonic()
         await self.patience.seen(True)
         if self.history is not None and not doubtful and status in (200, 404, 409):
-            self._shown(payload, floor)
+            self._shown(payload, name, floor, wrote and status == 200)
         return status, payload
 
-    def _shown(self, payload: bytes, floor: int) -> None:
-        """Hold the answer against the history: Unknown if it comes from another."""
+    def _shown(self, payload: bytes, name: str, floor: int, wrote: bool) -> None:
+        """Hold the answer against the history: Unknown if it comes from another, or was
+        asked for under one that has ended since."""
         assert self.history is not None
         rev = self._decode(payload, _Shown).rev
-        if rev and not self.history.answered(rev, floor) or self.history.doubt:
+        if self.history.name != name or rev and not self.history.answered(rev, floor, wrote) \
+                or self.history.doubt:
             raise Unknown("the records are in doubt")
 
     async def _failed(self) -> None:
@@ -368,14 +373,16 @@
                                      doubtful=True)
         return status == 200
 
-    async def watch(self, prefix: str, since: int, wait_s: float) -> tuple[list[Change], int]:
-        """Changes after `since`; an empty list when the time is over."""
+    async def watch(self, prefix: str, since: int, wait_s: float, apart: bool = False
+                    ) -> tuple[list[Change], int]:
+        """Changes after `since`; an empty list when the time is over. Each kind of watch
+        (`apart`: the second) has a connection of its own."""
         path = f"/changes?prefix={prefix}&since={since}&block_ms={int(wait_s * 1000)}"
         pause = self.requests.delay(1, time.monotonic())
         if pause > 0:
             await curio.sleep(pause)
         status, payload = await self._send("GET", path, None, wait_s + self.timeout_s,
-                                           self.watcher)
+                                           self.recorder if apart else self.watcher)
         if status == 410:
             raise Compacted
         if status != 200:
--- /dev/null
+++ b/tests/test_snapshots.py
@@ -0,0 +1,131 @@
+"""Snapshots: what is cut off, damaged, of another deployment or older is found out, and a
+process may end at any of their writes."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from clayport.rebuild import files
+from clayport.rebuild.files import Header, Log, Row, SnapshotError, newest, read_base, write_base
+
+LABELS = ["c0", "c1"]
+RECORDS = {f"c/live/j-{n:06d}": ({"j": {"id": n}, "t": 1.5 * n}, n + 1) for n in range(40)}
+
+
+def header(rev: int = 50, **fields: Any) -> Header:
+    return Header(**{"kind": "base", "labels": LABELS, "history": "ab", "number": 1, "rev": rev,
+                     "at": 0.0, **fields})
+
+
+def base(directory: Path, **fields: Any) -> Path:
+    return write_base(directory, header(**fields), files.rows_of(RECORDS))
+
+
+def log_of(directory: Path, count: int = 6) -> Path:
+    log = Log(directory, header(kind="log"))
+    for n in range(count):
+        log.append([Row(f"end/j-{n:06d}", {"s": "done"}, 51 + n),
+                    Row(f"c/live/j-{n:06d}", None, 51 + n)])
+    log.close()
+    return log.path
+
+
+def test_what_was_written_is_read(tmp_path: Path) -> None:
+    base(tmp_path)
+    log_of(tmp_path)
+    found = newest(tmp_path, LABELS[::-1])
+    assert found.rev == 56 and found.refused == []
+    assert len(found.records) == 40 and found.records["end/j-000005"] == ({"s": "done"}, 56)
+    assert "c/live/j-000005" not in found.records
+
+
+def test_a_base_cut_at_any_byte_is_refused_by_name(tmp_path: Path) -> None:
+    path = base(tmp_path)
+    whole = path.read_bytes()
+    for size in range(len(whole)):
+        path.write_bytes(whole[:size])
+        with pytest.raises(SnapshotError, match=path.name):
+            read_base(path)
+
+
+def test_a_byte_flipped_anywhere_is_found_out(tmp_path: Path) -> None:
+    path = base(tmp_path)
+    whole = path.read_bytes()
+    for at in range(len(whole)):
+        path.write_bytes(whole[:at] + bytes([whole[at] ^ 0x10]) + whole[at + 1:])
+        with pytest.raises(SnapshotError, match=path.name):
+            read_base(path)
+
+
+def test_of_a_log_cut_at_any_byte_what_is_whole_before_it_counts(tmp_path: Path) -> None:
+    base(tmp_path)
+    path = log_of(tmp_path)
+    whole = path.read_bytes()
+    revs = []
+    for size in range(len(whole) + 1):
+        path.write_bytes(whole[:size])
+        found = newest(tmp_path, LABELS)
+        assert sum(k.startswith("end/") for k in found.records) == found.rev - 50
+        # Either all of it counts, or what is wrong is said (at the ends of blocks nothing is).
+        revs.append(found.rev)
+    assert revs == sorted(revs) and set(revs) == set(range(50, 57))
+
+
+@pytest.mark.parametrize("fields, why", [
+    ({"labels": ["x"]}, "another deployment"), ({"kind": "log"}, "not a base")])
+def test_what_is_not_ours_is_refused_and_what_is_older_is_used(
+        tmp_path: Path, fields: dict[str, Any], why: str) -> None:
+    base(tmp_path)
+    wrong = write_base(tmp_path, header(rev=99, **fields), files.rows_of(RECORDS))
+    if "kind" in fields:
+        wrong.rename(tmp_path / files.name_of(header(rev=99)))
+    found = newest(tmp_path, LABELS)
+    assert found.rev == 50 and len(found.refused) == 1 and why in found.refused[0]
+
+
+def test_without_any_that_can_be_used_each_is_named(tmp_path: Path) -> None:
+    for rev in (50, 60):
+        path = base(tmp_path, rev=rev)
+        path.write_bytes(path.read_bytes()[:-1])
+    with pytest.raises(SnapshotError, match=r"0060.*cut off.*0050.*cut off"):
+        newest(tmp_path, LABELS)
+    with pytest.raises(SnapshotError, match="no such directory"):
+        newest(tmp_path / "none", LABELS)
+
+
+class Ended(Exception):
+    """The process ends here."""
+
+
+@pytest.mark.parametrize("call", ["fsync", "replace"])
+def test_a_process_that_ends_at_any_call_leaves_the_one_before(
+        monkeypatch: pytest.MonkeyPatch, tmp_path: Path, call: str) -> None:
+    """Nothing takes a base's name, or the place of the one before, until it is whole."""
+    base(tmp_path)
+    real, left = getattr(os, call), 0
+
+    def ends(*args: Any) -> Any:
+        nonlocal left
+        left -= 1
+        if left < 0:
+            raise Ended
+        return real(*args)
+    monkeypatch.setattr(os, call, ends)
+    for allowed in range(8):
+        left = allowed
+        try:
+            base(tmp_path, rev=70)
+            Log(tmp_path, header(rev=70, kind="log")).close()
+            files.prune(tmp_path, 1)
+            break
+        except Ended:
+            found = newest(tmp_path, LABELS)
+            assert found.rev in (50, 70) and len(found.records) == 40
+    else:
+        raise AssertionError("it never got to its end")
+    assert newest(tmp_path, LABELS).rev == 70 and len(files.bases(tmp_path)) == 1
+    assert list(tmp_path.glob("*.part")) == []
