--- a/clayport/mirror.py
+++ b/clayport/mirror.py
@@ -81,6 +81,10 @@
                 if core.rescan:
                     rev = await self._scan()
                 changes, rev = await core.store.watch("c/", rev, core.ttl_s)
+                if core.rescan:
+                    # Asked for before: a generation among them would begin with jobs of
+                    # which this has not been read yet.
+                    continue
                 for change in changes:
                     self._apply(change)
                 if not core.upgraded:
