--- a/clayport/cli.py
+++ b/clayport/cli.py
@@ -14,7 +14,10 @@
 
 
 def parser() -> argparse.ArgumentParser:
-    p = argparse.ArgumentParser(prog="clayport", description="Run one controller of clayport.")
+    p = argparse.ArgumentParser(
+        prog="clayport", description="Run one controller of clayport.",
+        epilog="`clayport snapshot --help` and `clayport restore --help`: copies of the records, "
+               "and putting them back.")
     p.add_argument("--config", metavar="FILE", required=True, help="the platform's settings (JSON)")
     p.add_argument("--operator", metavar="FILE",
                    help="the operator's own settings (protobuf text format)")
@@ -24,7 +27,15 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    args = parser().parse_args(argv)
+    given = sys.argv[1:] if argv is None else argv
+    if given and given[0] in ("snapshot", "restore"):
+        try:
+            from .rebuild import commands
+        except ModuleNotFoundError as exc:
+            print(f"clayport: needs {exc.name}: pip install clayport[snapshots]", file=sys.stderr)
+            return 2
+        return commands.main(given)
+    args = parser().parse_args(given)
     name = os.environ.get("LOG_LEVEL") or "info"
     if name not in LEVELS:
         print(f"LOG_LEVEL: {name!r} is none of error, info, debug", file=sys.stderr)
--- a/clayport/rebuild/merge.py
+++ b/clayport/rebuild/merge.py
@@ -92,9 +92,9 @@
             if name in known:
                 stored[name] = _older(stored.get(name), known[name], first_size)
         home = said.get(rendezvous(name, members))
-        here = _united(stored.get(name), home.get(name) if home is not None else None,
-                       () if home is not None else seen.get(name, ()), first_size)
         over = name in ended
+        here = _united(stored.get(name), home.get(name) if home is not None else None,
+                       () if home is not None else seen.get(name, ()), first_size, over)
         left = sum(len(c.assigned) for c in here.chunks.values())
         wanted = {chunk_key(name, i, here.layout): c for i, c in here.chunks.items()
                   if c.assigned or not over}
@@ -181,8 +181,9 @@
 
 
 def _united(stored: Chunks | None, said: Chunks | None, seen: Iterable[Task],
-            first_size: int) -> Chunks:
-    """A job's chunks from what is stored, what its home says, and what machines list."""
+            first_size: int, over: bool) -> Chunks:
+    """A job's chunks from what is stored, what its home says, and what machines list. Of a
+    job that is over all that is listed is still to be cleared, done or not."""
     lead = said or stored or Chunks(0, {}, set())
     size = lead.layout or first_size
     chunks = {i: c.copy() for i, c in lead.chunks.items()}
@@ -208,6 +209,8 @@
     where = {(t.number, t.attempt, t.machine) for t in rows}
     for task in sorted(rows, key=lambda t: (t.number, -t.attempt, t.machine)):
         mine = at(task.number)
+        if over:
+            mine.done.discard(task.number)
         known = mine.assigned.get(task.number)
         if task.number not in mine.done and (
                 known is None or (task.number, *known) not in where):
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -7,10 +7,16 @@
 from pathlib import Path
 from typing import Any
 
+import curio
 import pytest
 
-from clayport.rebuild import files
+from clayport.cli import main
+from clayport.rebuild import commands, files
 from clayport.rebuild.files import Header, Log, Row, SnapshotError, newest, read_base, write_base
+from clayport.statestore import StateStore
+
+from .test_model import JOBS
+from .world import Clock, World, job, simulate
 
 LABELS = ["c0", "c1"]
 RECORDS = {f"c/live/j-{n:06d}": ({"j": {"id": n}, "t": 1.5 * n}, n + 1) for n in range(40)}
@@ -129,3 +135,83 @@
         raise AssertionError("it never got to its end")
     assert newest(tmp_path, LABELS).rev == 70 and len(files.bases(tmp_path)) == 1
     assert list(tmp_path.glob("*.part")) == []
+
+
+# -- the commands ------------------------------------------------------------------
+
+
+def settings_of(world: World) -> Any:
+    return next(iter(world.controllers.values())).settings
+
+
+async def restored(clock: Clock, directory: Path, monkeypatch: pytest.MonkeyPatch,
+                   lines: list[str]) -> World:
+    """A snapshot is taken by hand; everything ends, and the state service has nothing left."""
+    world = World(clock, 5, rebuild=True)
+    world.state.past = []
+    for label in world.labels:
+        await world.start(label)
+    for routine in (world.spawner, world.poll, world.watch_rules):
+        await curio.spawn(routine, daemon=True)
+    for number in range(8):
+        fields, run_s = JOBS[number % len(JOBS)]
+        await world.submit(job(number, **fields), run_s)
+    await curio.sleep(6.0)
+    its = settings_of(world)
+
+    def store(_: Any) -> StateStore:
+        made = StateStore("state", 1, 250.0, 100.0, 2.0, 3)
+        made.client = world.client("operator", "state")
+        return made
+    monkeypatch.setattr(commands, "store_of", store)
+    monkeypatch.setattr("builtins.print", lambda *a, **_: lines.append(" ".join(map(str, a))))
+    assert await commands._take(its, directory) == 0
+    with pytest.raises(commands.Refused, match="running"):
+        await commands._restore(its, directory, True)
+    for label in world.labels:
+        await world.crash(label)
+    world.state.lose(1e6)
+    assert await commands._restore(its, directory, False) == 0 and world.state.keys == {}
+    for _ in range(2):  # once more does no harm
+        assert await commands._restore(its, directory, True) == 0
+    for label in world.labels:
+        await world.start(label)
+    end = clock() + 200.0
+    while clock() < end and not world.broken:
+        await curio.sleep(2.0)
+        if all(world.told.get(i) == "done" for i in world.accepted
+               if world.jobs[i]["shape"] != "daemon"):
+            break
+    return world
+
+
+def test_a_snapshot_is_put_back_by_hand(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
+    lines: list[str] = []
+    world = simulate(monkeypatch, lambda clock: restored(clock, tmp_path, monkeypatch, lines))
+    assert world.broken == [] and len(world.accepted) == 8
+    assert all(world.told.get(i) == "done" for i in world.accepted
+               if world.jobs[i]["shape"] != "daemon")
+    assert any("nothing written" in line for line in lines)
+
+
+@pytest.mark.parametrize("words, status, says", [
+    (["verify", "{dir}"], 0, "good"), (["show", "{dir}"], 0, "live 40"),
+    (["verify", "{dir}/none"], 2, "no such directory"),
+    (["show", "{dir}/none"], 2, "no such directory")])
+def test_people_are_told(tmp_path: Path, capsys: pytest.CaptureFixture[str], words: list[str],
+                         status: int, says: str) -> None:
+    base(tmp_path)
+    assert main(["snapshot", *(w.format(dir=tmp_path) for w in words)]) == status
+    assert says in "".join(capsys.readouterr())
+
+
+def test_what_is_damaged_is_named_and_the_next_is_shown(
+        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    base(tmp_path)
+    worse = base(tmp_path, rev=60)
+    worse.write_bytes(worse.read_bytes()[:-3])
+    assert main(["snapshot", "verify", str(tmp_path)]) == 1
+    assert f"DAMAGED {worse}" in capsys.readouterr().out
+    assert main(["snapshot", "show", str(tmp_path)]) == 0
+    out = capsys.readouterr().out
+    assert str(worse) in out and "revision 50" in out
