--- a/clayport/rebuild/evidence.py
+++ b/clayport/rebuild/evidence.py
@@ -91,6 +91,14 @@
         raise ValueError(str(exc)) from None
 
 
+def only_news(found: Evidence, seen: Evidence) -> None:
+    """Leave out which jobs were accepted, and how they ended, where another has said the
+    same: every controller knows nearly all of it, and they need not be held five times."""
+    found.live = {n: row for n, row in found.live.items() if n not in seen.live}
+    found.ended = {n: row for n, row in found.ended.items()
+                   if n not in seen.ended or seen.ended[n][0] != row[0]}
+
+
 def split(parts: Mapping[str, Evidence]) -> tuple[int, dict[str, str], dict[str, Evidence]]:
     """The last generation that anybody began, its members, and the evidence of those of
     them that hold the whole of their share."""
--- a/clayport/rebuild/recovery.py
+++ b/clayport/rebuild/recovery.py
@@ -347,6 +347,16 @@
     # -- rebuilding ------------------------------------------------------
 
     async def _rebuild(self, head: Entry | None, records: dict[str, Entry], number: int) -> None:
+        """Alone with the state service, since all others stand still."""
+        store = self.core.store
+        store.shared_by(1)
+        try:
+            await self._put_together(head, records, number)
+        finally:
+            store.shared_by(store.controllers)
+
+    async def _put_together(self, head: Entry | None, records: dict[str, Entry], number: int
+                            ) -> None:
         core, h = self.core, self.history
         began = time.monotonic()
         name = f"{core.rng.getrandbits(64):016x}"
@@ -371,7 +381,8 @@
                  "controllers=%d machines=%d", merged.jobs, merged.found, merged.ended,
                  len(merged.changes), len(merged.unknown), len(parts), len(machines))
         written = 0
-        for txn in plan.transactions(merged.changes, found, anchor, core.bounds.txn_ops):
+        for txn in plan.transactions(merged.changes, found, anchor,
+                                     core.settings.cluster.state.least().txn_ops):
             await self._write(txn)
             written += len(txn.writes)
             log.debug("event=rebuild-wrote changes=%d of=%d", written, len(merged.changes))
@@ -430,6 +441,7 @@
                 if label not in parts:
                     found = await self._evidence_of(label, name)
                     if found is not None:
+                        evidence.only_news(found, parts[core.label])
                         parts[label] = found
             if len(parts) == len(core.settings.labels):
                 break
--- a/clayport/statestore.py
+++ b/clayport/statestore.py
@@ -172,6 +172,7 @@
         self.timeout_s = timeout_s
         self.controllers = controllers
         now = time.monotonic()
+        self.rates = rps, write_rps
         self.requests = Bucket(rps * 0.9 / controllers, now)
         self.changes = Bucket(write_rps * 0.9 / controllers, now)
         self.last_ok = now - 3600.0
@@ -326,8 +327,12 @@
 
     def set_rates(self, rps: float, write_rps: float) -> None:
         """The service's limits have changed; each controller keeps to its share."""
-        self.requests.rate = rps * 0.9 / self.controllers
-        self.changes.rate = write_rps * 0.9 / self.controllers
+        self.rates = rps, write_rps
+        self.shared_by(self.controllers)
+
+    def shared_by(self, controllers: int) -> None:
+        """So many controllers use the service now: all, or one while the others stand still."""
+        self.requests.rate, self.changes.rate = (r * 0.9 / controllers for r in self.rates)
 
     async def commit(self, txn: Txn, deadline: Deadline | None = None,
                      ahead_s: float = 0.0, doubtful: bool = False) -> int:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -135,14 +135,11 @@
 PIPELINES_A_DAY = 5
 
 
-async def mixed(clock: Clock, seed: int, controllers: int) -> World:
+async def mixed(clock: Clock, seed: int, controllers: int, rebuild: bool) -> World:
     """A day on which the version before is replaced."""
-    world = World(clock, seed, controllers)
+    world = World(clock, seed, controllers, rebuild)
     world.old.update(world.labels)
-    for label in world.labels:
-        await world.start(label)
-    for routine in (world.spawner, world.poll, world.watch_rules):
-        await curio.spawn(routine, daemon=True)
+    await world.open()
     await curio.spawn(trouble, world, clock() + 110.0, daemon=True)
     await curio.spawn(upgrade, world, daemon=True)
     await curio.spawn(lower, world, daemon=True)
@@ -173,13 +170,17 @@
 LOWER = {"value_kb": 2.0, "txn_ops": 5}
 
 
-@pytest.mark.parametrize("seed, controllers", [(21, 3), (23, 3), (24, 3), (29, 5)])
+@pytest.mark.parametrize("seed, controllers, rebuild", [
+    (21, 3, False), (23, 3, False), (24, 3, False), (29, 5, False),
+    # The records get a history once all are new, and not before.
+    (21, 3, True), (24, 3, True), (29, 5, True)])
 def test_rules_hold_while_the_version_before_is_replaced(
         monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, seed: int,
-        controllers: int) -> None:
+        controllers: int, rebuild: bool) -> None:
     monkeypatch.setitem(SETTINGS, "state", {**SETTINGS["state"], "next": LOWER})
-    world = simulate(monkeypatch, lambda clock: mixed(clock, seed, controllers))
+    world = simulate(monkeypatch, lambda clock: mixed(clock, seed, controllers, rebuild))
     assert world.broken == []
+    assert ("c/lineage" in world.state.keys) == rebuild
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
     assert world.refused == [] and len(world.accepted) == 16 + 4 * PIPELINES_A_DAY
     waiting = {i: world.told.get(i) for i in world.accepted
@@ -205,10 +206,7 @@
 
 async def day(clock: Clock, seed: int, troubled: bool, controllers: int = 3) -> World:
     world = World(clock, seed, controllers)
-    for label in world.labels:
-        await world.start(label)
-    for routine in (world.spawner, world.poll, world.watch_rules):
-        await curio.spawn(routine, daemon=True)
+    await world.open()
     if troubled:
         await curio.spawn(trouble, world, clock() + 60.0, daemon=True)
     aborted = []
@@ -331,10 +329,7 @@
     """The same seed gives the same day: a verdict that changes from run to run is none."""
     async def short(clock: Clock) -> World:
         world = World(clock, 12, controllers)
-        for label in world.labels:
-            await world.start(label)
-        for routine in (world.spawner, world.poll, world.watch_rules):
-            await curio.spawn(routine, daemon=True)
+        await world.open()
         await curio.spawn(trouble, world, clock() + 25.0, daemon=True)
         for number in range(6):
             fields, run_s = JOBS[number]
--- a/tests/test_rebuild.py
+++ b/tests/test_rebuild.py
@@ -37,10 +37,7 @@
     if disks is not None:
         world.disks = {label: str(disks / label) for label in world.labels[:2]}
     world.state.past = []
-    for label in world.labels:
-        await world.start(label)
-    for routine in (world.spawner, world.poll, world.watch_rules):
-        await curio.spawn(routine, daemon=True)
+    await world.open()
     aborted = []
     at = sorted(world.rng.sample(range(10, JOBS_A_DAY - 2), times))
     for number in range(JOBS_A_DAY):
@@ -174,10 +171,7 @@
                     ) -> World:
     world = World(clock, seed, controllers, rebuild=True)
     world.state.past = []
-    for label in world.labels:
-        await world.start(label)
-    for routine in (world.spawner, world.poll, world.watch_rules):
-        await curio.spawn(routine, daemon=True)
+    await world.open()
     at = world.rng.randrange(10, JOBS_A_DAY - 2)
     for number in range(JOBS_A_DAY):
         fields, run_s = JOBS[number % len(JOBS)]
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -86,10 +86,7 @@
 
 async def day(clock: Clock, scene: Scene, seed: int, controllers: int) -> World:
     world = World(clock, seed, controllers)
-    for label in world.labels:
-        await world.start(label)
-    for routine in (world.spawner, world.poll, world.watch_rules):
-        await curio.spawn(routine, daemon=True)
+    await world.open()
     trouble = await curio.spawn(scene, world, daemon=True)
     for number in range(JOBS_A_DAY):
         fields, run_s = JOBS[number % len(JOBS)]
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -149,10 +149,7 @@
     """A snapshot is taken by hand; everything ends, and the state service has nothing left."""
     world = World(clock, 5, rebuild=True)
     world.state.past = []
-    for label in world.labels:
-        await world.start(label)
-    for routine in (world.spawner, world.poll, world.watch_rules):
-        await curio.spawn(routine, daemon=True)
+    await world.open()
     for number in range(8):
         fields, run_s = JOBS[number % len(JOBS)]
         await world.submit(job(number, **fields), run_s)
--- a/tests/world.py
+++ b/tests/world.py
@@ -682,7 +682,7 @@
         # Given at the start: pauses before asking again are drawn from what it seeds. (They
         # were drawn from the process's own, and one run in forty had another verdict.)
         c = Controller(parse(json.dumps(settings).encode()), f"{label}-{self.rng.random()}",
-                       self.rebuild, self.disks.get(label, ""))
+                       self.rebuild and label not in self.old, self.disks.get(label, ""))
         c.store.client = c.store.watcher = c.store.recorder = self.client(label, "state")
         c.cloud.client = self.client(label, "cloud")
         c.fleet.client = lambda address: self.client(label, address.split(":")[0])  # type: ignore
@@ -818,6 +818,13 @@
             if status == 200:
                 self.broken.append("invented j-999999")
 
+    async def open(self) -> None:
+        """Everybody begins: controllers, machines as they come, users who ask, the Rules."""
+        for label in self.labels:
+            await self.start(label)
+        for routine in (self.spawner, self.poll, self.watch_rules):
+            await curio.spawn(routine, daemon=True)
+
     async def spawner(self) -> None:
         while True:
             while self.late:
