--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -83,6 +83,10 @@
                         return 200, msgspec.json.decode(raw)
                 except (PeerError, msgspec.DecodeError):
                     pass
+        if core.in_doubt and core.recovery is not None and core.recovery.doomed(
+                (t.task.partition("/")[0] for t in report.tasks if t.state != "exited"),
+                core.renewing_s):
+            return 503, {}
         if core.may_renew(now):
             # The worker's own token and no orders: this gives no command and
             # takes nothing from whoever is entitled.
--- a/clayport/rebuild/recovery.py
+++ b/clayport/rebuild/recovery.py
@@ -6,6 +6,7 @@
 import logging
 import math
 import time
+from collections.abc import Iterable
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -79,6 +80,9 @@
         self.asking: curio.Event | None = None
         self.head_rev = 0
         self.since = time.monotonic()
+        # When the records were last known to be under a rebuild, in which nobody can commit
+        # a cancellation, and so tell a user of one.
+        self.held_at = -math.inf
 
     # -- noticing --------------------------------------------------------
 
@@ -146,6 +150,13 @@
         parts = self.packed[1]
         return peerwire.EVIDENCE_TOLD, (len(parts), parts[part] if part < len(parts) else b"")
 
+    def doomed(self, jobs: Iterable[str], bound_s: float) -> bool:
+        """Whether a machine with tasks of these jobs must not be kept alive any longer: one
+        of them was cancelled, it may be since before the doubt, and nothing is stopped while
+        that lasts."""
+        return time.monotonic() - self.since >= bound_s and any(
+            self.core.ended.get(job) == "cancelled" for job in jobs)
+
     def note_head(self, value: Any) -> None:
         """Which history the records belong to, as the watch has it."""
         if self.history.name and str(value["id"]) != self.history.name:
@@ -217,6 +228,7 @@
     async def _step(self) -> None:
         """Look at what holds, and join it, wait for who rebuilds it, or rebuild it."""
         core, h = self.core, self.history
+        asked_at = time.monotonic()
         entries, _ = await core.store.scan("c/", doubtful=True)
         records = {e.key: e for e in entries}
         for entry in entries:
@@ -224,6 +236,8 @@
             if entry.key.startswith("c/version/"):
                 core.mirror.note_version(entry.key[len("c/version/"):], entry.value, entry.rev)
         head = records.get(HEAD_KEY)
+        if head is not None and head.value["state"] == REBUILDING:
+            self.held_at = asked_at
         # Whoever is there with no record at all has none of before.
         told = [t for label in core.peers
                 if (head is not None or GENERATION_KEY not in records or self._understands(label))
@@ -420,8 +434,11 @@
         attempt = core.store.begin()
         unsure = False
         while True:
+            sent_at = time.monotonic()
             try:
-                return await core.store.commit(txn, ahead_s=LEASE_S, doubtful=True)
+                rev = await core.store.commit(txn, ahead_s=LEASE_S, doubtful=True)
+                self.held_at = sent_at
+                return rev
             except Conflict as exc:
                 log.info("event=rebuild-overtaken keys=%s", exc.failed[:3])
                 raise Again from None
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -324,8 +324,6 @@
         task must not be kept alive past its deadline by a controller that is
         cut off. The bound leaves the lease and as much again within cancel_s.
         """
-        w = self.settings.cluster.workers
-        bound = (w.cancel_s - w.lease_s) / 2
         if self.serving and not self.state_lost(now):
             return True
         heard = [p for p in self.peers.values() if now - p.heard < self.ttl_s]
@@ -334,9 +332,21 @@
         if self.state_known and len(heard) == len(self.peers) \
                 and not any(p.state_ok for p in heard):
             self.clear_at = now
-        elif self.store.ok and not self.in_doubt:
+        elif self.recovery is not None and self.in_doubt:
+            # The rebuild may take longer than the bound; meanwhile nobody is told of a
+            # cancellation, if all that could tell are known to stand still as well.
+            if len(heard) == len(self.peers):
+                self.clear_at = max(self.clear_at, self.recovery.held_at)
+        elif self.store.ok:
             self.clear_at = max(self.clear_at, self.store.last_ok)
-        return now - self.clear_at < bound
+        return now - self.clear_at < self.renewing_s
+
+    @property
+    def renewing_s(self) -> float:
+        """How long leases may be renewed without knowing who goes on: it leaves a lease, and
+        as much again, of the time that a cancellation has."""
+        w = self.settings.cluster.workers
+        return (w.cancel_s - w.lease_s) / 2
 
     def suspect_stale(self) -> None:
         """Somebody acts under a newer generation than we know: look at once."""
