201 may wait until a second place has the record

Cause: what one controller alone had told its user was lost if it ended with the state service's loss.

Change: rebuild { on: true second_copy: true }: the answer waits for the controller's own disk or another controller's memory, and is 503 with Retry-After if neither has it in time. A job's chunk that has gone back is looked into only where rebuilding is on, and read anew as before elsewhere.

--- a/clayport/api.py
+++ b/clayport/api.py
@@ -218,6 +218,8 @@
         log.info("job=%s event=accepted class=%s kind=%s tasks=%d", job.id, job.job_class,
                  job.kind, job.tasks)
         core.mirror.note_live(job, rev, core.mirror.since(submitted))
+        if core.recovery is not None:
+            await core.recovery.second(rev, deadline)
         return 201, {"id": job.id, "status": "queued"}
 
     def _admit(self, ahead_s: float) -> None:
--- a/clayport/cli.py
+++ b/clayport/cli.py
@@ -40,13 +40,12 @@
     if name not in LEVELS:
         print(f"LOG_LEVEL: {name!r} is none of error, info, debug", file=sys.stderr)
         return 2
-    refresh, rebuild, directory = None, False, ""
+    own = None
     try:
         settings = load(args.config)
         if args.operator:
             from . import operator
             own = operator.load(args.operator)
-            refresh, rebuild, directory = own.refresh, own.rebuild, own.directory
     except ConfigError as exc:
         print(f"clayport: {exc}", file=sys.stderr)
         return 2
@@ -60,8 +59,17 @@
 
     from .refresh import Asc
     from .server import Controller
-    controller = Controller(settings, rebuild=rebuild, snapshots=directory)
-    if refresh is not None:
-        controller.picture.asc = Asc(refresh.start_s, refresh.least_s, refresh.most_s)
+    if own is None:
+        controller = Controller(settings)
+    else:
+        try:
+            controller = Controller(settings, rebuild=own.rebuild, snapshots=own.directory,
+                                    second_copy=own.second_copy)
+        except ModuleNotFoundError as exc:
+            print(f"clayport: rebuild.directory needs {exc.name}: "
+                  "pip install clayport[snapshots]", file=sys.stderr)
+            return 2
+        controller.picture.asc = Asc(own.refresh.start_s, own.refresh.least_s,
+                                     own.refresh.most_s)
     curio.run(controller.run)
     return 1
--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -493,10 +493,9 @@
             if core.generation.rev != fence:
                 raise Evicted
             revs = {e.key: e.rev for e in entries}
-            if not hj.ended and any(revs.get(hj.key(i), 0) < c.rev
-                                    for i, c in hj.chunks.items()):
-                # Nobody but this routine writes them, or removes them while it is live.
-                core.suspect(f"records of {hj.job.id} have gone back")
+            # Nobody but this routine writes them, or removes them while the job is live.
+            if not hj.ended and any(revs.get(hj.key(i), 0) < c.rev for i, c in hj.chunks.items()) \
+                    and core.suspect(f"records of {hj.job.id} have gone back"):
                 return
             hj.load_all({parse_chunk_key(e.key)[1:]: Chunk.parse(e.value, e.rev)
                          for e in entries})
--- a/clayport/mirror.py
+++ b/clayport/mirror.py
@@ -38,6 +38,7 @@
 
     def __init__(self, core: Controller) -> None:
         self.core = core
+        self.seen = 0  # the revision up to which all changes under `c/` are known here
 
     # -- versions ---------------------------------------------------------
 
@@ -87,6 +88,7 @@
                     continue
                 for change in changes:
                     self._apply(change)
+                self.seen = rev
                 if not core.upgraded:
                     self.count_versions()
                 await core.flush()
@@ -121,6 +123,7 @@
             if LIVE_PREFIX + job not in keys and 0 < since <= rev:
                 self._gone_live(job)
         core.state_known = True
+        self.seen = rev
         self.count_versions()
         core.signal("members")
         core.signal("prereqs")
--- a/clayport/operator.py
+++ b/clayport/operator.py
@@ -35,6 +35,7 @@
     refresh: Refresh = Refresh()
     rebuild: bool = False  # whether records that the state service loses are rebuilt
     directory: str = ""  # where this controller keeps snapshots of them; none: nowhere
+    second_copy: bool = False  # whether 201 waits until a second place has the record
 
 
 def _message() -> Any:
@@ -49,6 +50,8 @@
     rebuild.field.add(name="on", number=1, type=field.TYPE_BOOL, label=field.LABEL_OPTIONAL)
     rebuild.field.add(name="directory", number=2, type=field.TYPE_STRING,
                       label=field.LABEL_OPTIONAL)
+    rebuild.field.add(name="second_copy", number=3, type=field.TYPE_BOOL,
+                      label=field.LABEL_OPTIONAL)
     whole = file.message_type.add(name="Operator")
     for number, name in enumerate(("Refresh", "Rebuild"), 1):
         whole.field.add(name=name.lower(), number=number, type=field.TYPE_MESSAGE,
@@ -73,9 +76,10 @@
             raise ConfigError(f"refresh.{name}: must be a positive number")
     if not refresh.least_s <= refresh.start_s <= refresh.most_s:
         raise ConfigError("refresh.start_s: must lie between least_s and most_s")
-    if message.rebuild.directory and not message.rebuild.on:
-        raise ConfigError("rebuild.directory: needs rebuild.on")
-    return Operator(refresh, message.rebuild.on, message.rebuild.directory)
+    own = message.rebuild
+    if (own.directory or own.second_copy) and not own.on:
+        raise ConfigError("rebuild: directory and second_copy need on: true")
+    return Operator(refresh, own.on, own.directory, own.second_copy)
 
 
 def load(path: str) -> Operator:
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -77,9 +77,10 @@
     # generation, machine, job, its tasks that are to fit, longest time its victims may
     # take to save, teams that have borrowed and whose work of any rank may be stopped
     PREEMPT: ("Q", "s", "s", "I", "d", ("s",)),
-    # history, its number, highest revision seen, whether the sender stands still
-    HISTORY: ("s", "Q", "Q", "?"),
-    HISTORY_TOLD: ("s", "Q", "Q", "?"),
+    # history, its number, highest revision seen, whether the sender stands still, up to which
+    # revision it holds the records under `c/` in memory
+    HISTORY: ("s", "Q", "Q", "?", "Q"),
+    HISTORY_TOLD: ("s", "Q", "Q", "?", "Q"),
     # history that is to be, part; parts there are, the part
     EVIDENCE: ("s", "I"),
     EVIDENCE_TOLD: ("I", "b"),
--- a/clayport/rebuild/recovery.py
+++ b/clayport/rebuild/recovery.py
@@ -16,6 +16,7 @@
 from .. import http, peerwire
 from ..cloud import RETURN_MOST, CloudError
 from ..jobs import GENERATION_KEY, end_key, end_value, live_key
+from ..limits import Deadline
 from ..membership import COUNTER_BITS, Generation
 from ..model import Report, chunk_size
 from ..peers import PeerError
@@ -53,6 +54,7 @@
     number: int
     floor: int
     doubt: bool
+    seen: int  # up to which revision it holds the records under `c/` in memory
 
 
 class Again(Exception):
@@ -62,8 +64,8 @@
 class Recovery:
     """Notices that records are gone, stands still, and puts them together again."""
 
-    def __init__(self, core: Controller, directory: str = "") -> None:
-        self.core = core
+    def __init__(self, core: Controller, directory: str = "", second_copy: bool = False) -> None:
+        self.core, self.second_copy = core, second_copy
         self.recorder: Recorder | None = None
         self.remembered: Evidence | None = None
         if directory:
@@ -127,12 +129,33 @@
         h, core = self.history, self.core
         try:
             said = Said(*await core.peers[label].call(peerwire.HISTORY, (
-                h.name, h.number, h.floor, bool(h.doubt)), core.ttl_s / 4))
+                h.name, h.number, h.floor, bool(h.doubt), core.mirror.seen), core.ttl_s / 4))
         except (PeerError, KeyError):
             return None
-        h.told(*said)
+        h.told(*said[:4])
         return said
 
+    async def second(self, rev: int, deadline: Deadline) -> None:
+        """Until a second place has what was committed at the revision: our disk, or the
+        memory of another controller. Unavailable if that can't be known in time (the user
+        asks again, and is told of the job as it is)."""
+        if not self.second_copy or not self.history.name:
+            return
+        core, name = self.core, self.history.name
+        pause_s = core.ttl_s / 256  # a watch tells of a change within milliseconds
+        while deadline.allows(time.monotonic(), pause_s):
+            if self.recorder is not None and self.recorder.synced >= rev:
+                return
+            for label in sorted(core.peers, key=lambda x: -core.peers[x].heard):
+                if self._understands(label):
+                    said = await self._exchange(label)
+                    if said is not None and said.name == name and said.seen >= rev:
+                        return
+                    if said is not None:
+                        break  # it is about to: its watch takes a moment
+            await curio.sleep(pause_s)
+        raise Unavailable("no second copy in time")
+
     def _understands(self, label: str) -> bool:
         return self.core.versions.get(label, (0, 0))[0] >= FORMAT
 
@@ -141,8 +164,9 @@
         h = self.history
         if kind == peerwire.HISTORY:
             if not h.doubt:
-                h.told(*values)
-            return peerwire.HISTORY_TOLD, (h.name, h.number, h.floor, bool(h.doubt))
+                h.told(*values[:4])
+            return peerwire.HISTORY_TOLD, (h.name, h.number, h.floor, bool(h.doubt),
+                                           self.core.mirror.seen)
         name, part = values
         if self.packed[0] != name:
             h.suspect("the records are rebuilt")
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -59,7 +59,7 @@
     """The state shared by the routines of one process, and membership itself."""
 
     def __init__(self, settings: Settings, incarnation: str = "", rebuild: bool = False,
-                 snapshots: str = "") -> None:
+                 snapshots: str = "", second_copy: bool = False) -> None:
         self.settings = settings
         self.label = settings.label
         # Drawn anew by each process; all that is drawn later follows from it.
@@ -147,13 +147,14 @@
         # Where the records may be rebuilt (the operator's file, or the records, say so).
         self.recovery: Recovery | None = None
         if rebuild:
-            self.rebuilds(snapshots)
+            self.rebuilds(snapshots, second_copy)
 
-    def rebuilds(self, snapshots: str = "") -> None:
+    def rebuilds(self, snapshots: str = "", second_copy: bool = False) -> None:
         """Take part in histories of the records from now on, and keep snapshots of them in
-        a directory, if one is given."""
+        a directory, if one is given. With a `second_copy`, nobody is told 201 before a
+        disk, or another controller's memory, has the record as well."""
         from .rebuild.recovery import Recovery  # imported only where it is used
-        self.recovery = Recovery(self, snapshots)
+        self.recovery = Recovery(self, snapshots, second_copy)
 
     def note_head(self, value: Any) -> None:
         """The records say which history they belong to."""
@@ -167,10 +168,13 @@
         else:
             self.recovery.note_head(value)
 
-    def suspect(self, why: str) -> None:
-        """A record that is known here is gone, though nobody removes it."""
-        if self.recovery is not None and self.recovery.history.name:
-            self.recovery.history.suspect(why)
+    def suspect(self, why: str) -> bool:
+        """A record that is known here is gone, though nobody removes it; whether that is
+        looked into here."""
+        if self.recovery is None or not self.recovery.history.name:
+            return False
+        self.recovery.history.suspect(why)
+        return True
 
     @property
     def format(self) -> int:
@@ -602,7 +606,8 @@
         if kind in (peerwire.HISTORY, peerwire.EVIDENCE):
             if self.recovery is not None:
                 return self.recovery.answer(kind, values)
-            return (peerwire.HISTORY_TOLD, ("", 0, 0, False)) if kind == peerwire.HISTORY \
+            return (peerwire.HISTORY_TOLD, ("", 0, 0, False, 0)) \
+                if kind == peerwire.HISTORY \
                 else (peerwire.EVIDENCE_TOLD, (0, b""))
         if kind == peerwire.INSPECT:
             return peerwire.ACK, (await self.fleet.inspect(values[0], values[1]),)
