Gangs without an aim are bounded only beside work of their own kind

Work without any aim shared one quarter of the fleet, which archive-packs of the lowest rank held, and nothing was rented for the rest.

Change: work without any aim is kept to its quarter beside work of its own kind only (with GPUs, without); what is of the lowest rank counts only against its own.

--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -60,10 +60,9 @@
         # Who is owed a share of room, and what they have been given of late.
         self.owed, self.kept = owed, kept
         self.given = given
-        # Whether nothing but replicas is there, and what work without any aim may take beside
-        # work that can't make it stop: only looked up once such work waits.
-        self.quiet: bool | None = None
-        self.fill = math.inf
+        # What work without any aim, by its rank, may take beside work that can't make it stop:
+        # only looked up once such work waits.
+        self.fill: dict[int, float] = {}
         # Groups that found less than they want, and the index's revision at that time.
         self.full: dict[tuple[object, ...], int] = {}
         self.starved = False
@@ -106,8 +105,9 @@
         self.swept_at = self.owed_until = -math.inf
         self.owed: dict[Name, Owed] = {}
         self.given: dict[Name, float] = {}  # CPUs begun for them since they were looked up
-        # A job of each rank that work without any aim could hinder, as last looked for.
-        self.disturbers: dict[int, str] = {}
+        # A job of each kind (with GPUs, without) and rank that work without any aim could
+        # hinder, as last looked for.
+        self.disturbers: dict[tuple[bool, int], str] = {}
         self.looked_until = -math.inf
         # Work without any aim that has waited so long is placed, and has machines rented,
         # like any other (within its share).
@@ -305,9 +305,8 @@
     def _serve(self, hj: HomeJob, look: Look) -> None:
         """Find room for one job, or have it made; what is found is to be started."""
         job = hj.job
-        if job.filler and look.quiet is None:
-            look.quiet = not self.hinders(RANKS["production"])
-            look.fill = self.fill_cpus(look.index)
+        if job.filler and job.rank not in look.fill:
+            look.fill[job.rank] = self.fill_cpus(look.index, job.rank)
         if hj.at_fault and hj.assigned > hj.running:
             # One trial at a time. (Not none while others of it run: a replica that had
             # failed on three sick machines would have been missing for good.)
@@ -318,7 +317,7 @@
             return
         chosen, wanted = self._seek(hj, wanted, look)
         if job.filler:
-            look.fill -= len(chosen) * job.cpus
+            look.fill[job.rank] -= len(chosen) * job.cpus
         if len(chosen) < wanted:
             look.starved = look.starved or not job.filler
             for which in names_of(job):
@@ -345,8 +344,8 @@
             # It goes first for what is owed, and no further: the rest would be stopped again
             # for whoever it went before.
             wanted = min(wanted, math.ceil(lacks / job.cpus))
-        if job.filler and job.cpus > 0 and self.hinders(job.rank):
-            wanted = int(max(0.0, min(wanted, max(look.fill, lacks) / job.cpus)))
+        if job.filler and job.cpus > 0 and self.hinders(job, job.rank):
+            wanted = int(max(0.0, min(wanted, max(look.fill[job.rank], lacks) / job.cpus)))
         return wanted
 
     def _seek(self, hj: HomeJob, wanted: int, look: Look) -> tuple[list[Room], int]:
@@ -356,7 +355,7 @@
         without: Collection[str] = {*hj.avoided(), *hj.left} if hj.errors or hj.left else ()
         age = now - hj.since
         # Not on ordinary machines that it alone would keep rented.
-        lodger = job.filler and not look.quiet and age < self.long_s
+        lodger = job.filler and age < self.long_s and self.hinders(job)
         patient, fragile = core.patient(job, age), core.fragile(job, age)
         spread = self.spread(hj)
         limit = core.wait_limits.get(job.job_class)
@@ -446,12 +445,13 @@
         return max((owed.missing - look.given.get(which, 0.0) for which in names
                     if (owed := look.owed.get(which)) is not None), default=0.0)
 
-    def fill_cpus(self, index: Index) -> float:
+    def fill_cpus(self, index: Index, rank: int) -> float:
         """What work without any aim may still take beside work that has one and can't make
         it stop: an array of a guest that fills the fleet for minutes would make all others
         of its rank late. (What it is owed it may take in any case. Work of a higher rank has
         it stopped: bound to a quarter beside that as well, 4,500 tasks waited for most of a
-        day while a third of the fleet was free.)
+        day while a third of the fleet was free. What is of the lowest rank makes way, and counts
+        only against its own.)
         """
         cpus = filled = 0.0
         for pool in index.pools.values():
@@ -459,21 +459,29 @@
             totals = pool.count()
             cpus += totals.machines * kind.cpus if kind is not None else 0.0
             filled += totals.filled
-        return FILL * cpus - filled
+        return FILL * cpus - (filled if rank == RANKS["best_effort"] else 0.0)
 
-    def hinders(self, rank: int) -> bool:
-        """Whether there is work with an aim, of this rank or a lower one, that work without
-        any could hinder. (Replicas are placed ahead of all.)"""
-        found = [self._disturbs(name) for r, name in self.disturbers.items() if r <= rank]
+    def hinders(self, job: Job, most: int = RANKS["production"]) -> bool:
+        """Whether there is work with an aim, up to this rank, that a job without any could
+        hinder: of its kind, with GPUs or without, since each has machines of its own.
+        (Replicas are placed ahead of all.)
+
+        Gangs on whole GPU machines once waited for hours of a day on which only arrays had
+        an aim: the arrays of the lowest rank held the quarter that all of them shared.
+        """
+        def same(kind: tuple[bool, int]) -> bool:
+            return kind[0] == (job.gpus > 0) and kind[1] <= most
+        found = [self._disturbs(name) for kind, name in self.disturbers.items() if same(kind)]
         if any(found):
             return True
         now = time.monotonic()
         if found or now >= self.looked_until:
             # The newest of each rank is likely to stay longest.
             self.looked_until = now + self.core.settings.cluster.workers.report_s / OWED_LOOKS
-            self.disturbers = {job.rank: name for name, (job, _) in self.core.live.items()
+            self.disturbers = {(other.gpus > 0, other.rank): name
+                               for name, (other, _) in self.core.live.items()
                                if self._disturbs(name)}
-        return any(r <= rank for r in self.disturbers)
+        return any(same(kind) for kind in self.disturbers)
 
     def _disturbs(self, name: str) -> bool:
         known = self.core.live.get(name)
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -186,27 +186,32 @@
         """Machines for work without any aim, once nothing else lacks any."""
         if not any(n.job.filler for n in waiting):
             return []
-        placer = self.core.placer
-        fill = placer.fill_cpus(index) if placer.hinders(RANKS["production"]) else math.inf
         with index.trial(extra=booting):
             short(index, needs, policy)
             short(index, spare, policy, True)
-            return self._filling(waiting, fill, busy, index, policy)
+            return self._filling(waiting, busy, index, policy)
 
-    def _filling(self, waiting: list[Need], fill: float, busy: float, index: Index,
-                 policy: Policy) -> list[Kind]:
+    def _filling(self, waiting: list[Need], busy: float, index: Index, policy: Policy
+                 ) -> list[Kind]:
         """Machines for work without any aim: only once nothing else lacks any, within its
         share, and ordinary ones only if it can't be had otherwise. (Within a trial.)"""
         placer = self.core.placer
+        left: dict[int, float] = {}
         wanted: list[Kind] = []
         ordinary = {(t.name, z, False) for t in self.core.types for z in t.zones}
         for need in waiting:
-            if not need.job.filler or fill < need.job.cpus:
+            if not need.job.filler:
                 continue
-            tasks = int(min(need.tasks, fill / max(need.job.cpus, 0.1)))
-            fill -= tasks * need.job.cpus
+            beside, tasks, rank = placer.hinders(need.job), need.tasks, need.job.rank
+            if beside:
+                if rank not in left:
+                    left[rank] = placer.fill_cpus(index, rank)
+                if left[rank] < need.job.cpus:
+                    continue
+                tasks = int(min(tasks, left[rank] / max(need.job.cpus, 0.1)))
+                left[rank] -= tasks * need.job.cpus
             refused, lodger = set(self.refused), False
-            if fill < math.inf and need.age_s < placer.long_s:
+            if beside and need.age_s < placer.long_s:
                 if need.job.spot:
                     refused |= ordinary
                 lodger = True
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -170,14 +170,15 @@
     jobs = [made(1, rank="best_effort"), made(2, rank="best_effort"), made(3, rank="normal"),
             made(4, jobclass="unnamed"), made(5, shape="daemon", guess_s=0.0)]
     live.update({job.id: (job, 1) for job in jobs})
-    found = [(placer.hinders(0), placer.hinders(3))]
+    cpu, gpu = made(8, jobclass="unnamed"), made(9, jobclass="unnamed", cards=1.0)
+    found = [(placer.hinders(cpu, 0), placer.hinders(cpu))]
     for job in jobs[1::-1] + jobs[2:]:
         del live[job.id]
-        found.append((placer.hinders(0), placer.hinders(3)))
+        found.append((placer.hinders(cpu, 0), placer.hinders(cpu)))
     assert found == [(True, True)] * 2 + [(False, True), (False, False)] + [(False, False)] * 2
     live[jobs[0].id] = (jobs[0], 1)
     home.now += home.c.settings.cluster.workers.report_s
-    assert placer.hinders(0)
+    assert placer.hinders(cpu, 0) and not placer.hinders(gpu)
 
 
 @pytest.mark.parametrize("fields, kills", [
@@ -483,3 +484,29 @@
     curio.run(c.provisioner._return_idle, {t.name: t for t in c.types}, [], needs, OPEN, home.now)
     assert len(gone) == returned and len(asked) <= looks
     assert asked[0] == ["m0", "m1", "m2", "m3"]
+
+
+def test_gangs_without_an_aim_get_their_machines_beside_arrays_with_one(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """On a recorded day only arrays had an aim. Gangs on whole GPU machines, which may not
+    use spot ones, waited from its second minute to its ninth: the arrays of the lowest rank
+    held the quarter of the fleet that all work without an aim shared, and nothing was rented
+    for them."""
+    home = Home(monkeypatch)
+    for number in range(8):
+        home.report(f"m{number}", "north", "plain", *(f"j-000007/{number}{n}" for n in range(4)))
+    archive = made(7, jobclass="unnamed", rank="best_effort", pieces=100)
+    home.c.live[archive.id] = (archive, 1)
+    home.c.owner.touch_all()
+    gang = home.wait(made(1, jobclass="unnamed", shape="ensemble", pieces=1, vcpus=16.0,
+                          cards=2.0, loaners=False))
+    home.wait(made(2, pieces=4))  # an array with an aim
+    home.look()
+    assert gang.starts == []  # there is no machine for it yet
+    waiting = home.c.placer.all_demand()
+    bought = home.c.provisioner._filling(waiting, 64.0, home.c.picture.index(),
+                                         home.c.placer.policy())
+    assert [kind[0] for kind in bought] == ["accel"] and not bought[0][2]
+    home.report("m9", "north", "accel")
+    home.look()
+    assert gang.starts == [(0, "m9")]
