Work without an aim makes room by what is of a lower rank and as little waited for

Change: such work stops work of the lowest rank without an aim, and nothing else; machines with GPUs are rented for it when nobody else lacks one with GPUs.

--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -31,6 +31,8 @@
 
 # The share of the fleet's CPUs that work without any aim may hold beside work that has one.
 FILL = 0.25
+# The standing of work of the lowest rank without any aim (`Job.standing`).
+UNAIMED = -1
 # Demand told to peers: enough jobs to fill any fleet, and a bounded frame.
 DEMAND_MOST = 500
 # Leases that work without any aim can wait before it is owed a share of room.
@@ -390,8 +392,13 @@
                 make(wanted - len(chosen), grace_s=self._grace(job, age), most=most, patient=True)
             coming = sum(n for n, until in hj.made.values() if now < until)
             chosen += find(job, max(0, wanted - len(chosen) - coming))
-        if len(chosen) < wanted and most >= 0 and not job.filler and now >= hj.preempt_at:
-            make(wanted - len(chosen), grace_s=self._grace(job, age), most=most)
+        if len(chosen) < wanted and now >= hj.preempt_at:
+            # What nobody waits for stops nothing but what is of a lower rank and as little
+            # waited for.
+            if not job.filler and most >= 0:
+                make(wanted - len(chosen), grace_s=self._grace(job, age), most=most)
+            elif job.filler and job.standing >= 0:
+                make(wanted - len(chosen), grace_s=math.inf, most=UNAIMED)
         if len(chosen) < wanted and now >= max(hj.preempt_at, hj.claim_at) \
                 and self._guaranteed(job):
             able = policy.able(job)
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -178,8 +178,13 @@
         left = {n.job.id: -math.inf if n.job.aimless or n.job.id not in late
                 else remaining(n.job, n.age_s, core.finish_limits) for n in demand}
         wanted = shopping(observed, missing, set(self.refused), busy, policy, left, boots)
-        return wanted + shopping(observed, kept, set(self.refused), busy, policy,
-                                 {n.job.id: -math.inf for n in kept}, boots)
+        wanted += shopping(observed, kept, set(self.refused), busy, policy,
+                           {n.job.id: -math.inf for n in kept}, boots)
+        if any(n.job.gpus > 0 for n in missing + kept):
+            return wanted
+        # Others lack machines, but none of those with GPUs.
+        return wanted + self._fill([n for n in waiting if n.job.gpus > 0], needs, spare, busy,
+                                   booting, index, policy)
 
     def _fill(self, waiting: list[Need], needs: list[Need], spare: list[Need], busy: float,
               booting: list[Room], index: Index, policy: Policy) -> list[Kind]:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -507,6 +507,16 @@
     bought = home.c.provisioner._filling(waiting, 64.0, home.c.picture.index(),
                                          home.c.placer.policy())
     assert [kind[0] for kind in bought] == ["accel"] and not bought[0][2]
+    # On one that the lowest rank fills it makes room, but not where others are.
+    home.report("m9", "north", "accel", *(f"j-000007/9{n}" for n in range(4)))
+    home.report("m10", "north", "accel", *(f"j-000005/{n}" for n in range(4)))
+    other = made(5, jobclass="unnamed", pieces=100)
+    home.c.live[other.id] = (other, 1)
+    home.c.owner.touch_all()
+    home.now += home.c.ttl_s
+    home.look()
+    assert gang.starts == [] and home.c.owner.machines["m10"].kills == {}
+    assert {k[0] for k in home.c.owner.machines["m9"].kills} == {f"j-000007/9{n}" for n in range(4)}
     home.report("m9", "north", "accel")
     home.look()
     assert gang.starts == [(0, "m9")]
