What an ended job has on a machine is cleared even where its task is done

Cause: hypothesis found evidence of which the merge was needed twice: a task of an ended job, done by the stored record and assigned by its home, was dropped at first and taken up again.

Change: of a job that is over all that anybody has assigned stays so until its machine has cleared it.

--- a/clayport/rebuild/merge.py
+++ b/clayport/rebuild/merge.py
@@ -196,10 +196,11 @@
             for number in chunk.done:
                 mine = at(number)
                 mine.done.add(number)
-                mine.assigned.pop(number, None)
+                if not over:
+                    mine.assigned.pop(number, None)
             for number, (attempt, machine) in chunk.assigned.items():
                 mine = at(number)
-                if number not in mine.done and number not in mine.assigned:
+                if number not in mine.assigned and (over or number not in mine.done):
                     mine.assigned[number] = (attempt, machine)
                 mine.last_attempt = max(mine.last_attempt, attempt)
         for index, chunk in stored.chunks.items():
--- a/tests/test_merge.py
+++ b/tests/test_merge.py
@@ -90,7 +90,7 @@
             if k.startswith("run/") for n, where in Chunk.parse(v, 1).assigned.items()}
 
 
-@settings(max_examples=250, deadline=None, derandomize=True)
+@settings(max_examples=400, deadline=None, derandomize=True)
 @given(records(), st.tuples(*(st.one_of(st.none(), evidence(x)) for x in LABELS)), listed,
        st.permutations(LABELS))
 def test_any_evidence_in_any_order(here: dict[str, tuple[Any, int]],
