--- a/clayport/api.py
+++ b/clayport/api.py
@@ -14,7 +14,7 @@
 from .limits import Deadline, Door
 from .model import SERVICE, Job, fits
 from .peers import PeerError
-from .statestore import ANCHORS, CANCEL_S, URGENT_S, Conflict, Lookups, Txn, Unavailable, Unknown
+from .statestore import CANCEL_S, URGENT_S, Conflict, Lookups, Txn, Unavailable, Unknown
 
 if TYPE_CHECKING:
     from .server import Controller
@@ -242,7 +242,7 @@
             elif known is not None and known[0].kind == SERVICE:
                 return f"{name} is a service"
         # Of many at once, which records there are: a comparison names those that exist.
-        most = max(1, core.bounds.txn_ops * 2 - (ANCHORS if core.recovery is not None else 0))
+        most = max(1, core.bounds.txn_ops * 2 - core.store.beside)
         for first in range(0, len(unknown), most):
             part = unknown[first:first + most]
             txn = Txn()
--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -19,6 +19,7 @@
     OK,
     HomeJob,
     amounts,
+    counts,
     end_key,
     end_value,
     ended,
@@ -346,7 +347,7 @@
         """
         limit = self.core.limits.get(job.team, (0.0, 0.0))
         cpus, gpus = amounts(job, count)
-        if not ((limit[0] > 0 and cpus) or (limit[1] > 0 and gpus)):
+        if not counts(limit, cpus, gpus):
             return {}
         key = quota_key(job.team)
         entry = await self.core.store.get(key)
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -26,6 +26,12 @@
 HEAD_KEY = "c/lineage"
 
 
+def is_anchor(key: str) -> bool:
+    """Whether a key of the records is an anchor of their history (none of the others has
+    such a part)."""
+    return "/~" in key
+
+
 def live_key(job: str) -> str:
     return f"c/live/{job}"
 
@@ -504,6 +510,11 @@
     return job.cpus * count, job.gpus * count
 
 
+def counts(limit: tuple[float, float], cpus: float, gpus: float) -> bool:
+    """Whether a team's use is counted for such amounts: a limit of 0 is none."""
+    return bool(limit[0] > 0 and cpus or limit[1] > 0 and gpus)
+
+
 def quota_of(value: Any) -> tuple[float, float]:
     return (float(value["c"]), float(value["g"])) if value else (0.0, 0.0)
 
--- a/clayport/mirror.py
+++ b/clayport/mirror.py
@@ -28,6 +28,8 @@
 VERSION_PREFIX = "c/version/"
 # 2: prereqs, times in records, sizes in the keys of chunks.
 FORMAT = 2
+# 3: histories of the records, where rebuilding is switched on.
+REBUILDS = 3
 # Ended jobs kept in memory so that polls for them need no read.
 ENDED_MOST = 20_000
 CLASSES_MOST = 100
--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -15,7 +15,7 @@
 
 from . import peerwire
 from .index import Index
-from .jobs import HomeJob, amounts, quota_of
+from .jobs import HomeJob, amounts, is_anchor, quota_of
 from .model import ARRAY, GANG, RANKS, SERVICE, Job
 from .peers import PeerError
 from .placement import Kept, Policy, Room, Spread, capacity, place, preempt, shape, takes
@@ -618,7 +618,7 @@
         except (Unavailable, Unknown):
             return
         used = {e.key.partition("/")[2]: quota_of(e.value) for e in entries
-                if "/~" not in e.key}
+                if not is_anchor(e.key)}
         own, have = core.guarantees[job.team], used.get(job.team, (0.0, 0.0))
         need = amounts(job, 1 if job.kind != GANG else job.tasks)
         which = 1 if job.gpus > 0 else 0
--- a/clayport/rebuild/commands.py
+++ b/clayport/rebuild/commands.py
@@ -87,14 +87,8 @@
 
 async def read_all(store: StateStore) -> tuple[dict[str, tuple[Any, int]], int]:
     """Every record, and a revision up to which all changes are among them."""
-    found: dict[str, tuple[Any, int]] = {}
-    revs = []
-    for prefix in PREFIXES:
-        entries, rev = await store.scan(prefix)
-        revs.append(rev)
-        found.update({e.key: (e.value, e.rev) for e in entries})
-        print(f"{prefix} {len(entries)} records", file=sys.stderr)
-    return found, min(revs)
+    return await store.scan_all(PREFIXES, read=lambda prefix, count: print(
+        f"{prefix} {count} records", file=sys.stderr))
 
 
 async def _take(settings: Settings, directory: Path) -> int:
--- a/clayport/rebuild/evidence.py
+++ b/clayport/rebuild/evidence.py
@@ -99,11 +99,11 @@
                    if n not in seen.ended or seen.ended[n][0] != row[0]}
 
 
-def split(parts: Mapping[str, Evidence]) -> tuple[int, dict[str, str], dict[str, Evidence]]:
-    """The last generation that anybody began, its members, and the evidence of those of
+def split(parts: Mapping[str, Evidence]) -> tuple[dict[str, str], dict[str, Evidence]]:
+    """The members of the last generation that anybody began, and the evidence of those of
     them that hold the whole of their share."""
     number = max((e.generation for e in parts.values()), default=0)
     members = next((e.members for e in parts.values() if e.generation == number), {})
-    return number, members, {
+    return members, {
         label: e for label, e in parts.items()
         if e.generation == number and e.loaded and members.get(label) == e.incarnation}
--- a/clayport/rebuild/history.py
+++ b/clayport/rebuild/history.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from ..jobs import HEAD_KEY as HEAD_KEY
+from ..jobs import is_anchor as is_anchor
 
 # Where records are kept for good.
 PREFIXES = ("c/", "run/", "end/", "quota/")
@@ -23,11 +24,6 @@
     return f"{prefix}~{name}"
 
 
-def is_anchor(key: str) -> bool:
-    """Whether a key of the records is an anchor (none of the others has such a part)."""
-    return "/~" in key
-
-
 def anchor_value(name: str) -> dict[str, Any]:
     """Reads as a quota of nothing, for whoever lists them."""
     return {"id": name, "c": 0.0, "g": 0.0}
@@ -40,6 +36,8 @@
     nothing is doubted. `doubt` says why it stands still, and is empty while it doesn't.
     """
 
+    ANCHORS = len(PREFIXES)  # conditions that a commit may have beside its own
+
     def __init__(self, doubted: Callable[[], None] = lambda: None) -> None:
         self.name = ""
         self.number = 0  # one more with each rebuild
--- a/clayport/rebuild/merge.py
+++ b/clayport/rebuild/merge.py
@@ -29,6 +29,7 @@
     HomeJob,
     amounts,
     chunk_key,
+    counts,
     end_key,
     end_value,
     live_key,
@@ -74,7 +75,7 @@
         raw = live[name][0] if name in live else ended[name][2]
         if raw is not None:
             descs[name] = msgspec.convert(raw, Job)
-    _, members, homes = split(parts)
+    members, homes = split(parts)
     stored = _by_job(((k, v) for k, (v, _) in records.items() if k.startswith("run/")
                       and not is_anchor(k)), first_size)
     said = {label: _by_job(e.chunks.items(), first_size) for label, e in homes.items()}
@@ -246,9 +247,8 @@
 
 def _charge(used: dict[str, list[float]], job: Job, count: int,
             limits: Mapping[str, tuple[float, float]]) -> None:
-    limit = limits.get(job.team, (0.0, 0.0))
     cpus, gpus = amounts(job, count)
-    if (limit[0] > 0 and cpus) or (limit[1] > 0 and gpus):
+    if counts(limits.get(job.team, (0.0, 0.0)), cpus, gpus):
         row = used.setdefault(job.team, [0.0, 0.0])
         row[0] += cpus
         row[1] += gpus
--- a/clayport/rebuild/recorder.py
+++ b/clayport/rebuild/recorder.py
@@ -100,15 +100,8 @@
 
     async def _base(self, name: str, number: int) -> None:
         """Read all records once, and write them."""
-        core = self.core
-        found: dict[str, tuple[Any, int]] = {}
-        revs = []
-        for prefix in PREFIXES:
-            entries, rev = await core.store.scan(prefix)
-            revs.append(rev)
-            found.update({e.key: (e.value, e.rev) for e in entries})
         # What has changed while the pages were read comes with the first changes once more.
-        self.records, self.rev = found, min(revs)
+        self.records, self.rev = await self.core.store.scan_all(PREFIXES)
         await self._write(name, number)
 
     async def _write(self, name: str, number: int) -> None:
--- a/clayport/rebuild/recovery.py
+++ b/clayport/rebuild/recovery.py
@@ -18,7 +18,8 @@
 from ..jobs import GENERATION_KEY, end_key, end_value, live_key
 from ..limits import Deadline
 from ..membership import COUNTER_BITS, Generation
-from ..model import Report, chunk_size
+from ..mirror import REBUILDS
+from ..model import Report, chunk_size, split_task
 from ..peers import PeerError
 from ..statestore import LEASE_S, Conflict, Entry, Txn, Unavailable, Unknown
 from . import evidence, plan
@@ -43,8 +44,6 @@
 
 # Machines asked at a time.
 ASKED = 32
-# The version's number from which on a controller understands histories.
-FORMAT = 3
 
 
 class Said(NamedTuple):
@@ -157,7 +156,7 @@
         raise Unavailable("no second copy in time")
 
     def _understands(self, label: str) -> bool:
-        return self.core.versions.get(label, (0, 0))[0] >= FORMAT
+        return self.core.versions.get(label, (0, 0))[0] >= REBUILDS
 
     def answer(self, kind: int, values: tuple[Any, ...]) -> tuple[int, tuple[Any, ...]]:
         """What peers ask."""
@@ -401,7 +400,7 @@
         anchor = await self._begin(head, records, name, number)
         log.info("event=rebuild-began history=%s cause=%r", name, h.doubt)
         parts = await self._gather(name)
-        members, homes = evidence.split(parts)[1:]
+        members, homes = evidence.split(parts)
         missing = sorted(set(members) - set(homes))
         machines = {n: a for e in parts.values() for n, a in e.machines.items()}
         listed: list[Task] = []
@@ -409,10 +408,9 @@
         if missing or not members:
             log.info("event=rebuild-asks machines=%d missing=%s", len(machines),
                      ",".join(missing))
-            listed, epoch = await self._account(name, parts, machines)
-        found = {e.key: (e.value, e.rev) for prefix in PREFIXES
-                 for e in (await core.store.scan(prefix, doubtful=True))[0]
-                 if not is_anchor(e.key)}
+            listed, epoch = await self._account(parts, machines)
+        records_now, _ = await core.store.scan_all(PREFIXES, doubtful=True)
+        found = {key: row for key, row in records_now.items() if not is_anchor(key)}
         merged = merge(found, parts, listed, core.limits,
                        chunk_size(core.settings.cluster.state.value_kb))
         log.info("event=rebuild-found jobs=%d restored=%d ended=%d changes=%d unknown=%d "
@@ -544,7 +542,7 @@
 
     # -- machines --------------------------------------------------------
 
-    async def _account(self, name: str, parts: dict[str, Evidence], machines: dict[str, str]
+    async def _account(self, parts: dict[str, Evidence], machines: dict[str, str]
                        ) -> tuple[list[Task], int]:
         """What runs on every machine that there may be, and the highest token seen.
 
@@ -582,15 +580,14 @@
                              for n in left[first:first + ASKED]}
                 for machine, task in asked.items():
                     seen, rows = task.result
-                    token = max(token, ((seen >> COUNTER_BITS) + 1) << COUNTER_BITS
-                                if seen > token else token)
+                    if seen > token:
+                        token = (seen >> COUNTER_BITS) + 1 << COUNTER_BITS
                     if rows is not None:
                         held[machine] = rows
+                    if seen:
                         silent.pop(machine, None)
-                    elif seen == 0:
-                        silent.setdefault(machine, now)
                     else:
-                        silent.pop(machine, None)
+                        silent.setdefault(machine, now)
             await self._give_up(silent, gone, len(held))
             if left:
                 log.info("event=rebuild-accounts machines=%d of=%d silent=%d returned=%d",
@@ -622,12 +619,8 @@
                 p.task.partition("/")[0] not in known and p.state != "exited"
                 for p in report.tasks):
             return report.token, None
-        rows = []
-        for p in report.tasks:
-            job, _, number = p.task.partition("/")
-            if job in known:
-                rows.append(Task(job, int(number), p.attempt, machine))
-        return report.token, rows
+        return report.token, [Task(*split_task(p.task), p.attempt, machine) for p in report.tasks
+                              if p.task.partition("/")[0] in known]
 
     async def _report(self, client: Any, method: str, path: str, body: Any) -> Report:
         raw = None if body is None else msgspec.json.encode(body)
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -20,7 +20,7 @@
 from .dispatch import Dispatch
 from .fleet import Fleet
 from .index import Index
-from .jobs import GENERATION_KEY, HomeJob, end_key, ended, parse_chunk_key
+from .jobs import GENERATION_KEY, HomeJob, end_key, ended, is_anchor, parse_chunk_key
 from .limits import Attempt
 from .membership import (
     NOBODY,
@@ -30,7 +30,7 @@
     should_leave,
     successor,
 )
-from .mirror import FORMAT, NODE_PREFIX, VERSION_PREFIX, Mirror
+from .mirror import FORMAT, NODE_PREFIX, REBUILDS, VERSION_PREFIX, Mirror
 from .model import SERVICE, Chunk, Job, MachineType, chunk_size
 from .picture import Picture
 from .pipelines import Pipelines
@@ -179,7 +179,7 @@
     @property
     def format(self) -> int:
         """What this controller understands, as its version's record says it."""
-        return FORMAT if self.recovery is None else FORMAT + 1
+        return FORMAT if self.recovery is None else REBUILDS
 
     @property
     def in_doubt(self) -> bool:
@@ -388,8 +388,8 @@
                 found: dict[str, dict[tuple[int, int], Chunk]] = {}
                 unreadable: set[str] = set()
                 for e in entries:
-                    if "/~" in e.key:
-                        continue  # an anchor of the records' history
+                    if is_anchor(e.key):
+                        continue
                     try:
                         job, size, index = parse_chunk_key(e.key)
                         if generation.place(job) == self.label:
--- a/clayport/statestore.py
+++ b/clayport/statestore.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -28,8 +28,6 @@
 # Requests on their way at a time: as many as are answered in a twentieth of a second at the
 # full rate to begin with, never fewer than keep the work going.
 START_S, FLYING_LEAST = 0.05, 4
-# Conditions that a commit may have beside its own: one for each prefix of the records.
-ANCHORS = 4
 
 
 class Unavailable(Exception):
@@ -191,6 +189,11 @@
         self.history: History | None = None
         self.check_in: Callable[[], Awaitable[None]] | None = None
 
+    @property
+    def beside(self) -> int:
+        """Conditions that a commit may have beside its own."""
+        return 0 if self.history is None else self.history.ANCHORS
+
     def backlog(self, ahead_s: float = 0.0) -> float:
         """Seconds that a change would have to wait for its turn."""
         now = time.monotonic()
@@ -325,6 +328,20 @@
                 return entries, first
             since = page.items[-1].key
 
+    async def scan_all(self, prefixes: Iterable[str], doubtful: bool = False,
+                       read: Callable[[str, int], None] = lambda prefix, count: None
+                       ) -> tuple[dict[str, tuple[Any, int]], int]:
+        """All keys with any of the prefixes (value, revision), and a revision up to which all
+        changes are among them; `read` is told how many each prefix has."""
+        found: dict[str, tuple[Any, int]] = {}
+        revs = []
+        for prefix in prefixes:
+            entries, rev = await self.scan(prefix, doubtful)
+            revs.append(rev)
+            found.update({e.key: (e.value, e.rev) for e in entries})
+            read(prefix, len(entries))
+        return found, min(revs)
+
     def set_rates(self, rps: float, write_rps: float) -> None:
         """The service's limits have changed; each controller keeps to its share."""
         self.rates = rps, write_rps
@@ -415,8 +432,7 @@
     """
 
     def __init__(self, store: StateStore, most: int, timeout_s: float) -> None:
-        self.store, self.timeout_s = store, timeout_s
-        self.most = most
+        self.store, self.most, self.timeout_s = store, most, timeout_s
         # A fifth of this controller's requests at most.
         self.pause_s = 5.0 / store.requests.rate
         self.next = _Batch()
@@ -450,7 +466,7 @@
 
     async def _compare(self, batch: _Batch) -> None:
         keys = list(batch.revs)
-        most = max(1, self.most - (0 if self.store.history is None else ANCHORS))
+        most = max(1, self.most - self.store.beside)
         for first in range(0, len(keys), most):
             txn = Txn()
             for key in keys[first:first + most]:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import curio
@@ -204,11 +205,9 @@
     return world
 
 
-async def day(clock: Clock, seed: int, troubled: bool, controllers: int = 3) -> World:
-    world = World(clock, seed, controllers)
-    await world.open()
-    if troubled:
-        await curio.spawn(trouble, world, clock() + 60.0, daemon=True)
+async def work(world: World, then: Callable[[int], Coroutine[Any, Any, None]] | None = None
+               ) -> None:
+    """The day's jobs, one after another, and some of them cancelled; `then` after each."""
     aborted = []
     for number in range(JOBS_A_DAY):
         fields, run_s = JOBS[number % len(JOBS)]
@@ -218,6 +217,16 @@
         await curio.sleep(world.rng.uniform(0.2, 3.0))
         if aborted and world.rng.random() < 0.5:
             await curio.spawn(world.abort, job(aborted.pop())["id"], daemon=True)
+        if then is not None:
+            await then(number)
+
+
+async def day(clock: Clock, seed: int, troubled: bool, controllers: int = 3) -> World:
+    world = World(clock, seed, controllers)
+    await world.open()
+    if troubled:
+        await curio.spawn(trouble, world, clock() + 60.0, daemon=True)
+    await work(world)
     return await until_over(world)
 
 
--- a/tests/test_rebuild.py
+++ b/tests/test_rebuild.py
@@ -11,7 +11,7 @@
 import curio
 import pytest
 
-from .test_model import JOBS, JOBS_A_DAY, until_over
+from .test_model import JOBS, JOBS_A_DAY, until_over, work
 from .world import Clock, World, job, simulate
 
 Loss = Callable[[World], Any]
@@ -38,18 +38,12 @@
         world.disks = {label: str(disks / label) for label in world.labels[:2]}
     world.state.past = []
     await world.open()
-    aborted = []
     at = sorted(world.rng.sample(range(10, JOBS_A_DAY - 2), times))
-    for number in range(JOBS_A_DAY):
-        fields, run_s = JOBS[number % len(JOBS)]
-        await curio.spawn(world.submit, job(number, **fields), run_s, daemon=True)
-        if number % 4 == 1:
-            aborted.append(number)
-        await curio.sleep(world.rng.uniform(0.2, 3.0))
-        if aborted and world.rng.random() < 0.5:
-            await curio.spawn(world.abort, job(aborted.pop())["id"], daemon=True)
+
+    async def then(number: int) -> None:
         if number in at:
             await curio.spawn(lose, world, loss, outage_s, ends, daemon=True)
+    await work(world, then)
     return await until_over(world)
 
 
