A controller's key and its removal name what they replace; returned machines stay gone

Cause, read: a put of c/node/<label> without an answer, carried out seconds late, puts a process that has ended in place of its successor; a removal on stepping aside takes away a later key. A report that was held up, of a machine returned meanwhile, opened the machine for work again until its silence was noticed. Change: both name the key's revision; returned names are remembered (5,000 of them).

--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -133,6 +133,10 @@
 
     def own_report(self, report: Report, now: float, direct: bool) -> tuple[int, dict[str, Any]]:
         core = self.core
+        if report.machine in core.owner.gone:
+            # Held on its way: a machine that had been returned was open for work again, until
+            # its silence was noticed.
+            return 503, {}
         if not core.owner.entitled(report):
             core.suspect_stale()
             return 503, {}
--- a/clayport/mirror.py
+++ b/clayport/mirror.py
@@ -135,6 +135,7 @@
             raise Unavailable("the records are in doubt")
         for label in [n for n in core.nodes if NODE_PREFIX + n not in keys]:
             del core.nodes[label]
+            core.node_revs.pop(label, None)
             if label == core.label:
                 core.lease = None  # the lease may be there, and the key is not
                 core.signal("lease")
@@ -169,6 +170,7 @@
             if change.delete.startswith(NODE_PREFIX):
                 label = change.delete[len(NODE_PREFIX):]
                 core.nodes.pop(label, None)
+                core.node_revs.pop(label, None)
                 if label == core.label:
                     core.lease = None
                     core.signal("lease")
@@ -187,6 +189,7 @@
                 core.note_head(value)
             elif key.startswith(NODE_PREFIX):
                 core.nodes[key[len(NODE_PREFIX):]] = str(value["inc"])
+                core.node_revs[key[len(NODE_PREFIX):]] = rev
                 core.signal("members")
             elif key.startswith(VERSION_PREFIX):
                 self.note_version(key[len(VERSION_PREFIX):], value, rev)
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -116,6 +116,7 @@
         # must not be filled, or emptied, because none of them runs at the moment.
         self.classes: dict[str, Job] = {}
         self.nodes: dict[str, str] = {}
+        self.node_revs: dict[str, int] = {}
         self.flaps = Flaps(4 * c.workers.lease_s, c.workers.report_s, 4 * c.workers.lease_s)
         self.index = Index(settings.label)
         self.rooms: Mapping[str, Room] = self.index.rooms
@@ -450,8 +451,10 @@
                 if self.away:
                     if self.lease is not None and self.nodes.get(self.label):
                         lease, self.lease = self.lease, None
-                        await self.store.commit(Txn().delete(NODE_PREFIX + self.label),
-                                                ahead_s=LEASE_S)
+                        key = NODE_PREFIX + self.label
+                        # (Carried out late, it must not take away a later one of ours.)
+                        await self.store.commit(Txn().require(key, self.node_revs.get(
+                            self.label, 0)).delete(key), ahead_s=LEASE_S)
                         log.info("event=stepped-aside lease=%d", lease)
                 elif self.lease is None:
                     lease = await self.store.lease(self.ttl_s)
@@ -472,9 +475,12 @@
         The record is written once and no more: a second copy, applied after that generation
         had begun, left all who came later waiting for another before they took pipelines.
         """
-        key = VERSION_PREFIX + self.label
+        key, node = VERSION_PREFIX + self.label, NODE_PREFIX + self.label
+        node_rev = self.node_revs.get(self.label, 0)
         while True:
-            txn = Txn().put(NODE_PREFIX + self.label, {"inc": self.incarnation}, lease)
+            # In place of the one that is known, and of no other: a copy that is carried out
+            # late, by a process that has ended since, would put that in our place.
+            txn = Txn().require(node, node_rev).put(node, {"inc": self.incarnation}, lease)
             number, rev = self.versions.get(self.label, (0, 0))
             if number < self.format:
                 txn.require(key, rev).put(key, {"format": self.format})
@@ -484,9 +490,12 @@
             except Conflict:
                 # Written by a process before this one: the mirror has not been read yet.
                 entry = await self.store.get(key, doubtful=True)
-                if entry is None:
+                if entry is not None:
+                    self.mirror.note_version(self.label, entry.value, entry.rev)
+                before, entry = node_rev, await self.store.get(node, doubtful=True)
+                node_rev = entry.rev if entry is not None else 0
+                if number == self.versions.get(self.label, (0, 0))[0] and before == node_rev:
                     raise
-                self.mirror.note_version(self.label, entry.value, entry.rev)
 
     async def keep_members(self) -> None:
         """Propose the next generation when those present differ from its members."""
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -28,6 +28,8 @@
 JUDGED_MOST = 1000
 # Machines no longer here whose end is remembered as a change of the table.
 CHANGES_MOST = 1000
+# Machines whose return is remembered, so that a late report doesn't bring them back.
+GONE_MOST = 5000
 
 
 class Want:
@@ -102,6 +104,8 @@
         self.job_of, self.over, self.emit = job_of, over, emit
         self.reserve_s, self.direct_pause_s = reserve_s, direct_pause_s
         self.machines: dict[str, Machine] = {}
+        # Machines whose return is confirmed; their names are not used again.
+        self.gone: OrderedDict[str, None] = OrderedDict()
         self.types: dict[str, MachineType] = {}
         self.generation: Generation | None = None
         # What of the free-room table changed when, so that a picture is renewed by what
@@ -462,6 +466,9 @@
     def removed(self, names: Iterable[str]) -> None:
         """The cloud has confirmed the machines' return."""
         for name in names:
+            self.gone[name] = None
+            if len(self.gone) > GONE_MOST:
+                self.gone.popitem(last=False)
             m = self.machines.pop(name, None)
             if m is not None:
                 self.touch(name)
