--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -349,3 +349,40 @@
                                            scenes: tuple[Scene, ...], controllers: int) -> None:
     world = simulate(monkeypatch, lambda clock: meet(clock, scenes, 50, controllers))
     assert held_up(world) == []
+
+
+async def deaf(clock: Clock, share: float, for_s: float, leader_ends: bool
+               ) -> tuple[World, int, float]:
+    """Machines with long tasks hear nothing for a while: how many were given back, and when
+    all of these tasks ran again for good."""
+    world = World(clock, 44)
+    await fill(world)
+    busy = sorted((w for w in world.workers.values() if w.on()), key=lambda w: -len(w.on()))
+    chosen = busy[:max(1, int(share * len(busy)))]
+    tasks = {k[0] for w in chosen for k in w.on()}
+    world.deaf.update(w.name for w in chosen)
+    if leader_ends:
+        await again(world, world.controllers["c0"].generation.place(chosen[0].name))
+    since = missed = clock()
+    while clock() < since + 3 * CANCEL_S:
+        await curio.sleep(0.5)
+        if clock() > since + for_s:
+            world.deaf.clear()
+        if not tasks <= {k[0] for w in world.workers.values() for k in w.on()}:
+            missed = clock()
+    return world, sum(w.gone for w in chosen), missed - since
+
+
+@pytest.mark.parametrize("leader_ends", [False, True])
+@pytest.mark.parametrize("share, for_s, gone, most_s", [
+    # Tasks go on where they hear again in time.
+    (0.0, 0.4 * LEASE_S, False, 0.0), (0.8, 0.4 * LEASE_S, False, 0.0),
+    # Beyond that they begin elsewhere, although the machines go on reporting.
+    (0.0, 10 * LEASE_S, True, CANCEL_S), (0.8, 10 * LEASE_S, True, 2 * CANCEL_S)])
+def test_machines_that_hear_nothing_keep_no_task_for_ever(
+        monkeypatch: pytest.MonkeyPatch, share: float, for_s: float, gone: bool, most_s: float,
+        leader_ends: bool) -> None:
+    world, returned, missed_s = simulate(
+        monkeypatch, lambda clock: deaf(clock, share, for_s, leader_ends))
+    assert world.broken == []
+    assert bool(returned) == gone and missed_s <= most_s
