--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -136,6 +136,9 @@
     for _ in range(row.times):
         name, refused, asked = cast(world, row) if row.kind != "launch" else await launching(world)
         world.state.refused.add(refused)
+        if row.word == "alone":
+            world.cut |= {f"{a}>{b}" for a in world.labels for b in world.labels
+                          if a != b and refused in (a, b)}
         await curio.sleep(row.refused_s)
         if row.word in ("refused", "held", "ends, heard by nobody"):
             world.cut.add(f"{asked}>{refused}")
@@ -168,6 +171,9 @@
     *(Gap(refused_s=3.2, home="confirmer", kind=kind) for kind in ("ensemble", "daemon", "saves")),
     Gap(refused_s=0.5, kind="launch", word="none"), Gap(refused_s=0.5, kind="launch", word="cut"),
     Gap(refused_s=3.2, home="confirmer", word="freezes"),
+    # Of no use to it that the others have told each other.
+    *(Gap(c, s, word="alone", home=h, outage_s=o * CANCEL_S) for c, s, h, o in (
+        (3, 0.5, "refused", 3), (5, 4.0, "third", 3), (3, 4.0, "confirmer", 0.0))),
     *(Gap(refused_s=3.2, home="confirmer", outage_s=s * CANCEL_S) for s in (0.5, 1.0)),
     Gap(refused_s=3.2, home="any", times=2),
 ]
