--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple
 
@@ -357,6 +358,45 @@
     assert held_up(world) == []
 
 
+async def copied(clock: Clock, seed: int, controllers: int) -> tuple[World, list[Any]]:
+    """A day on which every transaction is sent once more, 2 to 12 s after it was carried out:
+    those of which the copy changed something."""
+    world = World(clock, seed, controllers)
+    carried: list[tuple[float, Any]] = []
+    found = []
+    commit = world.state.commit
+
+    def remember(body: Any) -> tuple[int, Any]:
+        answer = commit(body)
+        if answer[0] == 200 and body.get("writes"):
+            carried.append((clock() + world.rng.uniform(2.0, 12.0), json.loads(json.dumps(body))))
+        return answer
+
+    async def again_and_again() -> None:
+        while True:
+            await curio.sleep(0.1)
+            for entry in [e for e in carried if e[0] <= clock()]:
+                carried.remove(entry)
+                if commit(entry[1])[0] == 200:
+                    found.append(entry[1])
+    world.state.commit = remember  # type: ignore[method-assign]
+    await world.open()
+    await curio.spawn(again_and_again, daemon=True)
+    await curio.spawn(there_and_back, world, daemon=True)
+    await curio.spawn(cut_leader, world, daemon=True)
+    await work(world)
+    return await until_over(world), found
+
+
+@pytest.mark.parametrize("seed, controllers", [(71, 3), (72, 3), (73, 5)])
+def test_no_transaction_does_anything_when_it_is_carried_out_once_more(
+        monkeypatch: pytest.MonkeyPatch, seed: int, controllers: int) -> None:
+    """A controller's key, put without naming what it replaces, was put in its successor's
+    place; and removed late, it took a later one away."""
+    world, found = simulate(monkeypatch, lambda clock: copied(clock, seed, controllers))
+    assert found == [] and held_up(world) == []
+
+
 async def deaf(clock: Clock, share: float, for_s: float, leader_ends: bool
                ) -> tuple[World, int, float]:
     """Machines with long tasks hear nothing for a while: how many were given back, and when
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,6 +5,7 @@
 import json
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -271,7 +272,6 @@
         return c.fleet_report_status(json.dumps(report).encode())
     c.fleet_report_status = lambda raw: curio.run(  # type: ignore[attr-defined]
         handler.handle, "POST", "/v1/report", raw)[0]
-    import time
     now = time.monotonic()
     assert ask() == 503                     # the records have never been read here
     for peer in c.peers.values():
@@ -296,6 +296,23 @@
         assert ask() == status, (now - read, now - promised)
 
 
+def test_a_late_report_does_not_bring_a_returned_machine_back() -> None:
+    """It was open for work again until its silence was noticed."""
+    from clayport.membership import Generation
+    handler, c = api()
+    c.begin(Generation(3, {"c0": c.incarnation}, 7))
+    c.serving, c.state_known = True, True
+    c.horizon.read(time.monotonic())
+    raw = json.dumps({"host": "m1", "address": "m1:1", "flavor": "plain", "site": "north",
+                      "loaners": False, "tenure": 1, "counter": 1, "epoch": 0,
+                      "reclaim_in_s": None, "pieces": []}).encode()
+    assert curio.run(handler.handle, "POST", "/v1/report", raw)[0] == 200
+    assert "m1" in c.owner.machines
+    c.gone(["m1"])
+    assert curio.run(handler.handle, "POST", "/v1/report", raw)[0] == 503
+    assert "m1" not in c.owner.machines
+
+
 def test_malformed_value_costs_the_request_only() -> None:
     async def main() -> None:
         handler, c = api()
--- a/tests/world.py
+++ b/tests/world.py
@@ -19,6 +19,7 @@
 from clayport import http, peers, peerwire
 from clayport.config import parse
 from clayport.server import Controller
+from clayport.workers import GONE
 
 ZONES = ["north", "south"]
 SETTINGS: dict[str, Any] = {
@@ -720,6 +721,17 @@
         c.fleet.client = lambda address: self.client(label, address.split(":")[0])  # type: ignore
         for peer in c.peers.values():
             self._link(label, peer)
+        emit = c.owner.emit
+
+        def checked(job_id: str, event: Any) -> None:
+            """Nothing is said to be gone that is on its machine."""
+            worker, key = self.workers.get(event[0]), event[1:3]
+            if event[3] == GONE and worker is not None and key in worker.tasks \
+                    and worker.tasks[key].state != "exited" and c.generation.number == max(
+                        x.generation.number for x in self.controllers.values()):
+                self.broken.append(f"gone_too_early {event}")
+            emit(job_id, event)
+        c.owner.emit = checked
         if label in self.old:
             c.mirror.count_versions = lambda: None  # type: ignore[method-assign]
         self.controllers[label] = c
