A key's conflict reads only what failed; one head of heartbeats; kills within a batch

Found on rereading: entering read both records after any conflict, and compared what it had to see whether anything had moved, although the conflict names what failed. The first fields of a heartbeat stood twice. A check in wait_s that its only callers make before. Kills added to an answer counted beside those in it, so that its bound of 64 KiB (300 of each verb) could be passed; no machine of today's sizes comes near.

--- a/clayport/cancellations.py
+++ b/clayport/cancellations.py
@@ -93,9 +93,8 @@
         return [p for p in self.until if p not in known]
 
     def wait_s(self, job: str, now: float) -> float:
-        """How long the job's user can't be told yet unless more acknowledge it; 0: now."""
-        if job in self.told:
-            return 0.0
+        """How long the user of a job that nobody was told of can't be told yet, unless more
+        acknowledge it; 0 or less: now."""
         return max((self.until[p] - now for p in self.lacking(job)), default=0.0)
 
     def tell(self, job: str, now: float) -> bool:
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -67,7 +67,7 @@
         orders += [{"verb": "kill", "piece": t.task, "try": t.attempt, "wind_down_s": 0.0}
                    for t in report.tasks if t.state != "exited"
                    and (t.task, t.attempt) not in ordered
-                   and self._cancelled(report, t.task.partition("/")[0])][:BATCH]
+                   and self._cancelled(report, t.task.partition("/")[0])][:BATCH - len(ordered)]
 
     def _cancelled(self, report: Report, job: str) -> bool:
         """Whether a job with a task on a machine is known to be over. One that is neither
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -487,15 +487,18 @@
             try:
                 await self.store.commit(txn, ahead_s=LEASE_S, doubtful=True)
                 return
-            except Conflict:
+            except Conflict as exc:
                 # Written by a process before this one: the mirror has not been read yet.
-                entry = await self.store.get(key, doubtful=True)
-                if entry is not None:
-                    self.mirror.note_version(self.label, entry.value, entry.rev)
-                before, entry = node_rev, await self.store.get(node, doubtful=True)
-                node_rev = entry.rev if entry is not None else 0
-                if number == self.versions.get(self.label, (0, 0))[0] and before == node_rev:
+                if node in exc.failed:
+                    entry = await self.store.get(node, doubtful=True)
+                    node_rev = entry.rev if entry is not None else 0
+                elif key not in exc.failed:
                     raise
+                if key in exc.failed:
+                    entry = await self.store.get(key, doubtful=True)
+                    if entry is None:
+                        raise
+                    self.mirror.note_version(self.label, entry.value, entry.rev)
 
     async def keep_members(self) -> None:
         """Propose the next generation when those present differ from its members."""
@@ -534,8 +537,7 @@
             now = time.monotonic()
             self.awake(now)
             try:
-                sign = (self.label, self.generation.number, not self.state_lost(now),
-                        self.owner.room_rev, self._told(peer.label))
+                sign = (*self._sign(now), self._told(peer.label))
                 if self.promising:
                     label, number, ok, rev, incarnation, promised = await peer.call(
                         peerwire.BEAT, (*sign, self.incarnation, self.mirror.known_rev))
@@ -558,6 +560,10 @@
             await self.flush()
             await curio.sleep(self.ttl_s / 4)
 
+    def _sign(self, now: float) -> tuple[str, int, bool, int]:
+        """What a heartbeat and its answer begin with."""
+        return self.label, self.generation.number, not self.state_lost(now), self.owner.room_rev
+
     def _told(self, label: str) -> list[tuple[str, int, float, str]]:
         """What waits here, for the one member that rents by it; nobody else asks."""
         return self.placer.demand() if self.serving and label == self.generation.provisioner \
@@ -609,11 +615,9 @@
                 self.placer.demands[label] = demand
                 if demand and not before:
                     self.signal("demand")
-            sign = (self.label, self.generation.number, not self.state_lost(now),
-                    self.owner.room_rev)
             if kind == peerwire.PING:
-                return peerwire.PONG, sign
-            return peerwire.BEATEN, (*sign, self.incarnation,
+                return peerwire.PONG, self._sign(now)
+            return peerwire.BEATEN, (*self._sign(now), self.incarnation,
                                      peer is not None and self._promise(label, values[6], now))
         if kind == peerwire.ENDED:
             if values[1] in ("done", "cancelled") and values[0] not in self.ended:
