--- a/bench/served.py
+++ b/bench/served.py
@@ -1,11 +1,14 @@
 """What share of each class and each team was served on a day, from the bench's own report.
 
-    python -m bench.served REPORT... [--least 0.5]
+    python -m bench.served REPORT... [--log LOG] [--least 0.5]
 
 REPORT is what `fleetbench run SITE DAY --report REPORT` writes (figures of simulated
 machines). Looked at, of each class: jobs started, of those accepted and not cancelled before
 they started; jobs done, of those accepted and not cancelled (of replicas: the share of their
-time that they were up); and every aim that names the class. Of each team: jobs started.
+time that they were up); and every aim that names the class; and its largest jobs started.
+Of each team: jobs started. With LOG, what `fleetbench run ... --log info` printed for the
+one report, when the largest jobs began as well: the controllers' own account, from accepted to the
+first launch, of the largest quarter of each class. It is named as such.
 Jobs that came too late to be done by the day's end count as not done, so the figure is
 rather too low than too high.
 
@@ -15,12 +18,18 @@
 from __future__ import annotations
 
 import argparse
+import math
+import re
 import sys
 from pathlib import Path
 from typing import NamedTuple
 
 import msgspec
 
+# The users' bound on when the largest jobs of a class are to begin.
+BEGIN_S = 240.0
+# A line of a process's log, as the bench prints it: simulated time, controller, level, name.
+LINE = re.compile(r"\s*([\d.]+) \S+ \w+ \S+ (.*)")
 AIMS = ("up", "wait", "finished", "deadline")
 
 
@@ -49,6 +58,13 @@
     started: int = 0
 
 
+class Largest(msgspec.Struct):
+    """What a report says of a class's largest jobs."""
+
+    jobs: int = 0
+    started: int = 0
+
+
 class Target(msgspec.Struct):
     """An aim, as the report counts it."""
 
@@ -74,6 +90,7 @@
     scenario: str
     classes: dict[str, Class]
     teams: dict[str, Team] = {}
+    largest: dict[str, Largest] = {}
     targets: list[Target] = []
 
 
@@ -92,17 +109,67 @@
     for name, team in report.teams.items():
         if team.jobs:
             found.append(Share(f"team {name} started", team.started / team.jobs, team.jobs))
+    for name, largest in report.largest.items():
+        if largest.jobs:
+            found.append(Share(f"{name} largest started", largest.started / largest.jobs,
+                               largest.jobs))
     found += [Share(t.words, t.value, t.of) for t in report.targets
               if t.kind in AIMS and t.job_class and t.value is not None and t.of]
     return sorted(found, key=lambda s: s.value)
 
 
+def began(log: str) -> list[Share]:
+    """Of the largest quarter of each class's jobs the share that began within four minutes,
+    by the controllers' log. Those that were cancelled before they began are left out."""
+    accepted: dict[str, tuple[float, str, int]] = {}
+    first: dict[str, float] = {}
+    cancelled: set[str] = set()
+    last = 0.0
+    for line in log.splitlines():
+        match = LINE.match(line)
+        if match is None:
+            continue
+        at = float(match[1])
+        last = max(last, at)
+        fields = dict(f.split("=", 1) for f in match[2].split() if "=" in f)
+        job, event = fields.get("job", ""), fields.get("event", "")
+        if event == "accepted":
+            accepted.setdefault(job, (at, fields["class"], int(fields["tasks"])))
+        elif event == "launch":
+            first.setdefault(job, at)
+        elif event == "cancelled" and job not in first:
+            cancelled.add(job)
+    classes: dict[str, list[tuple[int, str, float]]] = {}
+    for job, (at, name, tasks) in accepted.items():
+        classes.setdefault(name, []).append((tasks, job, at))
+    found = []
+    for name, jobs in classes.items():
+        largest = sorted(jobs, reverse=True)[:max(1, len(jobs) // 4)]
+        # What came too late to be judged, or was cancelled before, says nothing.
+        judged = [(job, at) for _, job, at in largest if job not in cancelled
+                  and (job in first or last - at >= BEGIN_S)]
+        if judged:
+            waits = sorted(first.get(job, math.inf) - at for job, at in judged)
+            served = sum(w <= BEGIN_S for w in waits)
+            found.append(Share(f"{name} largest began in {BEGIN_S:g} s (log; longest "
+                               f"{waits[-1]:.0f} s)", served / len(judged), len(judged)))
+    return sorted(found, key=lambda s: s.value)
+
+
 def main() -> int:
     args = argparse.ArgumentParser(description="The share served of each class and team.")
     args.add_argument("report", type=Path, nargs="+", help="what fleetbench run --report wrote")
+    args.add_argument("--log", type=Path, help="what the run of the one report printed")
     args.add_argument("--least", type=float, default=0.5, help="below this a day has failed")
     args.add_argument("--all", action="store_true", help="all shares, not the lowest three")
     chosen = args.parse_args()
+    if chosen.log and len(chosen.report) > 1:
+        args.error("--log goes with one report")
+    try:
+        logged = began(chosen.log.read_text(errors="replace")) if chosen.log else []
+    except (OSError, ValueError, KeyError) as exc:
+        print(f"{chosen.log}: {exc!r}", file=sys.stderr)
+        return 2
     failed = False
     for path in chosen.report:
         try:
@@ -110,7 +177,7 @@
         except (OSError, msgspec.MsgspecError) as exc:
             print(f"{path}: {exc}", file=sys.stderr)
             return 2
-        found = shares(report)
+        found = sorted(shares(report) + logged, key=lambda s: s.value)
         low = [s for s in found if s.value < chosen.least]
         failed = failed or bool(low)
         shown = found if chosen.all else max(low, found[:3], key=len)
