--- a/bench/passes.py
+++ b/bench/passes.py
@@ -29,21 +29,40 @@
 def controller() -> Controller:
     """One with the settings of a fleet, alone in its generation."""
     cluster = {
-        "size": 1, "zones": ["a", "b"], "teams": [{"name": "team"}],
-        "objectives": [{"kind": "finished", "class": "sweep-normal", "within_s": 120.0,
-                        "share": 0.9},
-                       {"kind": "finished", "class": "sweep-best_effort", "within_s": 250.0,
-                        "share": 0.9}],
-        "workers": {"report_s": 2.5, "lease_s": 15.0, "gang_wait_s": 50.0, "gang_peer_s": 4.0,
-                    "cancel_s": 45.0},
+        "size": 1,
+        "zones": ["a", "b"],
+        "teams": [{"name": "team"}],
+        "objectives": [
+            {"kind": "finished", "class": "sweep-normal", "within_s": 120.0, "share": 0.9},
+            {"kind": "finished", "class": "sweep-best_effort", "within_s": 250.0, "share": 0.9},
+        ],
+        "workers": {
+            "report_s": 2.5,
+            "lease_s": 15.0,
+            "gang_wait_s": 50.0,
+            "gang_peer_s": 4.0,
+            "cancel_s": 45.0,
+        },
         "state": {"rps": 700.0, "write_rps": 300.0, "value_kb": 32.0, "txn_ops": 32},
         "cloud": {"rps": 3.5, "list_lag_s": 3.0},
         "machine_limits": {"core_share": 1.0, "mem_mb": 400.0, "max_sockets": 1000},
-        "clock_error_ms": 25.0}
-    core = Controller(parse(json.dumps({
-        "label": "host-0", "location": "a", "bind": "127.0.0.1:1", "peer_bind": "127.0.0.1:2",
-        "members": [], "services": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
-        "cluster": cluster}).encode()))
+        "clock_error_ms": 25.0,
+    }
+    core = Controller(
+        parse(
+            json.dumps(
+                {
+                    "label": "host-0",
+                    "location": "a",
+                    "bind": "127.0.0.1:1",
+                    "peer_bind": "127.0.0.1:2",
+                    "members": [],
+                    "services": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+                    "cluster": cluster,
+                }
+            ).encode()
+        )
+    )
     core.types = fleets.TYPES
     core.owner.types = {t.name: t for t in fleets.TYPES}
     core.generation = Generation(1, {"host-0": "x"}, 1)
@@ -102,9 +121,11 @@
         for room in rng.sample(there, REPORTS):
             show(core, room)
         later.append(one_pass(core))
-    print(f"{chosen.jobs} jobs, {chosen.machines} machines: first pass {first * 1e3:.1f} ms, "
-          f"later ones {statistics.median(later) * 1e3:.2f} ms "
-          f"({min(later) * 1e3:.2f} to {max(later) * 1e3:.2f})")
+    print(
+        f"{chosen.jobs} jobs, {chosen.machines} machines: first pass {first * 1e3:.1f} ms, "
+        f"later ones {statistics.median(later) * 1e3:.2f} ms "
+        f"({min(later) * 1e3:.2f} to {max(later) * 1e3:.2f})"
+    )
 
 
 if __name__ == "__main__":
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -76,8 +76,10 @@
     homes = [HomeJob(job, 1, 500, 0.0) for job in fleets.jobs(jobs, rng)]
     job_bytes = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
-    print(f"{plain_bytes / machines:.0f} B a room, and {index_bytes / machines:.0f} B for its "
-          f"places in the index; {job_bytes / len(homes):.0f} B a waiting job")
+    print(
+        f"{plain_bytes / machines:.0f} B a room, and {index_bytes / machines:.0f} B for its "
+        f"places in the index; {job_bytes / len(homes):.0f} B a waiting job"
+    )
 
 
 def main() -> None:
@@ -87,8 +89,7 @@
     for most, size in ((FEW, "few"), (250, "many")):
         for machines in SIZES:
             for name, indexed in (("plain", False), ("index", True)):
-                runner.bench_time_func(f"{size} {machines} {name}", rounds, machines, indexed,
-                                       most)
+                runner.bench_time_func(f"{size} {machines} {name}", rounds, machines, indexed, most)
 
 
 if __name__ == "__main__":
--- a/bench/rebuild.py
+++ b/bench/rebuild.py
@@ -29,11 +29,28 @@
 
 
 def description(number: int) -> dict[str, Any]:
-    job = msgspec.convert({
-        "id": f"j-{number:06d}", "jobclass": "batch", "owner": "team", "shape": "sweep",
-        "rank": "normal", "pieces": 10, "vcpus": 2.0, "cards": 0.0, "ram_gb": 4.0,
-        "bundle": "img-01", "image_gb": 1.0, "together": False, "scatter": False,
-        "loaners": True, "guess_s": 50.0, "snapshot_every_s": 0.0, "snapshot_s": 0.0}, Job)
+    job = msgspec.convert(
+        {
+            "id": f"j-{number:06d}",
+            "jobclass": "batch",
+            "owner": "team",
+            "shape": "sweep",
+            "rank": "normal",
+            "pieces": 10,
+            "vcpus": 2.0,
+            "cards": 0.0,
+            "ram_gb": 4.0,
+            "bundle": "img-01",
+            "image_gb": 1.0,
+            "together": False,
+            "scatter": False,
+            "loaners": True,
+            "guess_s": 50.0,
+            "snapshot_every_s": 0.0,
+            "snapshot_s": 0.0,
+        },
+        Job,
+    )
     return msgspec.to_builtins(job)
 
 
@@ -75,8 +92,11 @@
             records[chunk_key(desc["id"], 0)] = (chunk.value(), 6)
     at = time.perf_counter()
     packed = [pack(e) for e in parts.values()]
-    at = timed(f"pack, {chosen.controllers} controllers, "
-               f"{sum(len(p) for row in packed for p in row) / 1e6:.1f} MB", at)
+    at = timed(
+        f"pack, {chosen.controllers} controllers, "
+        f"{sum(len(p) for row in packed for p in row) / 1e6:.1f} MB",
+        at,
+    )
     del parts
     found: dict[str, Evidence] = {}
     for raw in packed:
@@ -84,19 +104,23 @@
         if found:
             only_news(part, next(iter(found.values())))
         found[part.label] = part
-    at = timed(f"unpack, with {chosen.controllers} controllers' memories until now "
-               f"{peak_mb():.0f} MB", at)
+    at = timed(
+        f"unpack, with {chosen.controllers} controllers' memories until now {peak_mb():.0f} MB", at
+    )
     merged = merge(records, found, (), {"team": (0.0, 0.0)}, 500)
     at = timed(f"merge, {len(merged.changes)} changes", at)
     txns = list(transactions(merged.changes, records, ("c/~x", 9), 32))
     at = timed(f"transactions, {len(txns)} of them", at)
-    print(f"written in {len(merged.changes) / (0.9 * chosen.write_rps):.0f} s "
-          f"with {chosen.write_rps:g} changes a second")
+    print(
+        f"written in {len(merged.changes) / (0.9 * chosen.write_rps):.0f} s "
+        f"with {chosen.write_rps:g} changes a second"
+    )
     whole = {k: (v, 9) for k, v in merged.changes.items() if v is not None}
     with tempfile.TemporaryDirectory() as name:
         at = time.perf_counter()
-        path = files.write_base(Path(name), files.Header("base", labels, "x", 1, 9, 0.0),
-                                files.rows_of(whole))
+        path = files.write_base(
+            Path(name), files.Header("base", labels, "x", 1, 9, 0.0), files.rows_of(whole)
+        )
         at = timed(f"snapshot of {len(whole)} records, {path.stat().st_size / 1e6:.1f} MB", at)
         files.read_base(path)
         timed("snapshot read", at)
--- a/bench/rebuild_day.py
+++ b/bench/rebuild_day.py
@@ -40,8 +40,11 @@
     def entered(self, worker: Any, key: tuple[str, int]) -> None:
         self.launches += 1
         other = self.where.get(key[0])
-        if other is not None and other != worker.name and key[0] in (
-                k[0] for k in self.workers[other].on()):
+        if (
+            other is not None
+            and other != worker.name
+            and key[0] in (k[0] for k in self.workers[other].on())
+        ):
             self.broken.append(f"ran_twice {key[0]} on {worker.name} and {other}")
         self.where[key[0]] = worker.name
 
@@ -50,13 +53,25 @@
             return 503, {"error": "no capacity"}
         if path.startswith("/hosts?"):
             args = dict(p.split("=", 1) for p in path.partition("?")[2].split("&"))
-            names = sorted(n for n, w in self.workers.items()
-                           if not w.gone and n > args.get("since", ""))
+            names = sorted(
+                n for n, w in self.workers.items() if not w.gone and n > args.get("since", "")
+            )
             most = int(args.get("most", 500))
-            return 200, {"hosts": [
-                {"id": n, "address": self.workers[n].address, "flavor": self.workers[n].kind,
-                 "site": self.workers[n].zone, "loaners": False, "status": "running",
-                 "held_s": 100.0} for n in names[:most]], "more": len(names) > most}
+            return 200, {
+                "hosts": [
+                    {
+                        "id": n,
+                        "address": self.workers[n].address,
+                        "flavor": self.workers[n].kind,
+                        "site": self.workers[n].zone,
+                        "loaners": False,
+                        "status": "running",
+                        "held_s": 100.0,
+                    }
+                    for n in names[:most]
+                ],
+                "more": len(names) > most,
+            }
         return super().cloud(method, path, body)
 
 
@@ -113,7 +128,9 @@
 
     def serves() -> bool:
         return len(world.controllers) == chosen.controllers and all(
-            c.serving for c in world.controllers.values())
+            c.serving for c in world.controllers.values()
+        )
+
     print(f"start: serving after {await until(clock, serves, 600.0):.1f} s")
     await curio.sleep(10.0)
     records, launches = len(world.state.keys), world.launches
@@ -137,24 +154,33 @@
         nonlocal longest
         while True:
             await curio.sleep(0.5)
-            longest = max(longest, *(clock() - w.answered for w in world.workers.values()
-                                     if not w.gone))
+            longest = max(
+                longest, *(clock() - w.answered for w in world.workers.values() if not w.gone)
+            )
+
     watching = await curio.spawn(leases, daemon=True)
-    await until(clock, lambda: world.state.keys.get("c/lineage", ({"state": ""},))[0][
-        "state"] == "whole" and any(c.generation.number > number
-                                    for c in world.controllers.values()), 3000.0)
+    await until(
+        clock,
+        lambda: world.state.keys.get("c/lineage", ({"state": ""},))[0]["state"] == "whole"
+        and any(c.generation.number > number for c in world.controllers.values()),
+        3000.0,
+    )
     whole = clock() - began
     await until(clock, serves, 300.0)
-    print(f"records whole {whole:.1f} s after the loss (outage 3 s), all serving after "
-          f"{clock() - began:.1f} s; by the write limit alone {records / STATE['write_rps']:.1f} s")
+    print(
+        f"records whole {whole:.1f} s after the loss (outage 3 s), all serving after "
+        f"{clock() - began:.1f} s; by the write limit alone {records / STATE['write_rps']:.1f} s"
+    )
     print(f"processor time {time.process_time() - used:.1f} s, all controllers and the world")
     await until(clock, lambda: world.launches > launches, 120.0)
     print(f"tasks were launched again {clock() - began:.1f} s after the loss")
     await watching.cancel()
-    print(f"longest without an answer that renews a lease: {longest:.1f} s; leases ended: "
-          f"{sum(w.session > 1 for w in world.workers.values())}; rules broken: "
-          f"{len(world.broken)}; live jobs {sum(k.startswith('c/live/') for k in world.state.keys)}"
-          f" of {chosen.jobs}")
+    print(
+        f"longest without an answer that renews a lease: {longest:.1f} s; leases ended: "
+        f"{sum(w.session > 1 for w in world.workers.values())}; rules broken: "
+        f"{len(world.broken)}; live jobs {sum(k.startswith('c/live/') for k in world.state.keys)}"
+        f" of {chosen.jobs}"
+    )
 
 
 def main() -> int:
@@ -172,8 +198,13 @@
     if chosen.log:
         logging.getLogger("clayport.rebuild").setLevel(logging.INFO)
     SETTINGS["state"] = STATE
-    SETTINGS["workers"] = {"report_s": 2.5, "lease_s": 15.25, "gang_wait_s": 30.0,
-                           "gang_peer_s": 4.0, "cancel_s": 45.25}
+    SETTINGS["workers"] = {
+        "report_s": 2.5,
+        "lease_s": 15.25,
+        "gang_wait_s": 30.0,
+        "gang_peer_s": 4.0,
+        "cancel_s": 45.25,
+    }
     SETTINGS["objectives"] = []
     SETTINGS["cloud"] = {"rps": 3.5, "list_lag_s": 3.0}
     print(json.dumps(vars(chosen)))
--- a/bench/scaled_site.py
+++ b/bench/scaled_site.py
@@ -75,8 +75,11 @@
         site[table] = rows
     site["nodes"]["zones"] = zones
     days = site.get("day", [])
-    gone = [n for n, day in enumerate(days) if any(
-        fault.get("zone", zones[0]) not in zones for fault in day.get("faults", ()))]
+    gone = [
+        n
+        for n, day in enumerate(days)
+        if any(fault.get("zone", zones[0]) not in zones for fault in day.get("faults", ()))
+    ]
     for n in reversed(gone):
         print(f"day {days[n]['name']}: names a zone that has gone; left out", file=sys.stderr)
         del days[n]
@@ -101,13 +104,25 @@
     args.add_argument("site", type=Path)
     args.add_argument("factor", type=float)
     args.add_argument("--out", type=Path, default=Path("target/sites"))
-    args.add_argument("--restart", type=float, metavar="SECONDS",
-                      help="controllers that end are started again after so long")
+    args.add_argument(
+        "--restart",
+        type=float,
+        metavar="SECONDS",
+        help="controllers that end are started again after so long",
+    )
     args.add_argument("--zones", type=int, metavar="N", help="so many zones")
-    args.add_argument("--split", default="", metavar="A:B:...",
-                      help="parts of the machines of each type in each zone")
-    args.add_argument("--heavy", type=float, metavar="TIMES",
-                      help="one team submits so many times as much as each of the others")
+    args.add_argument(
+        "--split",
+        default="",
+        metavar="A:B:...",
+        help="parts of the machines of each type in each zone",
+    )
+    args.add_argument(
+        "--heavy",
+        type=float,
+        metavar="TIMES",
+        help="one team submits so many times as much as each of the others",
+    )
     chosen = args.parse_args()
     if not 0 < chosen.factor <= 100:
         args.error("FACTOR: a positive number, 100 at most")
@@ -141,8 +156,10 @@
     chosen.out.mkdir(parents=True, exist_ok=True)
     made = chosen.out / f"{chosen.site.stem}{suffix}.toml"
     made.write_text(tomlkit.dumps(site), encoding="utf-8")
-    for name, target in ((wire, wire and Path(wire).name),
-                         (f"{chosen.site.stem}.days", f"{made.stem}.days")):
+    for name, target in (
+        (wire, wire and Path(wire).name),
+        (f"{chosen.site.stem}.days", f"{made.stem}.days"),
+    ):
         if name and (chosen.site.parent / name).exists():
             shutil.copy(chosen.site.parent / name, chosen.out / target)
     print(made)
--- a/bench/served.py
+++ b/bench/served.py
@@ -78,9 +78,15 @@
 
     @property
     def words(self) -> str:
-        bound = f" {self.within_s:g} s" if self.within_s is not None else \
-            f" {self.times:g}x" if self.times is not None else \
-            f" worst {self.worst_s:g} s" if self.worst_s is not None else ""
+        bound = (
+            f" {self.within_s:g} s"
+            if self.within_s is not None
+            else f" {self.times:g}x"
+            if self.times is not None
+            else f" worst {self.worst_s:g} s"
+            if self.worst_s is not None
+            else ""
+        )
         return f"{self.job_class} {self.kind}{bound}"
 
 
@@ -111,10 +117,14 @@
             found.append(Share(f"team {name} started", team.started / team.jobs, team.jobs))
     for name, largest in report.largest.items():
         if largest.jobs:
-            found.append(Share(f"{name} largest started", largest.started / largest.jobs,
-                               largest.jobs))
-    found += [Share(t.words, t.value, t.of) for t in report.targets
-              if t.kind in AIMS and t.job_class and t.value is not None and t.of]
+            found.append(
+                Share(f"{name} largest started", largest.started / largest.jobs, largest.jobs)
+            )
+    found += [
+        Share(t.words, t.value, t.of)
+        for t in report.targets
+        if t.kind in AIMS and t.job_class and t.value is not None and t.of
+    ]
     return sorted(found, key=lambda s: s.value)
 
 
@@ -144,15 +154,23 @@
         classes.setdefault(name, []).append((tasks, job, at))
     found = []
     for name, jobs in classes.items():
-        largest = sorted(jobs, reverse=True)[:max(1, len(jobs) // 4)]
+        largest = sorted(jobs, reverse=True)[: max(1, len(jobs) // 4)]
         # What came too late to be judged, or was cancelled before, says nothing.
-        judged = [(job, at) for _, job, at in largest if job not in cancelled
-                  and (job in first or last - at >= BEGIN_S)]
+        judged = [
+            (job, at)
+            for _, job, at in largest
+            if job not in cancelled and (job in first or last - at >= BEGIN_S)
+        ]
         if judged:
             waits = sorted(first.get(job, math.inf) - at for job, at in judged)
             served = sum(w <= BEGIN_S for w in waits)
-            found.append(Share(f"{name} largest began in {BEGIN_S:g} s (log; longest "
-                               f"{waits[-1]:.0f} s)", served / len(judged), len(judged)))
+            found.append(
+                Share(
+                    f"{name} largest began in {BEGIN_S:g} s (log; longest {waits[-1]:.0f} s)",
+                    served / len(judged),
+                    len(judged),
+                )
+            )
     return sorted(found, key=lambda s: s.value)
 
 
@@ -181,8 +199,10 @@
         low = [s for s in found if s.value < chosen.least]
         failed = failed or bool(low)
         shown = found if chosen.all else max(low, found[:3], key=len)
-        print(f"{report.scenario}: {'FAILED' if low else 'served'}; " + "; ".join(
-            f"{s.what} {s.value:.3f} of {s.count}" for s in shown))
+        print(
+            f"{report.scenario}: {'FAILED' if low else 'served'}; "
+            + "; ".join(f"{s.what} {s.value:.3f} of {s.count}" for s in shown)
+        )
     return 1 if failed else 0
 
 
--- a/clayport/api.py
+++ b/clayport/api.py
@@ -71,7 +71,7 @@
         if path == "/api/jobs":
             return await self._submit(body) if method == "POST" else (405, {})
         if path.startswith("/api/jobs/"):
-            job, _, action = path[len("/api/jobs/"):].partition("/")
+            job, _, action = path[len("/api/jobs/") :].partition("/")
             if not action:
                 return await self._poll(job) if method == "GET" else (405, {})
             if action == "abort":
@@ -134,7 +134,8 @@
         if counts is None and home in core.peers and core.member:
             try:
                 ok, done, running = await core.peers[home].call(
-                    peerwire.COUNTS, (core.generation.number, job), POLL_S / 4)
+                    peerwire.COUNTS, (core.generation.number, job), POLL_S / 4
+                )
                 counts = (done, running) if ok else None
             except PeerError:
                 counts = None
@@ -143,8 +144,12 @@
             return await self._answer(job, core.ended[job], deadline)
         # For display only: a home out of reach must not cost the user its answer.
         done, running = counts or (0, 0)
-        return {"id": job, "status": "running" if running else "queued", "done": done,
-                "running": running}
+        return {
+            "id": job,
+            "status": "running" if running else "queued",
+            "done": done,
+            "running": running,
+        }
 
     async def _poll(self, job: str) -> tuple[int, dict[str, Any]]:
         if not self._valid(job):
@@ -167,8 +172,10 @@
         deadline = Deadline.within(time.monotonic(), IN_TIME * SUBMIT_S)
         submitted = time.time()
         value = live_value(job, submitted)
-        if len(msgspec.json.encode(value)) > core.settings.cluster.state.least().value_kb * 1024 \
-                - END_BYTES:
+        if (
+            len(msgspec.json.encode(value))
+            > core.settings.cluster.state.least().value_kb * 1024 - END_BYTES
+        ):
             known = await self._known(job.id, deadline)
             if known is not None:  # accepted while more was allowed
                 return 200, await self._answer(job.id, known, deadline)
@@ -176,8 +183,11 @@
         limit = core.limits.get(job.team)
         if not core.types and job.id not in core.ended:
             return 503, {"error": "machine types not known yet"}
-        if limit is None or not any(fits(job, t) for t in core.types) \
-                or not can_ever_run(job, limit):
+        if (
+            limit is None
+            or not any(fits(job, t) for t in core.types)
+            or not can_ever_run(job, limit)
+        ):
             # Never for a job that was accepted before, whatever has changed since.
             known = await self._known(job.id, deadline)
             if known is None:
@@ -217,8 +227,13 @@
                 # succeeds or shows the job.
                 if not await core.store.rest(attempt):
                     raise
-        log.info("job=%s event=accepted class=%s kind=%s tasks=%d", job.id, job.job_class,
-                 job.kind, job.tasks)
+        log.info(
+            "job=%s event=accepted class=%s kind=%s tasks=%d",
+            job.id,
+            job.job_class,
+            job.kind,
+            job.tasks,
+        )
         core.mirror.note_live(job, rev, core.mirror.since(submitted))
         if core.recovery is not None:
             await core.recovery.second(rev, deadline)
@@ -246,7 +261,7 @@
         # Of many at once, which records there are: a comparison names those that exist.
         most = max(1, core.bounds.txn_ops * 2 - core.store.beside)
         for first in range(0, len(unknown), most):
-            part = unknown[first:first + most]
+            part = unknown[first : first + most]
             txn = Txn()
             for name in part:
                 txn.require(live_key(name), 0).require(end_key(name), 0)
@@ -289,8 +304,10 @@
                 return 200, await self._over(job, known, deadline)
             txn = Txn().require(live_key(job), entry.rev).delete(live_key(job))
             at = time.time()
-            txn.put(end_key(job), fitted(end_value("cancelled", at, entry.value["j"]),
-                                         core.bounds.value_kb))
+            txn.put(
+                end_key(job),
+                fitted(end_value("cancelled", at, entry.value["j"]), core.bounds.value_kb),
+            )
             try:
                 rev = await core.store.commit(txn, deadline, CANCEL_S)
             except Conflict:
--- a/clayport/cancellations.py
+++ b/clayport/cancellations.py
@@ -75,17 +75,25 @@
         """Promise the peer anew; False if it doesn't know of all that was told already, or a
         user has been waiting for it: who hears us but isn't heard would keep users waiting
         for ever."""
-        if self.missed[peer] or self.floor[peer] or any(
-                now - since > self.for_s * PATIENCE for job, since in self.waiting.items()
-                if peer not in self.acknowledged.get(job, ())):
+        if (
+            self.missed[peer]
+            or self.floor[peer]
+            or any(
+                now - since > self.for_s * PATIENCE
+                for job, since in self.waiting.items()
+                if peer not in self.acknowledged.get(job, ())
+            )
+        ):
             return False
         self.until[peer] = now + self.for_s
         return True
 
     def owed(self, peer: str) -> list[str]:
         """What the peer has to acknowledge before it is promised anything again."""
-        return [*self.missed[peer], *(job for job in self.waiting
-                                      if peer not in self.acknowledged.get(job, ()))]
+        return [
+            *self.missed[peer],
+            *(job for job in self.waiting if peer not in self.acknowledged.get(job, ())),
+        ]
 
     def lacking(self, job: str) -> list[str]:
         """Peers that have not acknowledged the job's end."""
--- a/clayport/cli.py
+++ b/clayport/cli.py
@@ -15,12 +15,15 @@
 
 def parser() -> argparse.ArgumentParser:
     p = argparse.ArgumentParser(
-        prog="clayport", description="Run one controller of clayport.",
+        prog="clayport",
+        description="Run one controller of clayport.",
         epilog="`clayport snapshot --help` and `clayport restore --help`: copies of the records, "
-               "and putting them back.")
+        "and putting them back.",
+    )
     p.add_argument("--config", metavar="FILE", required=True, help="the platform's settings (JSON)")
-    p.add_argument("--operator", metavar="FILE",
-                   help="the operator's own settings (protobuf text format)")
+    p.add_argument(
+        "--operator", metavar="FILE", help="the operator's own settings (protobuf text format)"
+    )
     p.add_argument("--check", action="store_true", help="check the settings and exit")
     p.add_argument("--version", action="version", version=f"clayport {__version__}")
     return p
@@ -45,6 +48,7 @@
         settings = load(args.config)
         if args.operator:
             from . import operator
+
             own = operator.load(args.operator)
     except ConfigError as exc:
         print(f"clayport: {exc}", file=sys.stderr)
@@ -52,24 +56,28 @@
     if args.check:
         print("settings are valid")
         return 0
-    logging.basicConfig(level=LEVELS[name], stream=sys.stderr,
-                        format="%(levelname)s %(name)s %(message)s")
+    logging.basicConfig(
+        level=LEVELS[name], stream=sys.stderr, format="%(levelname)s %(name)s %(message)s"
+    )
     # Imported late: checking settings needs none of it.
     import curio
 
     from .refresh import Asc
     from .server import Controller
+
     if own is None:
         controller = Controller(settings)
     else:
         try:
-            controller = Controller(settings, rebuild=own.rebuild, snapshots=own.directory,
-                                    second_copy=own.second_copy)
+            controller = Controller(
+                settings, rebuild=own.rebuild, snapshots=own.directory, second_copy=own.second_copy
+            )
         except ModuleNotFoundError as exc:
-            print(f"clayport: rebuild.directory needs {exc.name}: "
-                  "pip install clayport[snapshots]", file=sys.stderr)
+            print(
+                f"clayport: rebuild.directory needs {exc.name}: pip install clayport[snapshots]",
+                file=sys.stderr,
+            )
             return 2
-        controller.picture.asc = Asc(own.refresh.start_s, own.refresh.least_s,
-                                     own.refresh.most_s)
+        controller.picture.asc = Asc(own.refresh.start_s, own.refresh.least_s, own.refresh.most_s)
     curio.run(controller.run)
     return 1
--- a/clayport/cloud.py
+++ b/clayport/cloud.py
@@ -47,15 +47,27 @@
 class Cloud:
     """Requests to the cloud, paced to this controller's share of its budget."""
 
-    def __init__(self, host: str, port: int, rps: float, timeout_s: float,
-                 uniform: Callable[[float, float], float] = random.uniform) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        rps: float,
+        timeout_s: float,
+        uniform: Callable[[float, float], float] = random.uniform,
+    ) -> None:
         self.client = http.Client(host, port, keep=2)
         now = time.monotonic()
         self.bucket = Bucket(rps * 0.8, now)
         self.timeout_s = timeout_s
         again = max(1.0, AGAIN * self.bucket.rate)
-        self.patience = Patience(Retries(PAUSE * timeout_s, PAUSE_MOST * timeout_s, Budget(
-            RETRIES, again, again, now), uniform))
+        self.patience = Patience(
+            Retries(
+                PAUSE * timeout_s,
+                PAUSE_MOST * timeout_s,
+                Budget(RETRIES, again, again, now),
+                uniform,
+            )
+        )
         self.begin, self.rest = self.patience.begin, self.patience.rest
 
     async def turn(self) -> None:
@@ -76,8 +88,7 @@
             await self.patience.seen(False)
             raise CloudError(str(exc)) from None
         # What is refused for lack of capacity has been served.
-        await self.patience.seen(status != 429 and (
-            status != 503 or b"no capacity" in payload))
+        await self.patience.seen(status != 429 and (status != 503 or b"no capacity" in payload))
         return status, payload
 
     @staticmethod
@@ -98,8 +109,9 @@
         found: list[Listed] = []
         since = ""
         while True:
-            status, payload = await self._call("GET", f"/hosts?since={since}&most=500"
-                                               if since else "/hosts?most=500")
+            status, payload = await self._call(
+                "GET", f"/hosts?since={since}&most=500" if since else "/hosts?most=500"
+            )
             page: _Page = self._decode(status, payload, _Page)
             found += page.machines
             if not page.more or not page.machines:
--- a/clayport/config.py
+++ b/clayport/config.py
@@ -81,7 +81,8 @@
             min(self.rps, coming.rps or self.rps),
             min(self.write_rps, coming.write_rps or self.write_rps),
             min(self.value_kb, coming.value_kb or self.value_kb),
-            min(self.txn_ops, coming.txn_ops or self.txn_ops))
+            min(self.txn_ops, coming.txn_ops or self.txn_ops),
+        )
 
 
 class CloudSettings(msgspec.Struct, frozen=True):
--- a/clayport/dispatch.py
+++ b/clayport/dispatch.py
@@ -169,9 +169,13 @@
         it is done, and no quota is given back. (Room is free as soon as a task has exited.)
         """
         job = hj.job
-        if hj.ended or job.kind != ARRAY or any(self.core.limits.get(job.team, (0.0, 0.0))) \
-                or hj.done + len(hj.outcomes) >= job.tasks \
-                or not all(done for _, done in hj.outcomes.values()):
+        if (
+            hj.ended
+            or job.kind != ARRAY
+            or any(self.core.limits.get(job.team, (0.0, 0.0)))
+            or hj.done + len(hj.outcomes) >= job.tasks
+            or not all(done for _, done in hj.outcomes.values())
+        ):
             return False
         if not hj.gather_until:
             hj.gather_until = now + self.core.settings.cluster.workers.report_s * GATHER
@@ -186,8 +190,13 @@
         """
         fence = self._fence(hj)
         moved: set[int] = set()
-        log.info("job=%s generation=%d event=narrow chunks=%d size=%d", hj.job.id,
-                 hj.generation, len(hj.chunks), hj.size)
+        log.info(
+            "job=%s generation=%d event=narrow chunks=%d size=%d",
+            hj.job.id,
+            hj.generation,
+            len(hj.chunks),
+            hj.size,
+        )
         while hj.wide:
             txn, chunks, gone = hj.move_txn(fence, self.core.bounds.txn_ops, moved)
             try:
@@ -214,8 +223,10 @@
                 raise Unavailable("the record is just changing")
             return
         txn = Txn().require(live_key(job), entry.rev).delete(live_key(job))
-        txn.put(end_key(job), fitted(end_value("cancelled", time.time(), entry.value["j"]),
-                                     core.bounds.value_kb))
+        txn.put(
+            end_key(job),
+            fitted(end_value("cancelled", time.time(), entry.value["j"]), core.bounds.value_kb),
+        )
         try:
             rev = await self._settle(txn, self._fence(hj), CANCEL_S)
         except Conflict:
@@ -311,8 +322,9 @@
             hj.placing.discard(number)
         await self._launch(hj, [(m, f"{job.id}/{n}", attempt) for n, m in granted], fence)
 
-    async def _reserve(self, hj: HomeJob, starts: list[tuple[int, str]], attempt: int
-                       ) -> list[tuple[int, str]]:
+    async def _reserve(
+        self, hj: HomeJob, starts: list[tuple[int, str]], attempt: int
+    ) -> list[tuple[int, str]]:
         """Ask the machines' owners; what they refuse is declined."""
         core = self.core
         granted: list[tuple[int, str]] = []
@@ -325,7 +337,8 @@
             else:
                 try:
                     ok, rows = await core.peers[owner].call(
-                        peerwire.RESERVE, (core.generation.number, task, attempt, items))
+                        peerwire.RESERVE, (core.generation.number, task, attempt, items)
+                    )
                     flags = [f for (f,) in rows] if ok else [False] * len(items)
                 except (PeerError, KeyError):
                     flags = [False] * len(items)
@@ -338,8 +351,7 @@
             found.setdefault(self.core.generation.place(item[0]), []).append(item)
         return found
 
-    async def _charge(self, job: Job, count: int
-                      ) -> dict[str, tuple[dict[str, float], int]] | None:
+    async def _charge(self, job: Job, count: int) -> dict[str, tuple[dict[str, float], int]] | None:
         """The quota's change for `count` tasks (negative: released); None: not allowed.
 
         The quota is changed by the very transaction that assigns or ends the
@@ -366,8 +378,13 @@
     async def _launch(self, hj: HomeJob, items: list[tuple[str, str, int]], fence: int) -> None:
         """Hand committed starts to the owners, until each has said yes or no."""
         core = self.core
-        log.info("job=%s generation=%d event=launch tasks=%d attempt=%d", hj.job.id,
-                 core.generation.number, len(items), items[0][2])
+        log.info(
+            "job=%s generation=%d event=launch tasks=%d attempt=%d",
+            hj.job.id,
+            core.generation.number,
+            len(items),
+            items[0][2],
+        )
         for owner, part in self._by_owner(items).items():
             waiting = part
             attempt = core.asks(owner)
@@ -386,7 +403,8 @@
                 else:
                     try:
                         ok, rows = await core.peers[owner].call(
-                            peerwire.LAUNCH, (core.generation.number, waiting))
+                            peerwire.LAUNCH, (core.generation.number, waiting)
+                        )
                         if not ok:
                             raise PeerError("not the owner")
                         answers = [v for (v,) in rows]
@@ -404,8 +422,11 @@
     @staticmethod
     def _unsettled(hj: HomeJob, item: tuple[str, str, int]) -> bool:
         number = split_task(item[1])[1]
-        return hj.assignment(number) == (item[2], item[0]) and number not in hj.outcomes \
+        return (
+            hj.assignment(number) == (item[2], item[0])
+            and number not in hj.outcomes
             and number not in hj.states
+        )
 
     async def _stop(self, hj: HomeJob, items: list[tuple[str, str, int, float, bool]]) -> None:
         """Kill or clear through the owners. What gets lost is asked again, or expires."""
@@ -429,9 +450,9 @@
         gen = core.generation
         if gen.number != hj.generation:
             raise Evicted
-        for owner, part in self._by_owner((m, f"{hj.job.id}/{n}", a)
-                                          for n, a, m in hj.assignments()
-                                          if only is None or n in only).items():
+        for owner, part in self._by_owner(
+            (m, f"{hj.job.id}/{n}", a) for n, a, m in hj.assignments() if only is None or n in only
+        ).items():
             attempt = core.asks(owner)
             while True:
                 if core.generation is not gen:
@@ -474,8 +495,9 @@
             hj.ended = "done"
             core.mirror.note_end(hj.job.id, "done", at)
             log.info("job=%s generation=%d event=done", hj.job.id, core.generation.number)
-        await self._stop(hj, [(where[n], f"{hj.job.id}/{n}", a, 0.0, True)
-                          for n, a in cleared if where[n]])
+        await self._stop(
+            hj, [(where[n], f"{hj.job.id}/{n}", a, 0.0, True) for n, a in cleared if where[n]]
+        )
         core.signal("place")
 
     async def _conflict(self, hj: HomeJob, exc: Conflict, fence: int) -> None:
@@ -495,13 +517,16 @@
                 raise Evicted
             revs = {e.key: e.rev for e in entries}
             # Nobody but this routine writes them, or removes them while the job is live.
-            if not hj.ended and any(revs.get(hj.key(i), 0) < c.rev for i, c in hj.chunks.items()) \
-                    and core.suspect(f"records of {hj.job.id} have gone back"):
+            if (
+                not hj.ended
+                and any(revs.get(hj.key(i), 0) < c.rev for i, c in hj.chunks.items())
+                and core.suspect(f"records of {hj.job.id} have gone back")
+            ):
                 return
-            hj.load_all({parse_chunk_key(e.key)[1:]: Chunk.parse(e.value, e.rev)
-                         for e in entries})
-            hj.outcomes = {n: o for n, o in hj.outcomes.items()
-                           if (hj.assignment(n) or (0, ""))[0] == o[0]}
+            hj.load_all({parse_chunk_key(e.key)[1:]: Chunk.parse(e.value, e.rev) for e in entries})
+            hj.outcomes = {
+                n: o for n, o in hj.outcomes.items() if (hj.assignment(n) or (0, ""))[0] == o[0]
+            }
             await self._adopt(hj)
 
     async def learn_end(self, job: str) -> None:
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -64,18 +64,22 @@
         home may not be there, or belong to a generation that can't be loaded, and a kill of
         such a task is right under any token."""
         ordered = {(o["piece"], o["try"]) for o in orders if o["verb"] == "kill"}
-        orders += [{"verb": "kill", "piece": t.task, "try": t.attempt, "wind_down_s": 0.0}
-                   for t in report.tasks if t.state != "exited"
-                   and (t.task, t.attempt) not in ordered
-                   and self._cancelled(report, t.task.partition("/")[0])][:BATCH - len(ordered)]
+        orders += [
+            {"verb": "kill", "piece": t.task, "try": t.attempt, "wind_down_s": 0.0}
+            for t in report.tasks
+            if t.state != "exited"
+            and (t.task, t.attempt) not in ordered
+            and self._cancelled(report, t.task.partition("/")[0])
+        ][: BATCH - len(ordered)]
 
     def _cancelled(self, report: Report, job: str) -> bool:
         """Whether a job with a task on a machine is known to be over. One that is neither
         live nor known to have ended is, where all that was launched there was launched under
         generations before ours: we have read what was live since."""
         core = self.core
-        return core.over(job) or (core.recovery is None and self._stranger(job)
-                                  and self._before_us(report))
+        return core.over(job) or (
+            core.recovery is None and self._stranger(job) and self._before_us(report)
+        )
 
     def _stranger(self, job: str) -> bool:
         return self.core.state_known and job not in self.core.live and job not in self.core.ended
@@ -83,7 +87,8 @@
     def _before_us(self, report: Report) -> bool:
         gen, number = self.core.generation, report.token >> COUNTER_BITS
         return number < gen.number or (
-            number == gen.number and gen.place(report.machine) == self.core.label)
+            number == gen.number and gen.place(report.machine) == self.core.label
+        )
 
     async def _report(self, report: Report, body: bytes) -> tuple[int, dict[str, Any]]:
         core = self.core
@@ -128,8 +133,8 @@
         """Whether a machine has tasks of jobs that we can't say anything of: accepted, and
         perhaps cancelled, after we had last read the records."""
         return not self._before_us(report) and any(
-            t.state != "exited" and self._stranger(t.task.partition("/")[0])
-            for t in report.tasks)
+            t.state != "exited" and self._stranger(t.task.partition("/")[0]) for t in report.tasks
+        )
 
     def own_report(self, report: Report, now: float, direct: bool) -> tuple[int, dict[str, Any]]:
         core = self.core
@@ -148,8 +153,14 @@
             room = core.rooms.get(report.machine)
             if room is not None:
                 m.images.update({image: 0.0 for image in room.images})
-            log.info("machine=%s generation=%d event=owned type=%s zone=%s spot=%s", m.name,
-                     core.generation.number, m.type, m.zone, m.spot)
+            log.info(
+                "machine=%s generation=%d event=owned type=%s zone=%s spot=%s",
+                m.name,
+                core.generation.number,
+                m.type,
+                m.zone,
+                m.spot,
+            )
         answer: dict[str, Any] = {"epoch": m.token, "orders": []}
         if m.orders and not m.busy:
             # Exited tasks take no room: that they are cleared can wait for a report's answer,
@@ -182,8 +193,13 @@
     def poke(self, machine: str) -> None:
         """Send what is queued for the machine, unless that is under way."""
         m = self.core.owner.machines.get(machine)
-        if m is not None and m.urgent and not m.busy and m.known \
-                and time.monotonic() >= m.bad_until:
+        if (
+            m is not None
+            and m.urgent
+            and not m.busy
+            and m.known
+            and time.monotonic() >= m.bad_until
+        ):
             m.busy = True
             self.core.spawn(self.pump(m, True))
 
@@ -195,8 +211,12 @@
         m.busy = True
         fence = core.generation.number
         try:
-            while m.orders and core.generation.number == fence and core.serving \
-                    and core.may_renew(time.monotonic()):
+            while (
+                m.orders
+                and core.generation.number == fence
+                and core.serving
+                and core.may_renew(time.monotonic())
+            ):
                 client = self.client(m.address)
                 if client is None:
                     return
@@ -208,8 +228,9 @@
                 except http.NoAnswer as exc:
                     log.info("machine=%s event=unanswered %s", m.name, exc)
                     if core.generation.number == fence:
-                        core.owner.unanswered(m, launches, not isinstance(exc, http.NotSent),
-                                              time.monotonic())
+                        core.owner.unanswered(
+                            m, launches, not isinstance(exc, http.NotSent), time.monotonic()
+                        )
                     return
                 if core.generation.number != fence:
                     return
@@ -265,7 +286,8 @@
                         ok, verdicts = True, core.dispatch.told(batch)
                     else:
                         ok, packed = await core.peers[home].call(
-                            peerwire.STATES, (gen.number, batch))
+                            peerwire.STATES, (gen.number, batch)
+                        )
                         verdicts = [v for (v,) in packed]
                 except (PeerError, KeyError):
                     ok, verdicts = False, []
@@ -305,12 +327,20 @@
         core = self.core
         m = core.owner.machines.get(name)
         now = time.monotonic()
-        if m is None or m.evacuating or not core.owner.replicas(m) \
-                or now - m.evacuated_at < core.settings.cluster.workers.lease_s / 2 \
-                or not (core.owner.open(m) or core.owner.sick(m)):
+        if (
+            m is None
+            or m.evacuating
+            or not core.owner.replicas(m)
+            or now - m.evacuated_at < core.settings.cluster.workers.lease_s / 2
+            or not (core.owner.open(m) or core.owner.sick(m))
+        ):
             return False
-        log.info("machine=%s event=evacuate replicas=%d drain=%s", name,
-                 len(core.owner.replicas(m)), drain)
+        log.info(
+            "machine=%s event=evacuate replicas=%d drain=%s",
+            name,
+            len(core.owner.replicas(m)),
+            drain,
+        )
         m.evacuating, m.evacuated_at = True, now
         m.draining = drain
         core.owner.touch(name)
@@ -351,9 +381,13 @@
         if home == core.label:
             return core.placer.movable(job.id, number, m.name, drain)
         try:
-            return bool((await core.peers[home].call(
-                peerwire.MOVE, (core.generation.number, job.id, number, m.name,
-                                drain)))[0])
+            return bool(
+                (
+                    await core.peers[home].call(
+                        peerwire.MOVE, (core.generation.number, job.id, number, m.name, drain)
+                    )
+                )[0]
+            )
         except (PeerError, KeyError):
             return False
 
@@ -376,8 +410,11 @@
                 m.ailing = m.ailing + 1 if core.owner.sick(m) else 0
                 if m.ailing >= 3 and m.known:
                     self.evacuate(m.name, True)
-            silent = [m for m in mine if now - m.heard > self.silent_s and not m.fencing
-                      and (m.known or m.want)]
+            silent = [
+                m
+                for m in mine
+                if now - m.heard > self.silent_s and not m.fencing and (m.known or m.want)
+            ]
             # When most are silent at once it is we who are cut off, or a whole
             # zone is: returning them all would destroy what still works.
             cut = len(silent) > 2 and len(silent) * 2 > len(mine)
@@ -397,23 +434,34 @@
             # machine that may well work (fifteen were, when one controller lost the
             # state service).
             room, listed = core.rooms.get(m.name), core.provisioner.listed.get(m.name)
-            address = m.address or (room.address if room else "") or (
-                listed.address if listed else "")
-            if not address and time.monotonic() - m.heard < \
-                    core.settings.cluster.workers.cancel_s / 2:
+            address = (
+                m.address or (room.address if room else "") or (listed.address if listed else "")
+            )
+            if (
+                not address
+                and time.monotonic() - m.heard < core.settings.cluster.workers.cancel_s / 2
+            ):
                 return
             if address and await self._answers(m.name, address, gen.members):
                 return
-            if core.generation is not gen or not core.serving \
-                    or time.monotonic() - m.heard < self.silent_s:
+            if (
+                core.generation is not gen
+                or not core.serving
+                or time.monotonic() - m.heard < self.silent_s
+            ):
                 return
-            log.info("machine=%s generation=%d event=fence cause=silent tasks=%d", m.name,
-                     gen.number, len(m.want))
+            log.info(
+                "machine=%s generation=%d event=fence cause=silent tasks=%d",
+                m.name,
+                gen.number,
+                len(m.want),
+            )
             if gen.provisioner == core.label:
                 await self.fences.fence(m.name)
             else:
                 await core.peers[gen.provisioner].call(
-                    peerwire.FENCE, (gen.number, m.name, "silent"), 10 * self.command_s)
+                    peerwire.FENCE, (gen.number, m.name, "silent"), 10 * self.command_s
+                )
         except (PeerError, CloudError, KeyError) as exc:
             log.info("machine=%s event=not-fenced cause=%s", m.name, exc)
         finally:
@@ -426,8 +474,10 @@
         a machine that had ended was returned only after its lease was over, and its replicas
         were missed for so much longer."""
         async with curio.TaskGroup(wait=all) as group:
-            found = [await group.spawn(self.inspect, name, address),
-                     await group.spawn(self._answers_peer, name, address, members)]
+            found = [
+                await group.spawn(self.inspect, name, address),
+                await group.spawn(self._answers_peer, name, address, members),
+            ]
         return any(task.result for task in found)
 
     async def _answers_peer(self, name: str, address: str, members: Container[str]) -> bool:
@@ -435,8 +485,11 @@
         for label, peer in self.core.peers.items():
             if label in members:
                 try:
-                    return bool((await peer.call(peerwire.INSPECT, (name, address),
-                                                 self.command_s * 1.5))[0])
+                    return bool(
+                        (await peer.call(peerwire.INSPECT, (name, address), self.command_s * 1.5))[
+                            0
+                        ]
+                    )
                 except PeerError:
                     continue
         return False
--- a/clayport/heads.py
+++ b/clayport/heads.py
@@ -47,8 +47,8 @@
     end = data.find(END)
     if end < 0 or end > KEPT_BYTES:
         return None
-    head = bytes(data[:end + len(END)])
-    del data[:end + len(END)]
+    head = bytes(data[: end + len(END)])
+    del data[: end + len(END)]
     return head
 
 
@@ -66,11 +66,16 @@
         event = conn.next_event()
     except h11.RemoteProtocolError:
         return None, None
-    if not isinstance(event, (h11.Request, h11.Response)) or event.http_version != b"1.1" \
-            or conn.trailing_data[0] or any(name in UNUSUAL for name, _ in event.headers):
+    if (
+        not isinstance(event, (h11.Request, h11.Response))
+        or event.http_version != b"1.1"
+        or conn.trailing_data[0]
+        or any(name in UNUSUAL for name, _ in event.headers)
+    ):
         return None, None
-    return event, next((int(value) for name, value in event.headers
-                        if name == b"content-length"), None)
+    return event, next(
+        (int(value) for name, value in event.headers if name == b"content-length"), None
+    )
 
 
 @lru_cache(maxsize=HEADS_MOST)
@@ -108,8 +113,10 @@
 @lru_cache(maxsize=HEADS_MOST)
 def response(status: int, length: int, extra: tuple[tuple[str, str], ...]) -> h11.Response:
     """The event for it, where h11 keeps the connection."""
-    return h11.Response(status_code=status, headers=[
-        ("Content-Type", "application/json"), ("Content-Length", str(length)), *extra])
+    return h11.Response(
+        status_code=status,
+        headers=[("Content-Type", "application/json"), ("Content-Length", str(length)), *extra],
+    )
 
 
 @lru_cache(maxsize=HEADS_MOST)
--- a/clayport/http.py
+++ b/clayport/http.py
@@ -51,8 +51,9 @@
     kept: a flood of users must not cost a worker its lease.
     """
 
-    def __init__(self, handler: Handler, budget: int, idle_s: float, request_s: float,
-                 kept_path: str) -> None:
+    def __init__(
+        self, handler: Handler, budget: int, idle_s: float, request_s: float, kept_path: str
+    ) -> None:
         self.handler, self.budget = handler, budget
         self.idle_s, self.request_s, self.kept_path = idle_s, request_s, kept_path
         self.open: dict[curio.Task, bool] = {}  # insertion order is age; True: idle user
@@ -124,8 +125,8 @@
                         await self._by_h11(client, me, head + data)
                         return
                     data.extend(more)
-                body = bytes(data[:asked.length])
-                del data[:asked.length]
+                body = bytes(data[: asked.length])
+                del data[: asked.length]
                 kept = asked.path.startswith(self.kept_path)
                 status, payload, extra = await self.handler(asked.method, asked.path, body)
                 await client.sendall(heads.answer(status, len(payload), tuple(extra)) + payload)
@@ -164,7 +165,8 @@
                 path = request.target.decode("latin-1")
                 kept = path.startswith(self.kept_path)
                 status, payload, extra = await self.handler(
-                    request.method.decode("latin-1"), path, body)
+                    request.method.decode("latin-1"), path, body
+                )
                 await client.sendall(self._response(conn, status, payload, extra))
                 if conn.our_state is h11.MUST_CLOSE or conn.our_state is h11.CLOSED:
                     return
@@ -176,8 +178,9 @@
         except h11.LocalProtocolError:
             pass
 
-    async def _request(self, conn: h11.Connection, client: Any,
-                       me: curio.Task) -> tuple[h11.Request | None, bytes]:
+    async def _request(
+        self, conn: h11.Connection, client: Any, me: curio.Task
+    ) -> tuple[h11.Request | None, bytes]:
         """Read one request whole; None when the other side is finished."""
         request, parts, size = None, [], 0
         while True:
@@ -199,8 +202,12 @@
 
     @staticmethod
     def _response(conn: h11.Connection, status: int, payload: bytes, extra: Headers) -> bytes:
-        return _wire(conn, heads.response(status, len(payload), tuple(extra)),
-                     h11.Data(data=payload), h11.EndOfMessage())
+        return _wire(
+            conn,
+            heads.response(status, len(payload), tuple(extra)),
+            h11.Data(data=payload),
+            h11.EndOfMessage(),
+        )
 
     async def _refuse(self, conn: h11.Connection, client: Any, status: int) -> None:
         try:
@@ -226,8 +233,9 @@
         self.name = f"{host}:{port}"
         self.idle: deque[Any] = deque()
 
-    async def request(self, method: str, path: str, body: bytes | None,
-                      timeout_s: float) -> tuple[int, bytes]:
+    async def request(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> tuple[int, bytes]:
         """One exchange; NotSent or NoAnswer when there is no answer in time."""
         sent = False
         sock: Any = None
@@ -255,8 +263,9 @@
             if sock is not None:
                 await sock.close()
 
-    async def _exchange(self, sock: Any, method: str, path: str, body: bytes | None
-                        ) -> tuple[int, bytes, bool]:
+    async def _exchange(
+        self, sock: Any, method: str, path: str, body: bytes | None
+    ) -> tuple[int, bytes, bool]:
         """The answer, and whether the connection may be used again."""
         length = None if body is None else len(body)
         await sock.sendall(heads.ask(method, path, self.name, length) + (body or b""))
@@ -270,14 +279,19 @@
             if not more:
                 raise EOFError("closed")
             data += more
-        return answered.status, bytes(data[:answered.length]), len(data) == answered.length
+        return answered.status, bytes(data[: answered.length]), len(data) == answered.length
 
-    async def _by_h11(self, sock: Any, method: str, path: str, body: bytes | None, data: bytes
-                      ) -> tuple[int, bytes, bool]:
+    async def _by_h11(
+        self, sock: Any, method: str, path: str, body: bytes | None, data: bytes
+    ) -> tuple[int, bytes, bool]:
         """The same for an answer whose head is out of the ordinary, of which `data` has come."""
         conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=65536)
-        _wire(conn, heads.request(method, path, self.name, None if body is None else len(body)),
-              *([h11.Data(data=body)] if body else []), h11.EndOfMessage())
+        _wire(
+            conn,
+            heads.request(method, path, self.name, None if body is None else len(body)),
+            *([h11.Data(data=body)] if body else []),
+            h11.EndOfMessage(),
+        )
         if data:
             conn.receive_data(data)
         status, parts = 0, []
--- a/clayport/index.py
+++ b/clayport/index.py
@@ -39,8 +39,11 @@
 
 def allows(job: Job, pool: Room | Pool) -> bool:
     """The job's own conditions: type, zone and kind, which a pool's machines share."""
-    return (job.types is None or pool.type in job.types) and (job.spot or not pool.spot) \
+    return (
+        (job.types is None or pool.type in job.types)
+        and (job.spot or not pool.spot)
         and (job.zone is None or job.zone == pool.zone)
+    )
 
 
 class Shelf:
@@ -58,8 +61,10 @@
         """Enter the room as it is now, in place of what was known of it."""
         row = room.row
         if row is None:
-            row = room.row = ((room.gpus > EPSILON, -room.lasting),
-                              (round(room.cpus + room.gpus, 6), room.herd, room.machine))
+            row = room.row = (
+                (room.gpus > EPSILON, -room.lasting),
+                (round(room.cpus + room.gpus, 6), room.herd, room.machine),
+            )
         known = self.where.get(room.machine)
         if known is not None:
             if known == row:
@@ -295,8 +300,9 @@
                     if room is not None:
                         yield room
 
-    def in_order(self, job: Job, pools: Iterable[tuple[bool, bool, Pool]],
-                 uncached: frozenset[str] | None) -> Iterator[Room]:
+    def in_order(
+        self, job: Job, pools: Iterable[tuple[bool, bool, Pool]], uncached: frozenset[str] | None
+    ) -> Iterator[Room]:
         """Rooms with the CPUs and GPUs for one task, the preferred first.
 
         `pools` says of each whether it is dear, and whether it is a spot pool to be kept
@@ -313,17 +319,22 @@
                     if band:
                         yield from self._band(job, gpus, band, uncached)
 
-    def _band(self, job: Job, gpus: bool, band: list[Pool], uncached: frozenset[str] | None
-              ) -> Iterator[Room]:
+    def _band(
+        self, job: Job, gpus: bool, band: list[Pool], uncached: frozenset[str] | None
+    ) -> Iterator[Room]:
         for cached in (True, False):
             for spot in (True, False):
-                shelves = [p.shelf(job.image if cached else "") for p in band if p.spot == spot
-                           and (cached or uncached is None or p.type in uncached)]
+                shelves = [
+                    p.shelf(job.image if cached else "")
+                    for p in band
+                    if p.spot == spot and (cached or uncached is None or p.type in uncached)
+                ]
                 if shelves:
                     yield from self._merged(job, gpus, shelves, not cached)
 
-    def _merged(self, job: Job, gpus: bool, shelves: list[Shelf], skip_cached: bool
-                ) -> Iterator[Room]:
+    def _merged(
+        self, job: Job, gpus: bool, shelves: list[Shelf], skip_cached: bool
+    ) -> Iterator[Room]:
         """Rooms of several shelves: those with most replicas, then the fullest first."""
         need = (job.cpus + job.gpus - 3 * EPSILON,)
         levels: dict[float, list[SortedList]] = {}
@@ -339,8 +350,9 @@
                 if room is not None and not (skip_cached and job.image in room.images):
                     yield room
 
-    def lower(self, pools: Iterable[Pool], rank: int, without: Container[str] = ()
-              ) -> Iterator[Room]:
+    def lower(
+        self, pools: Iterable[Pool], rank: int, without: Container[str] = ()
+    ) -> Iterator[Room]:
         """Rooms that hold work of a standing below the rank."""
         for pool in pools:
             pool.count()
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -60,8 +60,17 @@
 class HomeJob:
     """A job at its home."""
 
-    def __init__(self, job: Job, live_rev: int, size: int, now: float, ended: str = "",
-                 generation: int = 0, pause_s: float = 1.0, pause_most_s: float = 60.0) -> None:
+    def __init__(
+        self,
+        job: Job,
+        live_rev: int,
+        size: int,
+        now: float,
+        ended: str = "",
+        generation: int = 0,
+        pause_s: float = 1.0,
+        pause_most_s: float = 60.0,
+    ) -> None:
         self.name = f"job {job.id} {generation}"  # the signal of its routine
         self.generation = generation
         self.job, self.live_rev, self.size = job, live_rev, size
@@ -181,8 +190,9 @@
         self.recount()
         return bool(self.wide)
 
-    def move_txn(self, fence: int, limit: int, moved: set[int]
-                 ) -> tuple[Txn, dict[int, Chunk], list[str]]:
+    def move_txn(
+        self, fence: int, limit: int, moved: set[int]
+    ) -> tuple[Txn, dict[int, Chunk], list[str]]:
         """The next step of a move: narrower chunks as long as there are any to write, then
         the wider ones removed. Nothing to do: no writes."""
         txn = Txn().require(GENERATION_KEY, fence)
@@ -212,8 +222,10 @@
         A job that is bound to where its other tasks are is alone in its group."""
         if self._group is None or self._group[0] is not self.job:
             job = self.job
-            self._group = (job, (*shape(job), job.one_zone, job.spread,
-                                 job.tasks if job.kind == GANG else 0))
+            self._group = (
+                job,
+                (*shape(job), job.one_zone, job.spread, job.tasks if job.kind == GANG else 0),
+            )
         if self.assigned and (self.job.one_zone or self.job.spread):
             return (self.job.id,)
         return self._group[1]
@@ -252,9 +264,14 @@
     def filling(self) -> bool:
         """A gang that has not started and lacks tasks: replacements with the same
         attempt number complete it, so nothing has to be fetched or waited for anew."""
-        return self.job.kind == GANG and not self.breaking and not self.done and bool(
-            self.assigned) and not self.outcomes and all(
-            s in ("pulling", "waiting") for s, _ in self.states.values())
+        return (
+            self.job.kind == GANG
+            and not self.breaking
+            and not self.done
+            and bool(self.assigned)
+            and not self.outcomes
+            and all(s in ("pulling", "waiting") for s, _ in self.states.values())
+        )
 
     @property
     def running(self) -> int:
@@ -278,8 +295,9 @@
             if index not in indexes:
                 chunk = self.chunks.get(index)
                 added += chunk.most_bytes(self.size) if chunk else 0
-            if indexes and (size + added > TXN_BYTES
-                            or index not in indexes and len(indexes) == limit):
+            if indexes and (
+                size + added > TXN_BYTES or index not in indexes and len(indexes) == limit
+            ):
                 return False
             indexes.add(index)
             size += added
@@ -307,8 +325,9 @@
 
     # -- events ----------------------------------------------------------
 
-    def event(self, machine: str, number: int, attempt: int, state: str, cause: str,
-              now: float) -> int:
+    def event(
+        self, machine: str, number: int, attempt: int, state: str, cause: str, now: float
+    ) -> int:
         """Take note of what an owner tells of a task; the verdict on it."""
         if self.assignment(number) != (attempt, machine):
             if number in self.placing:
@@ -342,8 +361,11 @@
     def at_fault(self) -> bool:
         """Whether it is the job that fails, and not the machines: it has failed on several,
         more often than it runs anywhere, and has completed nothing."""
-        return not self.proven and (self.suspected or len(
-            self.errors) >= FAULT_MACHINES and sum(self.errors.values()) > self.running)
+        return not self.proven and (
+            self.suspected
+            or len(self.errors) >= FAULT_MACHINES
+            and sum(self.errors.values()) > self.running
+        )
 
     def _failed(self, machine: str, now: float) -> int:
         """Back off from a machine, and from everywhere when it is the job that fails.
@@ -355,7 +377,7 @@
         self.errors[machine] = self.errors.pop(machine, 0) + 1
         if self.at_fault:
             if now >= self.not_before:
-                self.not_before = now + min(self.pause_most_s, self.pause_s * 2.0 ** self.trials)
+                self.not_before = now + min(self.pause_most_s, self.pause_s * 2.0**self.trials)
                 self.trials = min(self.trials + 1, 16)
             return JOB_AT_FAULT
         return MACHINE_AT_FAULT if self.proven or self.running > sum(self.errors.values()) else OK
@@ -380,9 +402,14 @@
         if now < self.look_at:
             return set()
         self.look_at = now + patience_s
-        before, self.silent = self.silent, {
-            (n, a) for n, a, _ in self.assignments()
-            if n not in self.states and n not in self.outcomes}
+        before, self.silent = (
+            self.silent,
+            {
+                (n, a)
+                for n, a, _ in self.assignments()
+                if n not in self.states and n not in self.outcomes
+            },
+        )
         return {n for n, _ in self.silent & before}
 
     def broken(self) -> list[tuple[int, int, str]]:
@@ -401,8 +428,9 @@
         txn.require(self.key(index), old.rev if old else 0)
         return old.copy() if old else Chunk()
 
-    def start_txn(self, fence: int, starts: list[tuple[int, str]], attempt: int
-                  ) -> tuple[Txn, dict[int, Chunk]]:
+    def start_txn(
+        self, fence: int, starts: list[tuple[int, str]], attempt: int
+    ) -> tuple[Txn, dict[int, Chunk]]:
         """Commit machine and attempt before any launch, unless the job has ended."""
         txn = Txn().require(GENERATION_KEY, fence).require(live_key(self.job.id), self.live_rev)
         chunks: dict[int, Chunk] = {}
@@ -416,8 +444,9 @@
             txn.put(self.key(index), chunk.value())
         return txn, chunks
 
-    def outcome_txn(self, fence: int, limit: int, at: float = 0.0
-                    ) -> tuple[Txn, dict[int, Chunk], list[int], bool]:
+    def outcome_txn(
+        self, fence: int, limit: int, at: float = 0.0
+    ) -> tuple[Txn, dict[int, Chunk], list[int], bool]:
         """Commit what ended, chunk by chunk; the last one ends the job in the same step.
 
         Answers the transaction, the changed chunks, the tasks covered and
--- a/clayport/limits/__init__.py
+++ b/clayport/limits/__init__.py
@@ -12,5 +12,14 @@
 from .inflight import Inflight
 from .retry import Attempt, Budget, Deadline, Retries
 
-__all__ = ["Attempt", "Budget", "Closed", "Deadline", "Door", "Gate", "Inflight", "Patience",
-           "Retries"]
+__all__ = [
+    "Attempt",
+    "Budget",
+    "Closed",
+    "Deadline",
+    "Door",
+    "Gate",
+    "Inflight",
+    "Patience",
+    "Retries",
+]
--- a/clayport/limits/gate.py
+++ b/clayport/limits/gate.py
@@ -67,8 +67,9 @@
         self.number = 0
 
     @asynccontextmanager
-    async def passing(self, ahead: float = 0.0, deadline: Deadline | None = None
-                      ) -> AsyncIterator[Passage]:
+    async def passing(
+        self, ahead: float = 0.0, deadline: Deadline | None = None
+    ) -> AsyncIterator[Passage]:
         """Closed if no turn comes; `served` is to be set once an answer has come."""
         if self.inflight.full:
             await self._wait(ahead, deadline or Deadline())
--- a/clayport/limits/retry.py
+++ b/clayport/limits/retry.py
@@ -70,8 +70,9 @@
     """How one server is asked again: `base_s` and `most_s` bound a single pause, the budget
     all askers together. `uniform(a, b)` draws: controllers must not come back in step."""
 
-    def __init__(self, base_s: float, most_s: float, budget: Budget,
-                 uniform: Callable[[float, float], float]) -> None:
+    def __init__(
+        self, base_s: float, most_s: float, budget: Budget, uniform: Callable[[float, float], float]
+    ) -> None:
         self.base_s, self.most_s = base_s, max(base_s, most_s)
         self.budget, self.uniform = budget, uniform
 
--- a/clayport/membership.py
+++ b/clayport/membership.py
@@ -58,8 +58,11 @@
 
 def rendezvous(key: str, members: Iterable[str]) -> str:
     """Highest random weight: a member's end moves only what it held."""
-    return max(members, key=lambda m: (blake2b(f"{key}\0{m}".encode(), digest_size=8).digest(), m),
-               default="")
+    return max(
+        members,
+        key=lambda m: (blake2b(f"{key}\0{m}".encode(), digest_size=8).digest(), m),
+        default="",
+    )
 
 
 NOBODY = Generation(0, {}, 0)
@@ -94,16 +97,20 @@
             self.ends[label] = [*ends, now]
             more = len(ends) - FREE_ENDS
             if more >= 0:
-                self.until[label] = now + min(self.pause_most_s, self.pause_s * 2.0 ** more)
+                self.until[label] = now + min(self.pause_most_s, self.pause_s * 2.0**more)
                 found.append(label)
         return found
 
-    def admitted(self, members: Mapping[str, str], present: Mapping[str, str], now: float
-                 ) -> dict[str, str]:
+    def admitted(
+        self, members: Mapping[str, str], present: Mapping[str, str], now: float
+    ) -> dict[str, str]:
         """Who may be in the next generation: those that are in this one, and all others
         whose pause is over. All, if that is nobody."""
-        found = {label: inc for label, inc in present.items()
-                 if members.get(label) == inc or now >= self.until.get(label, now)}
+        found = {
+            label: inc
+            for label, inc in present.items()
+            if members.get(label) == inc or now >= self.until.get(label, now)
+        }
         return found or dict(present)
 
 
@@ -111,7 +118,8 @@
     """Whether a controller may propose a generation: a member, and whoever finds none of
     the members there. One that has just begun doesn't know who has ended how often."""
     return members.get(me) == present.get(me) is not None or not any(
-        present.get(label) == inc for label, inc in members.items())
+        present.get(label) == inc for label, inc in members.items()
+    )
 
 
 def successor(current: Generation, present: Mapping[str, str]) -> Generation | None:
@@ -125,8 +133,9 @@
     return Generation(current.number + 1, dict(present), 0)
 
 
-def should_leave(now: float, me: str, heard: dict[str, float], present: Iterable[str],
-                 patience_s: float) -> bool:
+def should_leave(
+    now: float, me: str, heard: dict[str, float], present: Iterable[str], patience_s: float
+) -> bool:
     """Whether a controller that reaches no present peer should step aside.
 
     Peers that crashed lose their keys with their leases; peers whose keys live
--- a/clayport/mirror.py
+++ b/clayport/mirror.py
@@ -76,8 +76,13 @@
         core.bounds = core.settings.cluster.state.least()
         core.store.set_rates(core.bounds.rps, core.bounds.write_rps)
         core.api.lookups.most = 4 * core.bounds.txn_ops
-        log.info("event=upgraded format=%d value_kb=%g txn_ops=%d write_rps=%g", FORMAT,
-                 core.bounds.value_kb, core.bounds.txn_ops, core.bounds.write_rps)
+        log.info(
+            "event=upgraded format=%d value_kb=%g txn_ops=%d write_rps=%g",
+            FORMAT,
+            core.bounds.value_kb,
+            core.bounds.txn_ops,
+            core.bounds.write_rps,
+        )
         for hj in core.dispatch.homes.values():
             core.signal(hj.name)
 
@@ -168,7 +173,7 @@
             self._put(change.put, change.value, change.rev)
         elif change.delete is not None:
             if change.delete.startswith(NODE_PREFIX):
-                label = change.delete[len(NODE_PREFIX):]
+                label = change.delete[len(NODE_PREFIX) :]
                 core.nodes.pop(label, None)
                 core.node_revs.pop(label, None)
                 if label == core.label:
@@ -176,7 +181,7 @@
                     core.signal("lease")
                 core.signal("members")
             elif change.delete.startswith(LIVE_PREFIX):
-                self._gone_live(change.delete[len(LIVE_PREFIX):])
+                self._gone_live(change.delete[len(LIVE_PREFIX) :])
 
     def _put(self, key: str, value: Any, rev: int) -> None:
         core = self.core
@@ -188,17 +193,18 @@
             elif key == HEAD_KEY:
                 core.note_head(value)
             elif key.startswith(NODE_PREFIX):
-                core.nodes[key[len(NODE_PREFIX):]] = str(value["inc"])
-                core.node_revs[key[len(NODE_PREFIX):]] = rev
+                core.nodes[key[len(NODE_PREFIX) :]] = str(value["inc"])
+                core.node_revs[key[len(NODE_PREFIX) :]] = rev
                 core.signal("members")
             elif key.startswith(VERSION_PREFIX):
-                self.note_version(key[len(VERSION_PREFIX):], value, rev)
+                self.note_version(key[len(VERSION_PREFIX) :], value, rev)
             elif key.startswith(CLASS_PREFIX):
                 known = core.judged(msgspec.convert(value["j"], Job))
                 core.classes[known.job_class] = known
             elif key.startswith(LIVE_PREFIX):
-                self.note_live(core.judged(msgspec.convert(value["j"], Job)), rev,
-                               self.since(value.get("t")))
+                self.note_live(
+                    core.judged(msgspec.convert(value["j"], Job)), rev, self.since(value.get("t"))
+                )
         except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as exc:
             log.error("key=%s event=malformed-value cause=%r", key, exc)
 
@@ -230,13 +236,20 @@
             core.signal("prereqs")
         elif core.state_known:
             core.arrivals.note(job, time.monotonic())
-        if job.gpus > 0 and job.job_class not in core.classes \
-                and len(core.classes) < CLASSES_MOST and job.job_class.isascii() \
-                and job.job_class.replace("-", "").replace("_", "").isalnum():
+        if (
+            job.gpus > 0
+            and job.job_class not in core.classes
+            and len(core.classes) < CLASSES_MOST
+            and job.job_class.isascii()
+            and job.job_class.replace("-", "").replace("_", "").isalnum()
+        ):
             core.classes[job.job_class] = job
             core.spawn(self._remember(job))
-        if core.serving and core.generation.place(job.id) == core.label \
-                and job.id not in core.dispatch.homes:
+        if (
+            core.serving
+            and core.generation.place(job.id) == core.label
+            and job.id not in core.dispatch.homes
+        ):
             core.home(core.live[job.id][0], rev, {}, "")
             core.signal("place")
 
@@ -275,8 +288,9 @@
         core = self.core
         again_at = 0.0
         while True:
-            await core.wait("prereqs", core.jitter(
-                core.ttl_s / 4 if core.pipes.missing else 2 * core.ttl_s))
+            await core.wait(
+                "prereqs", core.jitter(core.ttl_s / 4 if core.pipes.missing else 2 * core.ttl_s)
+            )
             for name in list(core.pipes.missing):
                 if name in core.ended:
                     self._end_of(name, core.ended[name], time.monotonic())
@@ -294,22 +308,32 @@
             for name in sorted(self._awaited()):
                 known = core.live.get(name)
                 try:
-                    if known is not None and known[1] and not await core.api.lookups.unchanged(
-                            live_key(name), known[1]):
+                    if (
+                        known is not None
+                        and known[1]
+                        and not await core.api.lookups.unchanged(live_key(name), known[1])
+                    ):
                         self._gone_live(name)
                 except Unavailable:
                     break
 
     def _awaited(self) -> set[str]:
         """Live jobs that jobs at home here wait for."""
-        return {need for name, hj in self.core.dispatch.homes.items() if hj.blocked
-                and name in self.core.pipes.links for need in self.core.pipes.links[name].needs}
+        return {
+            need
+            for name, hj in self.core.dispatch.homes.items()
+            if hj.blocked and name in self.core.pipes.links
+            for need in self.core.pipes.links[name].needs
+        }
 
     async def _remember(self, job: Job) -> None:
         key = CLASS_PREFIX + job.job_class
         try:
-            await self.core.store.commit(Txn().require(key, 0).put(
-                key, {"j": msgspec.to_builtins(msgspec.structs.replace(job, prereqs=None))}))
+            await self.core.store.commit(
+                Txn()
+                .require(key, 0)
+                .put(key, {"j": msgspec.to_builtins(msgspec.structs.replace(job, prereqs=None))})
+            )
         except (Conflict, Unavailable, Unknown):
             pass  # a hint only
 
@@ -415,8 +439,9 @@
                 core.events.pop(name, None)
                 raise Unavailable("not everybody knows of it yet", wait_s)
             # (Who waits for the same at the same time may have taken the signal.)
-            await core.wait(name, max(0.001, min(
-                wait_s, deadline.left(now, core.ttl_s / 16), core.ttl_s / 16)))
+            await core.wait(
+                name, max(0.001, min(wait_s, deadline.left(now, core.ttl_s / 16), core.ttl_s / 16))
+            )
         core.events.pop(name, None)
 
     def make_up(self, label: str) -> None:
--- a/clayport/model.py
+++ b/clayport/model.py
@@ -21,13 +21,31 @@
 MAX_TASKS = 100_000
 
 
-class Job(msgspec.Struct, frozen=True, omit_defaults=True, rename={
-    "job_class": "jobclass", "team": "owner", "kind": "shape", "priority": "rank",
-    "tasks": "pieces", "cpus": "vcpus", "gpus": "cards", "memory_gb": "ram_gb",
-    "image": "bundle", "types": "flavors", "zone": "site", "one_zone": "together",
-    "spread": "scatter", "spot": "loaners", "estimate_s": "guess_s",
-    "checkpoint_s": "snapshot_every_s", "save_s": "snapshot_s", "deadline_s": "due_s",
-}):
+class Job(
+    msgspec.Struct,
+    frozen=True,
+    omit_defaults=True,
+    rename={
+        "job_class": "jobclass",
+        "team": "owner",
+        "kind": "shape",
+        "priority": "rank",
+        "tasks": "pieces",
+        "cpus": "vcpus",
+        "gpus": "cards",
+        "memory_gb": "ram_gb",
+        "image": "bundle",
+        "types": "flavors",
+        "zone": "site",
+        "one_zone": "together",
+        "spread": "scatter",
+        "spot": "loaners",
+        "estimate_s": "guess_s",
+        "checkpoint_s": "snapshot_every_s",
+        "save_s": "snapshot_s",
+        "deadline_s": "due_s",
+    },
+):
     """A job's description as its user submitted it."""
 
     id: JobId
@@ -71,10 +89,20 @@
         return -1 if self.filler and self.rank == 0 else self.rank
 
 
-class MachineType(msgspec.Struct, frozen=True, rename={
-    "name": "label", "cpus": "vcpus", "gpus": "cards", "memory_gb": "ram_gb",
-    "cache_gb": "local_gb", "fetch_gb_per_s": "pull_gb_per_s", "price": "rate", "zones": "sites",
-}):
+class MachineType(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "name": "label",
+        "cpus": "vcpus",
+        "gpus": "cards",
+        "memory_gb": "ram_gb",
+        "cache_gb": "local_gb",
+        "fetch_gb_per_s": "pull_gb_per_s",
+        "price": "rate",
+        "zones": "sites",
+    },
+):
     """One row of the cloud's catalogue."""
 
     name: str
@@ -89,8 +117,16 @@
     zones: list[str]
 
 
-class Piece(msgspec.Struct, rename={"task": "piece", "attempt": "try", "state": "status",
-                                    "why": "cause", "saved": "stored"}):
+class Piece(
+    msgspec.Struct,
+    rename={
+        "task": "piece",
+        "attempt": "try",
+        "state": "status",
+        "why": "cause",
+        "saved": "stored",
+    },
+):
     """A task as a worker lists it."""
 
     task: str
@@ -100,10 +136,20 @@
     saved: bool = False
 
 
-class Report(msgspec.Struct, rename={"machine": "host", "type": "flavor", "zone": "site",
-                                     "spot": "loaners", "session": "tenure", "seq": "counter",
-                                     "token": "epoch", "notice_s": "reclaim_in_s",
-                                     "tasks": "pieces"}):
+class Report(
+    msgspec.Struct,
+    rename={
+        "machine": "host",
+        "type": "flavor",
+        "zone": "site",
+        "spot": "loaners",
+        "session": "tenure",
+        "seq": "counter",
+        "token": "epoch",
+        "notice_s": "reclaim_in_s",
+        "tasks": "pieces",
+    },
+):
     """A worker's report."""
 
     machine: Text
@@ -118,8 +164,16 @@
     notice_s: float | None = None
 
 
-class Listed(msgspec.Struct, rename={"type": "flavor", "zone": "site", "spot": "loaners",
-                                     "state": "status", "age_s": "held_s"}):
+class Listed(
+    msgspec.Struct,
+    rename={
+        "type": "flavor",
+        "zone": "site",
+        "spot": "loaners",
+        "state": "status",
+        "age_s": "held_s",
+    },
+):
     """A machine as the cloud lists it."""
 
     id: str
@@ -143,9 +197,13 @@
 
 def fits(job: Job, kind: MachineType) -> bool:
     """Whether one task of the job fits an empty machine of the type."""
-    return (job.types is None or kind.name in job.types) and job.cpus <= kind.cpus \
-        and job.gpus <= kind.gpus and job.memory_gb <= kind.memory_gb \
+    return (
+        (job.types is None or kind.name in job.types)
+        and job.cpus <= kind.cpus
+        and job.gpus <= kind.gpus
+        and job.memory_gb <= kind.memory_gb
         and (job.zone is None or job.zone in kind.zones)
+    )
 
 
 class Chunk:
@@ -171,8 +229,11 @@
                 runs[-1][1] = number
             else:
                 runs.append([number, number])
-        return {"a": [[n, a, m] for n, (a, m) in self.assigned.items()], "d": runs,
-                "n": self.last_attempt}
+        return {
+            "a": [[n, a, m] for n, (a, m) in self.assigned.items()],
+            "d": runs,
+            "n": self.last_attempt,
+        }
 
     @staticmethod
     def parse(value: Any, rev: int) -> Chunk:
@@ -186,8 +247,11 @@
 
     def most_bytes(self, size: int) -> int:
         """A bound on the length of its value, without building that."""
-        return ASSIGNED_BYTES * len(self.assigned) + RUN_BYTES * min(
-            len(self.done), size + 1 - len(self.done)) + RUN_BYTES * 2
+        return (
+            ASSIGNED_BYTES * len(self.assigned)
+            + RUN_BYTES * min(len(self.done), size + 1 - len(self.done))
+            + RUN_BYTES * 2
+        )
 
     def copy(self) -> Chunk:
         other = Chunk()
--- a/clayport/operator.py
+++ b/clayport/operator.py
@@ -40,22 +40,31 @@
 
 def _message() -> Any:
     field = descriptor_pb2.FieldDescriptorProto
-    file = descriptor_pb2.FileDescriptorProto(name="operator.proto", package="clayport",
-                                              syntax="proto2")
+    file = descriptor_pb2.FileDescriptorProto(
+        name="operator.proto", package="clayport", syntax="proto2"
+    )
     refresh = file.message_type.add(name="Refresh")
     for number, name in enumerate(REFRESH, 1):
-        refresh.field.add(name=name, number=number, type=field.TYPE_DOUBLE,
-                          label=field.LABEL_OPTIONAL)
+        refresh.field.add(
+            name=name, number=number, type=field.TYPE_DOUBLE, label=field.LABEL_OPTIONAL
+        )
     rebuild = file.message_type.add(name="Rebuild")
     rebuild.field.add(name="on", number=1, type=field.TYPE_BOOL, label=field.LABEL_OPTIONAL)
-    rebuild.field.add(name="directory", number=2, type=field.TYPE_STRING,
-                      label=field.LABEL_OPTIONAL)
-    rebuild.field.add(name="second_copy", number=3, type=field.TYPE_BOOL,
-                      label=field.LABEL_OPTIONAL)
+    rebuild.field.add(
+        name="directory", number=2, type=field.TYPE_STRING, label=field.LABEL_OPTIONAL
+    )
+    rebuild.field.add(
+        name="second_copy", number=3, type=field.TYPE_BOOL, label=field.LABEL_OPTIONAL
+    )
     whole = file.message_type.add(name="Operator")
     for number, name in enumerate(("Refresh", "Rebuild"), 1):
-        whole.field.add(name=name.lower(), number=number, type=field.TYPE_MESSAGE,
-                        label=field.LABEL_OPTIONAL, type_name=f".clayport.{name}")
+        whole.field.add(
+            name=name.lower(),
+            number=number,
+            type=field.TYPE_MESSAGE,
+            label=field.LABEL_OPTIONAL,
+            type_name=f".clayport.{name}",
+        )
     pool = descriptor_pool.DescriptorPool()
     pool.Add(file)
     return message_factory.GetMessageClass(pool.FindMessageTypeByName("clayport.Operator"))()
@@ -68,8 +77,14 @@
     except text_format.ParseError as exc:
         raise ConfigError(f"operator file: {' '.join(str(exc).split())}") from None
     default = Refresh()
-    refresh = Refresh(**{name: getattr(message.refresh, name) if message.refresh.HasField(name)
-                         else getattr(default, name) for name in REFRESH})
+    refresh = Refresh(
+        **{
+            name: getattr(message.refresh, name)
+            if message.refresh.HasField(name)
+            else getattr(default, name)
+            for name in REFRESH
+        }
+    )
     for name in REFRESH:
         value = getattr(refresh, name)
         if not math.isfinite(value) or value <= 0:
--- a/clayport/peers.py
+++ b/clayport/peers.py
@@ -48,8 +48,14 @@
 class Peer:
     """The outgoing side towards one controller."""
 
-    def __init__(self, label: str, host: str, port: int, timeout_s: float,
-                 uniform: Callable[[float, float], float] = random.uniform) -> None:
+    def __init__(
+        self,
+        label: str,
+        host: str,
+        port: int,
+        timeout_s: float,
+        uniform: Callable[[float, float], float] = random.uniform,
+    ) -> None:
         self.label, self.host, self.port, self.timeout_s = label, host, port, timeout_s
         self.sock: Any = None
         self.reader: curio.Task | None = None
@@ -60,12 +66,19 @@
         self.state_ok = False
         self.generation = 0
         self.room_rev = 0
-        self.patience = Patience(Retries(timeout_s / 4, timeout_s, Budget(
-            RETRIES, AGAIN, AGAIN / timeout_s, time.monotonic()), uniform))
+        self.patience = Patience(
+            Retries(
+                timeout_s / 4,
+                timeout_s,
+                Budget(RETRIES, AGAIN, AGAIN / timeout_s, time.monotonic()),
+                uniform,
+            )
+        )
         self.begin, self.rest = self.patience.begin, self.patience.rest
 
-    async def call(self, kind: int, values: tuple[Any, ...],
-                   timeout_s: float | None = None) -> tuple[Any, ...]:
+    async def call(
+        self, kind: int, values: tuple[Any, ...], timeout_s: float | None = None
+    ) -> tuple[Any, ...]:
         """Ask and wait; PeerError when there is no answer in time."""
         event = curio.Event()
         box: list[Any] = []
@@ -145,8 +158,9 @@
     """
     connections: dict[curio.Task, None] = {}
 
-    async def answer(sock: Any, lock: curio.Lock, kind: int, number: int,
-                     values: tuple[Any, ...]) -> None:
+    async def answer(
+        sock: Any, lock: curio.Lock, kind: int, number: int, values: tuple[Any, ...]
+    ) -> None:
         try:
             reply, body = await handler(kind, values)
             frame = wire.encode(reply, number, body)
--- a/clayport/peerwire.py
+++ b/clayport/peerwire.py
@@ -64,9 +64,14 @@
     # are gone; (machine, address, type, zone, spot, open, cpus, gpus, memory, tasks, images,
     # idle_s, job that its room is kept for)
     # what is taken: (machine, standing, without GPUs, cpus, gpus, memory)
-    TABLE: ("?", "Q", "?", ("s",),
-            ("s", "s", "s", "s", "?", "?", "d", "d", "d", "I", "s", "d", "s"),
-            ("s", "h", "?", "d", "d", "d")),
+    TABLE: (
+        "?",
+        "Q",
+        "?",
+        ("s",),
+        ("s", "s", "s", "s", "?", "?", "d", "d", "d", "I", "s", "d", "s"),
+        ("s", "h", "?", "d", "d", "d"),
+    ),
     ENDED: ("s", "s"),
     COUNTS: ("Q", "s"),
     COUNTED: ("?", "I", "I"),
@@ -128,7 +133,7 @@
         at = 0
         for fixed, count, part in self.steps:
             if fixed is not None:
-                out.append(fixed.pack(*values[at:at + count]))
+                out.append(fixed.pack(*values[at : at + count]))
             elif isinstance(part, _Layout):
                 records = values[at]
                 out.append(SIZE.pack(len(records)))
@@ -155,7 +160,7 @@
                 records, at = part.records(body, at, size)
                 values.append(records)
                 continue
-            raw = body[at:at + size]
+            raw = body[at : at + size]
             if len(raw) != size:
                 raise FrameError("truncated")
             at += size
--- a/clayport/picture.py
+++ b/clayport/picture.py
@@ -62,17 +62,19 @@
             self.unstale(ours)
             now = time.monotonic()
             found = {n: owner.machines[n] for n in names if n in owner.machines}
-            self._show(core.label,
-                       [owner.room(m, core.label, now) for m in found.values() if m.known],
-                       changed is None, [n for n in names if n not in found])
+            self._show(
+                core.label,
+                [owner.room(m, core.label, now) for m in found.values() if m.known],
+                changed is None,
+                [n for n in names if n not in found],
+            )
         return core.rooms
 
     def unstale(self, names: Iterable[str]) -> None:
         for name in names:
             self.stale.pop(name, None)
 
-    def _show(self, owner: str, rooms: Iterable[Room], whole: bool,
-              removed: Iterable[str]) -> None:
+    def _show(self, owner: str, rooms: Iterable[Room], whole: bool, removed: Iterable[str]) -> None:
         """Renew one owner's part of the snapshot, or what has changed of it."""
         core = self.core
         if whole:
@@ -95,8 +97,11 @@
         gen = self.core.generation
         for label in gen.members:
             peer = self.core.peers.get(label)
-            if peer is not None and self.core.generation is gen and not (
-                    changed_only and self.pulled.get(label) == peer.room_rev):
+            if (
+                peer is not None
+                and self.core.generation is gen
+                and not (changed_only and self.pulled.get(label) == peer.room_rev)
+            ):
                 await self._pull(label)
         self.unstale([n for n in self.stale if n not in self.core.rooms])
 
@@ -107,8 +112,9 @@
         gen = core.generation
         charged = [n for n in self.stale if n in core.rooms and core.rooms[n].owner == label]
         try:
-            ok, rev, whole, removed, rows, taken = await core.peers[label].call(peerwire.ROOM, (
-                gen.number, self.pulled.get(label, 0), [(n,) for n in charged]))
+            ok, rev, whole, removed, rows, taken = await core.peers[label].call(
+                peerwire.ROOM, (gen.number, self.pulled.get(label, 0), [(n,) for n in charged])
+            )
         except (PeerError, KeyError):
             return
         if not ok or core.generation is not gen or rev < self.pulled.get(label, 0):
@@ -121,9 +127,22 @@
             used.setdefault(name, []).append((use[0], use[1], use[2], use[3], use[4]))
         rooms = []
         for m, a, t, z, s, o, c, g, mem, n, images, idle, hold in rows:
-            room = Room(m, a, t, z, s, o, c, g, mem, n,
-                        images.split(" ") if images else (), now - idle if idle >= 0 else math.inf,
-                        label, used.get(m, ()))
+            room = Room(
+                m,
+                a,
+                t,
+                z,
+                s,
+                o,
+                c,
+                g,
+                mem,
+                n,
+                images.split(" ") if images else (),
+                now - idle if idle >= 0 else math.inf,
+                label,
+                used.get(m, ()),
+            )
             room.hold = hold
             rooms.append(room)
         self._show(label, rooms, whole, [n for (n,) in removed])
@@ -158,10 +177,23 @@
             m = owner.machines.get(name)
             if m is not None and m.known:
                 r = owner.room(m, core.label, now)
-                rows.append((r.machine, r.address, r.type, r.zone, r.spot, r.open, r.cpus, r.gpus,
-                             r.memory_gb, r.tasks, " ".join(r.images),
-                             -1.0 if r.idle_since == math.inf else max(0.0, now - r.idle_since),
-                             r.hold))
+                rows.append(
+                    (
+                        r.machine,
+                        r.address,
+                        r.type,
+                        r.zone,
+                        r.spot,
+                        r.open,
+                        r.cpus,
+                        r.gpus,
+                        r.memory_gb,
+                        r.tasks,
+                        " ".join(r.images),
+                        -1.0 if r.idle_since == math.inf else max(0.0, now - r.idle_since),
+                        r.hold,
+                    )
+                )
                 taken += [(r.machine, *key, *used) for key, used in r.used.items()]
         gone = [(n,) for n in wanted if n not in owner.machines]
         return (core.serving, owner.room_rev, changed is None, gone, rows, taken)
@@ -190,9 +222,11 @@
                 due = now + interval
                 await self.refresh_peers(changed_only=False)
                 core.signal("place")
-            elif self.starved and any(self.pulled.get(p.label) != p.room_rev
-                                      for p in core.peers.values()
-                                      if p.label in core.generation.members):
+            elif self.starved and any(
+                self.pulled.get(p.label) != p.room_rev
+                for p in core.peers.values()
+                if p.label in core.generation.members
+            ):
                 # True shortage: the interval is left alone, but room that a
                 # peer has since announced is looked at.
                 looked = now
--- a/clayport/pipelines.py
+++ b/clayport/pipelines.py
@@ -191,5 +191,6 @@
         left = None if link.due == math.inf else link.due - link.ready
         if left is not None and job.deadline_s is None and job.job_class in limits:
             left = min(left, limits[job.job_class])
-        return msgspec.structs.replace(job, priority=NAMES[link.rank], deadline_s=left,
-                                       aimless=job.aimless and left is None)
+        return msgspec.structs.replace(
+            job, priority=NAMES[link.rank], deadline_s=left, aimless=job.aimless and left is None
+        )
--- a/clayport/placement.py
+++ b/clayport/placement.py
@@ -17,14 +17,46 @@
 class Room:
     """A machine as the snapshot shows it; placements subtract at once."""
 
-    __slots__ = ("machine", "address", "type", "zone", "spot", "open", "cpus", "gpus",
-                 "memory_gb", "tasks", "fillers", "images", "idle_since", "owner", "used", "hold",
-                 "index", "herd", "lot", "row")
-
-    def __init__(self, machine: str, address: str, type: str, zone: str, spot: bool, open: bool,
-                 cpus: float, gpus: float, memory_gb: float, tasks: int, images: Iterable[str],
-                 idle_since: float, owner: str,
-                 used: Iterable[tuple[int, bool, float, float, float]] = ()) -> None:
+    __slots__ = (
+        "machine",
+        "address",
+        "type",
+        "zone",
+        "spot",
+        "open",
+        "cpus",
+        "gpus",
+        "memory_gb",
+        "tasks",
+        "fillers",
+        "images",
+        "idle_since",
+        "owner",
+        "used",
+        "hold",
+        "index",
+        "herd",
+        "lot",
+        "row",
+    )
+
+    def __init__(
+        self,
+        machine: str,
+        address: str,
+        type: str,
+        zone: str,
+        spot: bool,
+        open: bool,
+        cpus: float,
+        gpus: float,
+        memory_gb: float,
+        tasks: int,
+        images: Iterable[str],
+        idle_since: float,
+        owner: str,
+        used: Iterable[tuple[int, bool, float, float, float]] = (),
+    ) -> None:
         self.machine, self.address, self.type, self.zone = machine, address, type, zone
         self.spot, self.open = spot, open
         self.cpus, self.gpus, self.memory_gb = cpus, gpus, memory_gb
@@ -67,8 +99,13 @@
         return allows(job, self)
 
     def fits(self, job: Job) -> bool:
-        return self.open and self.hold in ("", job.id) and self.cpus + EPSILON >= job.cpus \
-            and self.gpus + EPSILON >= job.gpus and self.memory_gb + EPSILON >= job.memory_gb
+        return (
+            self.open
+            and self.hold in ("", job.id)
+            and self.cpus + EPSILON >= job.cpus
+            and self.gpus + EPSILON >= job.gpus
+            and self.memory_gb + EPSILON >= job.memory_gb
+        )
 
     def take(self, job: Job, count: int = 1) -> None:
         """Subtract `count` tasks of the job (negative: give them back)."""
@@ -89,9 +126,11 @@
 
     def spares(self, job: Job, wide: Job) -> bool:
         """Whether a task of `job` leaves room for one of `wide` as the machine is now."""
-        return self.cpus - job.cpus + EPSILON >= wide.cpus \
-            and self.gpus - job.gpus + EPSILON >= wide.gpus \
+        return (
+            self.cpus - job.cpus + EPSILON >= wide.cpus
+            and self.gpus - job.gpus + EPSILON >= wide.gpus
             and self.memory_gb - job.memory_gb + EPSILON >= wide.memory_gb
+        )
 
     def leaves(self, job: Job, guest: Job) -> bool:
         """Whether a task of `job` leaves room for `guest`, once other guests are done
@@ -130,10 +169,14 @@
             cpus += taken[0]
             gpus += taken[1]
             memory_gb += taken[2]
-            if cpus + EPSILON >= job.cpus and gpus + EPSILON >= job.gpus \
-                    and memory_gb + EPSILON >= job.memory_gb:
+            if (
+                cpus + EPSILON >= job.cpus
+                and gpus + EPSILON >= job.gpus
+                and memory_gb + EPSILON >= job.memory_gb
+            ):
                 return key[0], max(0.0, job.cpus - self.cpus) + max(
-                    0.0, job.memory_gb - self.memory_gb)
+                    0.0, job.memory_gb - self.memory_gb
+                )
         return None
 
     def preemptable(self, job: Job, most: int) -> int:
@@ -192,26 +235,43 @@
     def against(self, job: Job, room: Room) -> Job | None:
         """The job that a task of `job` has to leave room for there, if any."""
         wide = self.job
-        if room.lot >= self.share or self.types is not None and room.type not in self.types \
-                or not room.allows(wide) or not (
-                wide.cpus > job.cpus or wide.gpus > job.gpus or wide.memory_gb > job.memory_gb):
+        if (
+            room.lot >= self.share
+            or self.types is not None
+            and room.type not in self.types
+            or not room.allows(wide)
+            or not (wide.cpus > job.cpus or wide.gpus > job.gpus or wide.memory_gb > job.memory_gb)
+        ):
             return None
         return wide
 
 
 def shape(job: Job) -> tuple[Any, ...]:
     """What tells whether room that does for one job does for another."""
-    return (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone, job.spot,
-            job.kind, job.rank, job.filler)
+    return (
+        job.cpus,
+        job.gpus,
+        job.memory_gb,
+        tuple(job.types or ()),
+        job.zone,
+        job.spot,
+        job.kind,
+        job.rank,
+        job.filler,
+    )
 
 
 def _usable(job: Job, index: Index, spread: Spread, policy: Policy, patient: bool) -> list[Pool]:
     """Pools that may hold a task of the job, as far as that is the same for all of a pool."""
     able = policy.able(job)
     bound = job.one_zone or job.spread
-    return [p for p in index.allowed(job) if (able is None or p.type in able)
-            and (not bound or spread.allows(p.zone))
-            and not (patient and policy.dear(job, p))]
+    return [
+        p
+        for p in index.allowed(job)
+        if (able is None or p.type in able)
+        and (not bound or spread.allows(p.zone))
+        and not (patient and policy.dear(job, p))
+    ]
 
 
 def _lasting(job: Job, index: Index, spread: Spread, without: Container[str]) -> bool:
@@ -219,10 +279,19 @@
     return not without and job.id not in index.held and not spread.counts and not spread.unknown
 
 
-def place(job: Job, wanted: int, index: Index, spread: Spread, policy: Policy | None = None,
-          patient: bool = False, fragile: bool = False, without: Container[str] = (),
-          lodger: bool = False, uncached: frozenset[str] | None = None,
-          kept: Kept | None = None) -> list[Room]:
+def place(
+    job: Job,
+    wanted: int,
+    index: Index,
+    spread: Spread,
+    policy: Policy | None = None,
+    patient: bool = False,
+    fragile: bool = False,
+    without: Container[str] = (),
+    lodger: bool = False,
+    uncached: frozenset[str] | None = None,
+    kept: Kept | None = None,
+) -> list[Room]:
     """Machines for up to `wanted` tasks, one entry a task; rooms and spread are charged.
 
     In order: machines that aren't dear; without free GPUs, for work that needs none; image
@@ -241,33 +310,54 @@
         return []
     # The same question finds nothing again until a room that changes fits.
     lasting = _lasting(job, index, spread, without)
-    asked = (shape(job), job.one_zone, job.spread, wanted if job.kind == GANG else 0, patient,
-             lodger, uncached and (uncached, job.image), kept and (kept.share, kept.job.id))
+    asked = (
+        shape(job),
+        job.one_zone,
+        job.spread,
+        wanted if job.kind == GANG else 0,
+        patient,
+        lodger,
+        uncached and (uncached, job.image),
+        kept and (kept.share, kept.job.id),
+    )
     nowhere = index.cleared(policy)
     since = nowhere.get(asked) if lasting else None
     if since is not None and not any(
-            takes(job, room, policy, kept) and not (lodger and not room.spot and room.idle)
-            for room in index.news(job, since)):
+        takes(job, room, policy, kept) and not (lodger and not room.spot and room.idle)
+        for room in index.news(job, since)
+    ):
         nowhere[asked] = index.rev
         return []
-    pools = [(policy.dear(job, pool), fragile and pool.spot, pool)
-             for pool in _usable(job, index, spread, policy, patient)]
-    if job.one_zone and not spread.counts and not spread.unknown and len(
-            {p.zone for _, _, p in pools}) > 1:
+    pools = [
+        (policy.dear(job, pool), fragile and pool.spot, pool)
+        for pool in _usable(job, index, spread, policy, patient)
+    ]
+    if (
+        job.one_zone
+        and not spread.counts
+        and not spread.unknown
+        and len({p.zone for _, _, p in pools}) > 1
+    ):
         pools = _best_zone(job, wanted, index, pools, without)
     single = job.one_zone or job.spread
     chosen: list[Room] = []
     for room in index.in_order(job, pools, uncached):
-        if room.machine in without or not room.fits(job) \
-                or lodger and not room.spot and room.idle:
+        if room.machine in without or not room.fits(job) or lodger and not room.spot and room.idle:
             continue
         guest = policy.guest(job, room)
         wide = kept.against(job, room) if kept is not None else None
-        while len(chosen) < wanted and room.fits(job) and spread.allows(room.zone) \
-                and (guest is None or room.leaves(job, guest)) \
-                and (wide is None or room.spares(job, wide)):
-            count = 1 if single or guest is not None or wide is not None else min(
-                wanted - len(chosen), capacity(job, room))
+        while (
+            len(chosen) < wanted
+            and room.fits(job)
+            and spread.allows(room.zone)
+            and (guest is None or room.leaves(job, guest))
+            and (wide is None or room.spares(job, wide))
+        ):
+            count = (
+                1
+                if single or guest is not None or wide is not None
+                else min(wanted - len(chosen), capacity(job, room))
+            )
             room.take(job, count)
             for _ in range(count):
                 spread.add(room.zone)
@@ -296,15 +386,24 @@
     return wide is None or room.spares(job, wide)
 
 
-def holds(job: Job, wanted: int, index: Index, spread: Spread, policy: Policy, patient: bool,
-          without: set[str]) -> bool:
+def holds(
+    job: Job,
+    wanted: int,
+    index: Index,
+    spread: Spread,
+    policy: Policy,
+    patient: bool,
+    without: set[str],
+) -> bool:
     """Whether the rooms hold so many tasks, each machine counted for this job alone: those
     counted are added to `without`. Nothing is charged, so it costs little where there is
     room to spare; a no says only that it has to be looked at properly."""
     if job.kind == GANG or job.one_zone:
         return False
-    pools = [(policy.dear(job, pool), False, pool)
-             for pool in _usable(job, index, spread, policy, patient)]
+    pools = [
+        (policy.dear(job, pool), False, pool)
+        for pool in _usable(job, index, spread, policy, patient)
+    ]
     for room in index.in_order(job, pools, None):
         if room.machine in without or not takes(job, room, policy, None):
             continue
@@ -323,15 +422,23 @@
 def capacity(job: Job, room: Room) -> int:
     """How many tasks of the job fit into the room."""
     bounds = [10**6]
-    for have, need in ((room.cpus, job.cpus), (room.gpus, job.gpus),
-                       (room.memory_gb, job.memory_gb)):
+    for have, need in (
+        (room.cpus, job.cpus),
+        (room.gpus, job.gpus),
+        (room.memory_gb, job.memory_gb),
+    ):
         if need > 0:
             bounds.append(int((have + EPSILON) / need))
     return max(0, min(bounds))
 
 
-def _best_zone(job: Job, wanted: int, index: Index, pools: list[tuple[bool, bool, Pool]],
-               without: Container[str]) -> list[tuple[bool, bool, Pool]]:
+def _best_zone(
+    job: Job,
+    wanted: int,
+    index: Index,
+    pools: list[tuple[bool, bool, Pool]],
+    without: Container[str],
+) -> list[tuple[bool, bool, Pool]]:
     """The pools of the best zone for a job kept in one: one that holds all of it, then with
     the image cached, then the one with the least room to spare, since larger gangs need
     what is free to be together."""
@@ -343,8 +450,15 @@
             cached[room.zone] = cached.get(room.zone, 0) + (job.image in room.images)
     if not by_zone:
         return []
-    zone = max(by_zone, key=lambda z: (by_zone[z] >= wanted, min(wanted, cached[z]),
-                                       -by_zone[z] if by_zone[z] >= wanted else by_zone[z], z))
+    zone = max(
+        by_zone,
+        key=lambda z: (
+            by_zone[z] >= wanted,
+            min(wanted, cached[z]),
+            -by_zone[z] if by_zone[z] >= wanted else by_zone[z],
+            z,
+        ),
+    )
     return [entry for entry in pools if entry[2].zone == zone]
 
 
@@ -370,15 +484,20 @@
 
     def covers(self, job: Job) -> bool:
         """Whether it would be the same with this job among those that it was made of."""
-        return job.gpus == 0 and job.kind != SERVICE or \
-            (job.cpus, job.gpus, job.memory_gb, job.kind == SERVICE) in self._shapes
+        return (
+            job.gpus == 0
+            and job.kind != SERVICE
+            or (job.cpus, job.gpus, job.memory_gb, job.kind == SERVICE) in self._shapes
+        )
 
     def same(self, other: Policy) -> bool:
         """Whether the other says the same of every job and room."""
-        return self.types == other.types and [shape(j) for j in self.services] == [
-            shape(j) for j in other.services] and {t: shape(j) for t, j in self.guests.items()
-                                                   } == {t: shape(j) for t, j in
-                                                         other.guests.items()}
+        return (
+            self.types == other.types
+            and [shape(j) for j in self.services] == [shape(j) for j in other.services]
+            and {t: shape(j) for t, j in self.guests.items()}
+            == {t: shape(j) for t, j in other.guests.items()}
+        )
 
     def kept(self, job: Job, room: Room) -> bool:
         guest = self.guest(job, room)
@@ -414,8 +533,12 @@
         found = self._able.get(key)
         if found is None:
             found = self._able[key] = frozenset(
-                t.name for t in self.types if job.cpus <= t.cpus + EPSILON
-                and job.gpus <= t.gpus + EPSILON and job.memory_gb <= t.memory_gb + EPSILON)
+                t.name
+                for t in self.types
+                if job.cpus <= t.cpus + EPSILON
+                and job.gpus <= t.gpus + EPSILON
+                and job.memory_gb <= t.memory_gb + EPSILON
+            )
         return found
 
     def dear_types(self, job: Job) -> set[str]:
@@ -423,8 +546,11 @@
         key = (job.cpus, job.gpus, job.memory_gb, tuple(job.types or ()), job.zone)
         found = self._dear.get(key)
         if found is None:
-            cost = {t.name: t.price / tasks for t in self.types
-                    if fits(job, t) and (tasks := tasks_on(job, t)) > 0}
+            cost = {
+                t.name: t.price / tasks
+                for t in self.types
+                if fits(job, t) and (tasks := tasks_on(job, t)) > 0
+            }
             least = min(cost.values(), default=0.0)
             found = self._dear[key] = {n for n, c in cost.items() if c > DEAR * least}
         return found
@@ -436,9 +562,15 @@
 
 def tasks_on(job: Job, kind: MachineType) -> int:
     """How many tasks of the job an empty machine of the type holds."""
-    bounds = [int((have + EPSILON) / need) for have, need in (
-        (kind.cpus, job.cpus), (kind.gpus, job.gpus), (kind.memory_gb, job.memory_gb))
-        if need > 0]
+    bounds = [
+        int((have + EPSILON) / need)
+        for have, need in (
+            (kind.cpus, job.cpus),
+            (kind.gpus, job.gpus),
+            (kind.memory_gb, job.memory_gb),
+        )
+        if need > 0
+    ]
     return min(bounds, default=1)
 
 
@@ -448,8 +580,11 @@
     wanting = {(j.cpus, j.gpus, j.memory_gb): j for j in jobs if j.gpus > 0}.values()
     for kind in types:
         for job in wanting:
-            if kind.gpus > 0 and fits(job, kind) and (
-                    kind.name not in found or job.cpus > found[kind.name].cpus):
+            if (
+                kind.gpus > 0
+                and fits(job, kind)
+                and (kind.name not in found or job.cpus > found[kind.name].cpus)
+            ):
                 found[kind.name] = job
     return found
 
@@ -457,10 +592,18 @@
 OPEN = Policy((), ())
 
 
-def preempt(job: Job, wanted: int, index: Index, spread: Spread, policy: Policy,
-            most: int | None = None, fragile: bool = False, patient: bool = False,
-            without: Container[str] = (), uncached: frozenset[str] | None = None
-            ) -> list[tuple[Room, int]]:
+def preempt(
+    job: Job,
+    wanted: int,
+    index: Index,
+    spread: Spread,
+    policy: Policy,
+    most: int | None = None,
+    fragile: bool = False,
+    patient: bool = False,
+    without: Container[str] = (),
+    uncached: frozenset[str] | None = None,
+) -> list[tuple[Room, int]]:
     """Where stopping work of lower rank makes room at the least cost, and for how many of
     `wanted` tasks each; `most` is the highest rank to be stopped. The spread is charged.
     The rest is as for `place`; `patient` keeps off dear machines.
@@ -469,18 +612,29 @@
     took longer than the array had.
     """
     lasting = _lasting(job, index, spread, without)
-    asked = ("preempt", shape(job), job.one_zone, job.spread, most, patient,
-             uncached and (uncached, job.image))
+    asked = (
+        "preempt",
+        shape(job),
+        job.one_zone,
+        job.spread,
+        most,
+        patient,
+        uncached and (uncached, job.image),
+    )
     nowhere = index.cleared(policy)
     since = nowhere.get(asked) if lasting else None
     pools = _usable(job, index, spread, policy, patient)
-    rooms = index.lower(pools, job.rank, without) if since is None \
-        else index.changed(pools, since)
+    rooms = index.lower(pools, job.rank, without) if since is None else index.changed(pools, since)
     offers = []
     for room in rooms:
-        if not room.open or room.hold not in ("", job.id) or policy.kept(job, room) \
-                or uncached is not None and room.type not in uncached \
-                and job.image not in room.images:
+        if (
+            not room.open
+            or room.hold not in ("", job.id)
+            or policy.kept(job, room)
+            or uncached is not None
+            and room.type not in uncached
+            and job.image not in room.images
+        ):
             continue
         cost = room.after_preemption(job)
         if cost is not None and (most is None or cost[0] <= most):
@@ -492,8 +646,9 @@
     if since is not None:
         # There is something again: among all of them.
         del nowhere[asked]
-        return preempt(job, wanted, index, spread, policy, most, fragile, patient, without,
-                       uncached)
+        return preempt(
+            job, wanted, index, spread, policy, most, fragile, patient, without, uncached
+        )
     found: list[tuple[Room, int]] = []
     for rank, _, _, _, room in sorted(offers, key=lambda o: o[:4]):
         count = 0
--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -56,8 +56,15 @@
 class Look:
     """What one pass goes by, and what it has found out on its way."""
 
-    def __init__(self, now: float, index: Index, policy: Policy, owed: dict[Name, Owed],
-                 kept: Kept | None, given: dict[Name, float]) -> None:
+    def __init__(
+        self,
+        now: float,
+        index: Index,
+        policy: Policy,
+        owed: dict[Name, Owed],
+        kept: Kept | None,
+        given: dict[Name, float],
+    ) -> None:
         self.now, self.index, self.policy = now, index, policy
         # Who is owed a share of room, and what they have been given of late.
         self.owed, self.kept = owed, kept
@@ -96,14 +103,28 @@
         self.kept: Kept | None = None
         self.missed: dict[Name, Job] = {}  # who is owed a share: a job that found no room
         workers = core.settings.cluster.workers
-        bears = {name: min(core.wait_limits.get(name, math.inf),
-                           core.finish_limits.get(name, math.inf) / 2)
-                 for name in {*core.wait_limits, *core.finish_limits}}
-        self.line = Line(lambda: core.dispatch.homes, core.finish_all, core.wait_limits,
-                         Shares(bears, BEARS * workers.lease_s, [
-                             ("team", gpus, t.name) for t in core.settings.cluster.teams
-                             for gpus in (False, True) if (t.gpus if gpus else t.cpus) > 0]),
-                         core.deadline_times)
+        bears = {
+            name: min(
+                core.wait_limits.get(name, math.inf), core.finish_limits.get(name, math.inf) / 2
+            )
+            for name in {*core.wait_limits, *core.finish_limits}
+        }
+        self.line = Line(
+            lambda: core.dispatch.homes,
+            core.finish_all,
+            core.wait_limits,
+            Shares(
+                bears,
+                BEARS * workers.lease_s,
+                [
+                    ("team", gpus, t.name)
+                    for t in core.settings.cluster.teams
+                    for gpus in (False, True)
+                    if (t.gpus if gpus else t.cpus) > 0
+                ],
+            ),
+            core.deadline_times,
+        )
         self.swept_at = self.owed_until = -math.inf
         self.owed: dict[Name, Owed] = {}
         self.given: dict[Name, float] = {}  # CPUs begun for them since they were looked up
@@ -132,16 +153,23 @@
         now = time.monotonic()
         line = self.line
         line.catch_up(now)
-        found = [self._row(hj, now) for hj, _ in line.flying.values()
-                 if now >= hj.not_before and not hj.at_fault]
-        groups = sorted(line.groups.values(), key=lambda g: (
-            g.example.job.filler, -g.example.job.rank))
+        found = [
+            self._row(hj, now)
+            for hj, _ in line.flying.values()
+            if now >= hj.not_before and not hj.at_fault
+        ]
+        groups = sorted(
+            line.groups.values(), key=lambda g: (g.example.job.filler, -g.example.job.rank)
+        )
         for name in (n for g in groups for lane in g.lanes.values() for n in lane):
             if len(found) >= DEMAND_MOST:
                 if now >= self.cut_logged_at:
                     self.cut_logged_at = now + 20 * self.core.ttl_s
-                    log.info("event=demand-bounded told=%d jobs=%d", DEMAND_MOST,
-                             len(line.marks) + len(line.flying))
+                    log.info(
+                        "event=demand-bounded told=%d jobs=%d",
+                        DEMAND_MOST,
+                        len(line.marks) + len(line.flying),
+                    )
                 break
             hj = line.marks[name].hj
             if not hj.at_fault:
@@ -161,8 +189,11 @@
         for label in core.generation.members:
             if label != core.label:
                 rows += self.demands.get(label, [])
-        found = [Need(core.live[job][0], count, age, tuple(zones.split()))
-                 for job, count, age, zones in rows if job in core.live]
+        found = [
+            Need(core.live[job][0], count, age, tuple(zones.split()))
+            for job, count, age, zones in rows
+            if job in core.live
+        ]
         found.sort(key=lambda need: (need.job.filler, -need.job.rank, -need.age_s))
         return found
 
@@ -197,8 +228,9 @@
         if not line.marks:
             core.picture.starved = False
             return
-        look = Look(now, core.picture.index(), self.policy(), self._owed_now(now), self.kept,
-                    self.given)
+        look = Look(
+            now, core.picture.index(), self.policy(), self._owed_now(now), self.kept, self.given
+        )
         awake: list[Group] = []
         asleep: list[Group] = []
         for group in line.groups.values():
@@ -215,8 +247,11 @@
             full = line.groups.get(key)
             # Replicas are missed every second: they are looked at each time.
             if full is not None and full.example.job.kind != SERVICE:
-                gather_s = core.settings.cluster.workers.report_s * GATHER \
-                    if full.example.job.kind == ARRAY else 0.0
+                gather_s = (
+                    core.settings.cluster.workers.report_s * GATHER
+                    if full.example.job.kind == ARRAY
+                    else 0.0
+                )
                 full.nap = Nap(rev, now + gather_s, now + core.ttl_s / 6, look.policy, look.kept)
                 full.fresh = False
         self._keep(look)
@@ -238,20 +273,27 @@
         come or waits for more, nothing that has changed fits one of their tasks, and it is
         not yet time to see what else may be stopped, or who has become impatient."""
         nap, job = group.nap, group.example.job
-        if nap is None or group.fresh or look.now >= nap.until \
-                or nap.policy is not look.policy or nap.kept is not look.kept:
+        if (
+            nap is None
+            or group.fresh
+            or look.now >= nap.until
+            or nap.policy is not look.policy
+            or nap.kept is not look.kept
+        ):
             group.nap = None
             return False
         if gather and look.now < nap.least:
             look.starved = look.starved or not job.filler
             return True
-        kept = None if job.kind == SERVICE or any(
-            self._lacks(names(job.gpus > 0, *which), look) > 0 for which in group.lanes
-            ) else look.kept
+        kept = (
+            None
+            if job.kind == SERVICE
+            or any(self._lacks(names(job.gpus > 0, *which), look) > 0 for which in group.lanes)
+            else look.kept
+        )
         for room in look.index.news(job, nap.rev):
             mark = self.line.marks.get(room.hold) if room.hold else None
-            if mark is not None and mark.group is group \
-                    or takes(job, room, look.policy, kept):
+            if mark is not None and mark.group is group or takes(job, room, look.policy, kept):
                 group.nap = None
                 return False
         look.starved = look.starved or not job.filler
@@ -269,6 +311,7 @@
             if name is not None:
                 hj = marks[name].hj
                 heappush(heap, (self._order(hj, look), next(serial), hj, rest))
+
         for name in held:
             push(iter((name,)))
         for group in groups:
@@ -289,8 +332,11 @@
         One that takes more of a machine than the rest would wait for ever, since each
         smaller room that comes free is taken as soon as it is there.
         """
-        self.missed = {which: job for which, job in self.missed.items()
-                       if which in look.owed and look.owed[which].missing > 0}
+        self.missed = {
+            which: job
+            for which, job in self.missed.items()
+            if which in look.owed and look.owed[which].missing > 0
+        }
         kept: Kept | None = None
         for which, found in self.missed.items():
             owed = look.owed[which]
@@ -300,8 +346,12 @@
                 if kept is None or steps > kept.share:
                     kept = Kept(found, steps, look.policy.able(found))
         # Whoever sleeps is woken when it changes: it stays as it is while it says the same.
-        if kept is None or self.kept is None or kept.share != self.kept.share \
-                or shape(kept.job) != shape(self.kept.job):
+        if (
+            kept is None
+            or self.kept is None
+            or kept.share != self.kept.share
+            or shape(kept.job) != shape(self.kept.job)
+        ):
             self.kept = kept
 
     def _serve(self, hj: HomeJob, look: Look) -> None:
@@ -336,8 +386,10 @@
     def _wanted(self, hj: HomeJob, look: Look) -> int:
         """Tasks to look for: what one transaction holds, and the job may have."""
         job = hj.job
-        wanted = min(hj.pending, hj.size * max(self.core.bounds.txn_ops // 4, min(
-            3, self.core.dispatch.start_chunks)))
+        wanted = min(
+            hj.pending,
+            hj.size * max(self.core.bounds.txn_ops // 4, min(3, self.core.dispatch.start_chunks)),
+        )
         wanted = self._within_limit(job, wanted)
         if hj.at_fault and job.kind != GANG:
             wanted = min(wanted, 1)
@@ -362,9 +414,16 @@
         spread = self.spread(hj)
         limit = core.wait_limits.get(job.job_class)
         most = self._spared(job, self._stops(job, age, patient), look)
-        find = partial(place, index=index, spread=spread, policy=policy, fragile=fragile,
-                       without=without, lodger=lodger,
-                       kept=None if job.kind == SERVICE or self._is_owed(job, look) else look.kept)
+        find = partial(
+            place,
+            index=index,
+            spread=spread,
+            policy=policy,
+            fragile=fragile,
+            without=without,
+            lodger=lodger,
+            kept=None if job.kind == SERVICE or self._is_owed(job, look) else look.kept,
+        )
         make = partial(self._make_room, hj, spread=spread, look=look, without=without)
         chosen: list[Room] = []
         if hj.at_fault:
@@ -379,8 +438,9 @@
             if len(chosen) < wanted and most >= 0:
                 if now < hj.preempt_at:
                     wanted = len(chosen)
-                elif not hj.preempted and make(wanted - len(chosen), grace_s=0.0,
-                                               most=RANKS["best_effort"], uncached=soon):
+                elif not hj.preempted and make(
+                    wanted - len(chosen), grace_s=0.0, most=RANKS["best_effort"], uncached=soon
+                ):
                     hj.preempted = True
                     wanted = len(chosen)
         if len(chosen) < wanted:
@@ -399,12 +459,23 @@
                 make(wanted - len(chosen), grace_s=self._grace(job, age), most=most)
             elif job.filler and job.standing >= 0:
                 make(wanted - len(chosen), grace_s=math.inf, most=UNAIMED)
-        if len(chosen) < wanted and now >= max(hj.preempt_at, hj.claim_at) \
-                and self._guaranteed(job):
+        if (
+            len(chosen) < wanted
+            and now >= max(hj.preempt_at, hj.claim_at)
+            and self._guaranteed(job)
+        ):
             able = policy.able(job)
-            machines = self._claimable(job, [
-                r for p in index.allowed(job) if able is None or p.type in able
-                for r in p.rooms.values() if r.machine not in without], spread)
+            machines = self._claimable(
+                job,
+                [
+                    r
+                    for p in index.allowed(job)
+                    if able is None or p.type in able
+                    for r in p.rooms.values()
+                    if r.machine not in without
+                ],
+                spread,
+            )
             # A look at all machines: not with each pass.
             hj.claim_at = now + core.ttl_s / 6
             if machines:
@@ -421,7 +492,7 @@
         numbers = hj.take(len(chosen), self.core.dispatch.start_chunks)
         for which in names_of(hj.job):
             look.given[which] = look.given.get(which, 0.0) + len(numbers) * hj.job.cpus
-        for room in chosen[len(numbers):]:
+        for room in chosen[len(numbers) :]:
             room.take(hj.job, -1)  # the next transaction's
         hj.starts = [(n, r.machine) for n, r in zip(numbers, chosen)]
         self.line.touch(hj.job.id)
@@ -443,14 +514,19 @@
 
     def _is_owed(self, job: Job, look: Look) -> bool:
         """Whether its class or its team lacks some of what it is owed."""
-        return job.kind != SERVICE and self._lacks(
-            names_of(job), look) > 0
+        return job.kind != SERVICE and self._lacks(names_of(job), look) > 0
 
     @staticmethod
     def _lacks(names: Iterable[Name], look: Look) -> float:
         """The CPUs that the names still lack of what they are owed."""
-        return max((owed.missing - look.given.get(which, 0.0) for which in names
-                    if (owed := look.owed.get(which)) is not None), default=0.0)
+        return max(
+            (
+                owed.missing - look.given.get(which, 0.0)
+                for which in names
+                if (owed := look.owed.get(which)) is not None
+            ),
+            default=0.0,
+        )
 
     def fill_cpus(self, index: Index, rank: int) -> float:
         """What work without any aim may still take beside work that has one and can't make
@@ -476,8 +552,10 @@
         Gangs on whole GPU machines once waited for hours of a day on which only arrays had
         an aim: the arrays of the lowest rank held the quarter that all of them shared.
         """
+
         def same(kind: tuple[bool, int]) -> bool:
             return kind[0] == (job.gpus > 0) and kind[1] <= most
+
         found = [self._disturbs(name) for kind, name in self.disturbers.items() if same(kind)]
         if any(found):
             return True
@@ -485,15 +563,21 @@
         if found or now >= self.looked_until:
             # The newest of each rank is likely to stay longest.
             self.looked_until = now + self.core.settings.cluster.workers.report_s / OWED_LOOKS
-            self.disturbers = {(other.gpus > 0, other.rank): name
-                               for name, (other, _) in self.core.live.items()
-                               if self._disturbs(name)}
+            self.disturbers = {
+                (other.gpus > 0, other.rank): name
+                for name, (other, _) in self.core.live.items()
+                if self._disturbs(name)
+            }
         return any(same(kind) for kind in self.disturbers)
 
     def _disturbs(self, name: str) -> bool:
         known = self.core.live.get(name)
-        return known is not None and known[0].kind != SERVICE and not known[0].aimless \
+        return (
+            known is not None
+            and known[0].kind != SERVICE
+            and not known[0].aimless
             and not self.core.pipes.waiting(name)
+        )
 
     def _in_guarantee(self, job: Job) -> bool:
         """Whether the job's team stays within its guarantee with it, as last read; true
@@ -514,8 +598,10 @@
         core, now = self.core, time.monotonic()
         if self.known is not None and now < self.known_until and self.known_types is core.types:
             return self.known
-        found = Policy([*(j for j, _ in core.live.values()), *core.descs.values(),
-                        *core.classes.values()], core.types)
+        found = Policy(
+            [*(j for j, _ in core.live.values()), *core.descs.values(), *core.classes.values()],
+            core.types,
+        )
         if self.known is None or not found.same(self.known):
             self.known = found
         self.known_types = core.types
@@ -527,9 +613,18 @@
         if self.known is not None and not self.known.covers(job):
             self.known_until = -1e9
 
-    def _make_room(self, hj: HomeJob, wanted: int, spread: Spread, look: Look, grace_s: float,
-                   most: int, patient: bool = False, without: Collection[str] = (),
-                   uncached: frozenset[str] | None = None) -> bool:
+    def _make_room(
+        self,
+        hj: HomeJob,
+        wanted: int,
+        spread: Spread,
+        look: Look,
+        grace_s: float,
+        most: int,
+        patient: bool = False,
+        without: Collection[str] = (),
+        uncached: frozenset[str] | None = None,
+    ) -> bool:
         """Have work of lower rank stopped for tasks of the job, if that helps.
 
         What is being made already, and doesn't show yet, is not made again elsewhere.
@@ -540,11 +635,27 @@
         wanted = min(wanted - coming, 1 if job.kind == GANG else wanted)
         if wanted <= 0:
             return True
-        found = preempt(job, wanted, look.index, spread.copy(), look.policy, most,
-                        self.core.fragile(job, now - hj.since), patient,
-                        {*without, *hj.made} if hj.made else without, uncached)
-        shows = now + self.core.ttl_s / 3 + (0.0 if grace_s <= 0 else min(
-            grace_s, self.core.settings.cluster.workers.gang_peer_s))
+        found = preempt(
+            job,
+            wanted,
+            look.index,
+            spread.copy(),
+            look.policy,
+            most,
+            self.core.fragile(job, now - hj.since),
+            patient,
+            {*without, *hj.made} if hj.made else without,
+            uncached,
+        )
+        shows = (
+            now
+            + self.core.ttl_s / 3
+            + (
+                0.0
+                if grace_s <= 0
+                else min(grace_s, self.core.settings.cluster.workers.gang_peer_s)
+            )
+        )
         if found:
             # Only then: where no lower rank can be stopped, a higher one, or what other
             # teams borrow, is to be asked for in the same pass.
@@ -603,8 +714,11 @@
         for room in rooms:
             zone = room.zone if job.one_zone else ""
             free[zone] = free.get(zone, 0) + (capacity(job, room) if room.fits(job) else 0)
-        return [r.machine for r in rooms if not r.fits(job)
-                and free[r.zone if job.one_zone else ""] >= job.tasks - 1]
+        return [
+            r.machine
+            for r in rooms
+            if not r.fits(job) and free[r.zone if job.one_zone else ""] >= job.tasks - 1
+        ]
 
     async def _claim(self, job: Job, machines: list[str]) -> None:
         """Give a team its guarantee from what other teams run beyond theirs.
@@ -617,15 +731,17 @@
             entries, _ = await core.store.scan("quota/")
         except (Unavailable, Unknown):
             return
-        used = {e.key.partition("/")[2]: quota_of(e.value) for e in entries
-                if not is_anchor(e.key)}
+        used = {e.key.partition("/")[2]: quota_of(e.value) for e in entries if not is_anchor(e.key)}
         own, have = core.guarantees[job.team], used.get(job.team, (0.0, 0.0))
         need = amounts(job, 1 if job.kind != GANG else job.tasks)
         which = 1 if job.gpus > 0 else 0
         if have[which] + need[which] > own[which] + 1e-6:
             return
-        over = [team for team, use in used.items() if team != job.team
-                and use[which] > core.guarantees.get(team, (0.0, 0.0))[which] + 1e-6]
+        over = [
+            team
+            for team, use in used.items()
+            if team != job.team and use[which] > core.guarantees.get(team, (0.0, 0.0))[which] + 1e-6
+        ]
         for machine in machines if over else ():
             if await self._preempt(machine, job, math.inf, over):
                 return
@@ -637,8 +753,9 @@
             return 0.0
         return job.image_gb / kind.fetch_gb_per_s * 4 / 3
 
-    async def _preempt(self, machine: str, job: Job, grace_s: float,
-                       over: Iterable[str] = (), count: int = 1) -> bool:
+    async def _preempt(
+        self, machine: str, job: Job, grace_s: float, over: Iterable[str] = (), count: int = 1
+    ) -> bool:
         """Ask a machine's owner to make room for tasks of the job."""
         core = self.core
         owner = core.generation.place(machine)
@@ -647,9 +764,21 @@
             core.fleet.poke(machine)
             return done
         try:
-            done = bool((await core.peers[owner].call(peerwire.PREEMPT, (
-                core.generation.number, machine, job.id, count, grace_s,
-                [(t,) for t in over])))[0])
+            done = bool(
+                (
+                    await core.peers[owner].call(
+                        peerwire.PREEMPT,
+                        (
+                            core.generation.number,
+                            machine,
+                            job.id,
+                            count,
+                            grace_s,
+                            [(t,) for t in over],
+                        ),
+                    )
+                )[0]
+            )
         except (PeerError, KeyError):
             return False
         if done and grace_s <= 0:
@@ -671,21 +800,49 @@
         """
         hj = self.core.dispatch.homes.get(job)
         room = self.core.picture.rooms().get(machine)
-        if hj is None or hj.pending or room is None \
-                or (hj.assignment(number) or (0, ""))[1] != machine \
-                or time.monotonic() - hj.moved_at < self.core.settings.cluster.workers.lease_s \
-                * (3.0 if drain and not self.policy().dear(hj.job, room) else 0.3):
+        if (
+            hj is None
+            or hj.pending
+            or room is None
+            or (hj.assignment(number) or (0, ""))[1] != machine
+            or time.monotonic() - hj.moved_at
+            < self.core.settings.cluster.workers.lease_s
+            * (3.0 if drain and not self.policy().dear(hj.job, room) else 0.3)
+        ):
             return False
         zones = [self.core.zones.get(m) for n, _, m in hj.assignments() if n != number]
         policy, index = self.policy(), self.core.picture.index()
         dear = policy.dear(hj.job, room)
         soon = self._soon(hj.job, self.core.settings.cluster.workers.report_s)
         with index.trial():
-            found = bool(place(hj.job, 1, index, Spread(hj.job, zones), policy, True,
-                               without=(machine,), uncached=soon))
-        if not found and (drain and not dear or not preempt(
-                hj.job, 1, index, Spread(hj.job, zones), policy,
-                RANKS["best_effort"] if drain else None, False, True, (machine,), soon)):
+            found = bool(
+                place(
+                    hj.job,
+                    1,
+                    index,
+                    Spread(hj.job, zones),
+                    policy,
+                    True,
+                    without=(machine,),
+                    uncached=soon,
+                )
+            )
+        if not found and (
+            drain
+            and not dear
+            or not preempt(
+                hj.job,
+                1,
+                index,
+                Spread(hj.job, zones),
+                policy,
+                RANKS["best_effort"] if drain else None,
+                False,
+                True,
+                (machine,),
+                soon,
+            )
+        ):
             # To free GPUs, or a dear machine, work of lower rank may have to make way
             # elsewhere.
             return False
@@ -696,8 +853,7 @@
     def _soon(self, job: Job, within_s: float) -> frozenset[str] | None:
         """Types whose machines have the job's image in time when they begin to fetch it now;
         None: all."""
-        found = frozenset(t for t in self.core.owner.types
-                          if self._fetch_from_s(job, t) < within_s)
+        found = frozenset(t for t in self.core.owner.types if self._fetch_from_s(job, t) < within_s)
         return None if len(found) == len(self.core.owner.types) else found
 
     def _within_limit(self, job: Job, wanted: int) -> int:
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -69,10 +69,12 @@
 
     def note(self, kind: MachineType, took_s: float, now: float) -> None:
         self.seen.setdefault(kind.name, deque(maxlen=SEEN_MOST)).append(
-            (now, took_s / max(kind.boot_s, 1.0)))
+            (now, took_s / max(kind.boot_s, 1.0))
+        )
 
-    def observed(self, types: Iterable[MachineType], booting: Iterable[Boot], now: float
-                 ) -> list[MachineType]:
+    def observed(
+        self, types: Iterable[MachineType], booting: Iterable[Boot], now: float
+    ) -> list[MachineType]:
         """The catalogue with the boot times that are to be expected now.
 
         Only where most machines of a type come up far later or sooner than it says: single
@@ -87,9 +89,16 @@
             seen = self.seen.get(kind.name, deque())
             while seen and now - seen[0][0] > self.span_s:
                 seen.popleft()
-            ratios = sorted([*(r for _, r in seen), *(
-                age / max(kind.boot_s, 1.0) for age in late.get(kind.name, ())
-                if age > LATE * kind.boot_s)])
+            ratios = sorted(
+                [
+                    *(r for _, r in seen),
+                    *(
+                        age / max(kind.boot_s, 1.0)
+                        for age in late.get(kind.name, ())
+                        if age > LATE * kind.boot_s
+                    ),
+                ]
+            )
             middle = ratios[len(ratios) // 2] if len(ratios) >= SEEN_LEAST else 1.0
             if middle > LATE or middle < 1 / LATE / 2:
                 kind = msgspec.structs.replace(kind, boot_s=kind.boot_s * middle)
@@ -98,8 +107,21 @@
 
 
 def empty_room(kind: MachineType, name: str, zone: str, spot: bool) -> Room:
-    return Room(name, "", kind.name, zone, spot, True, kind.cpus, kind.gpus, kind.memory_gb, 0,
-                (), math.inf, "")
+    return Room(
+        name,
+        "",
+        kind.name,
+        zone,
+        spot,
+        True,
+        kind.cpus,
+        kind.gpus,
+        kind.memory_gb,
+        0,
+        (),
+        math.inf,
+        "",
+    )
 
 
 def ready_s(job: Job, kind: MachineType) -> float:
@@ -111,8 +133,13 @@
     return kind.spot_price if spot else kind.price
 
 
-def short(index: Index, demand: Iterable[Need], policy: Policy, patient: bool = False,
-          lodger: bool = False) -> list[Need]:
+def short(
+    index: Index,
+    demand: Iterable[Need],
+    policy: Policy,
+    patient: bool = False,
+    lodger: bool = False,
+) -> list[Need]:
     """The demand that doesn't fit into the rooms (which are charged): off dear machines for
     the `patient`, off ordinary ones that it alone would keep for a `lodger`.
 
@@ -122,26 +149,40 @@
     left = []
     for need in demand:
         # A gang gets all or none of what it needs.
-        chosen = place(msgspec.structs.replace(need.job, image=""), need.tasks, index,
-                       Spread(need.job, need.zones), policy, patient, lodger=lodger,
-                       uncached=NOWHERE)
+        chosen = place(
+            msgspec.structs.replace(need.job, image=""),
+            need.tasks,
+            index,
+            Spread(need.job, need.zones),
+            policy,
+            patient,
+            lodger=lodger,
+            uncached=NOWHERE,
+        )
         if len(chosen) < need.tasks:
             zones = (*need.zones, *(r.zone for r in chosen)) if need.job.spread else need.zones
             left.append(need._replace(tasks=need.tasks - len(chosen), zones=zones))
     return left
 
 
-def ample(index: Index, demand: Iterable[Need], policy: Policy, without: Iterable[str] = (),
-          patient: bool = False) -> bool:
+def ample(
+    index: Index,
+    demand: Iterable[Need],
+    policy: Policy,
+    without: Iterable[str] = (),
+    patient: bool = False,
+) -> bool:
     """Whether all of the demand fits with room to spare, without some of the machines.
 
     On a fleet that shrinks it nearly always does, and trying it out (`short` in a trial)
     for one machine after the other was most of what the renting controller computed.
     """
     taken = set(without)
-    return all(need.tasks <= 0 or holds(need.job, need.tasks, index,
-                                        Spread(need.job, need.zones), policy, patient, taken)
-               for need in demand)
+    return all(
+        need.tasks <= 0
+        or holds(need.job, need.tasks, index, Spread(need.job, need.zones), policy, patient, taken)
+        for need in demand
+    )
 
 
 class Arrivals:
@@ -173,8 +214,9 @@
         return sum(j.tasks for _, j in seen) / span * within_s if seen else 0.0
 
 
-def spare_room(live: Iterable[Job], arrivals: Arrivals, types: list[MachineType],
-               urgent: set[str], now: float) -> list[Need]:
+def spare_room(
+    live: Iterable[Job], arrivals: Arrivals, types: list[MachineType], urgent: set[str], now: float
+) -> list[Need]:
     """Room kept for work that must start sooner than a machine boots.
 
     For each class whose start is an aim, what is to be expected while a machine
@@ -202,8 +244,13 @@
     return found
 
 
-def slack(job: Job, age_s: float, limits: dict[str, float], line_factor: float = LINE,
-          margin: float = MARGIN) -> float:
+def slack(
+    job: Job,
+    age_s: float,
+    limits: dict[str, float],
+    line_factor: float = LINE,
+    margin: float = MARGIN,
+) -> float:
     """How long the job's tasks may still wait: negative when it is late already."""
     limit = job.deadline_s if job.deadline_s is not None else limits.get(job.job_class)
     return -math.inf if limit is None else margin * limit - age_s - line_factor * job.estimate_s
@@ -215,8 +262,7 @@
     return math.inf if limit is None else limit - age_s - job.estimate_s
 
 
-def in_waves(need: Need, limits: dict[str, float], boot_s: float
-             ) -> tuple[int, bool | None] | None:
+def in_waves(need: Need, limits: dict[str, float], boot_s: float) -> tuple[int, bool | None] | None:
     """For a job of tasks so short that it runs in many waves: how many at a time let it end
     in time, and whether it will be late at its pace (None: too early to say); None for all
     others.
@@ -239,9 +285,14 @@
     return tasks, (job.tasks - need.tasks) / need.age_s * left < need.tasks
 
 
-def pressing(demand: Iterable[Need], limits: dict[str, float], fleet_cpus: float,
-             line_factor: float = LINE, margin: float = MARGIN, boot_s: float = 0.0
-             ) -> list[Need]:
+def pressing(
+    demand: Iterable[Need],
+    limits: dict[str, float],
+    fleet_cpus: float,
+    line_factor: float = LINE,
+    margin: float = MARGIN,
+    boot_s: float = 0.0,
+) -> list[Need]:
     """The demand that would be late if it waited for room to become free.
 
     With factors of 1 it is what will be late if the estimates are right: a dear machine
@@ -269,9 +320,15 @@
     return found
 
 
-def shopping(types: list[MachineType], missing: list[Need],
-             refused: set[Kind], busy_cpus: float, policy: Policy,
-             left: dict[str, float], boot_s: dict[str, float] | None = None) -> list[Kind]:
+def shopping(
+    types: list[MachineType],
+    missing: list[Need],
+    refused: set[Kind],
+    busy_cpus: float,
+    policy: Policy,
+    left: dict[str, float],
+    boot_s: dict[str, float] | None = None,
+) -> list[Kind]:
     """Machines to rent for what is missing, cheapest a task first.
 
     A big machine is worth its price only when it fills up: what will use it is
@@ -292,9 +349,14 @@
         wanted -= len(place(job, wanted, rooms, spread)) if offers else wanted
         zones: dict[str, int] = {}
         while wanted > 0:
-            best = min(((price / min(max(wanted, likely), most), zones.get(zone, 0), zone, n)
-                        for n, (price, most, zone, _, _) in enumerate(offers)
-                        if spread.allows(zone)), default=None)
+            best = min(
+                (
+                    (price / min(max(wanted, likely), most), zones.get(zone, 0), zone, n)
+                    for n, (price, most, zone, _, _) in enumerate(offers)
+                    if spread.allows(zone)
+                ),
+                default=None,
+            )
             if best is None:
                 break
             _, most, zone, kind, spot = offers[best[3]]
@@ -317,9 +379,14 @@
     return bought
 
 
-def _offers(types: list[MachineType], job: Job, refused: set[Kind], policy: Policy,
-            time_left: float, boot_s: dict[str, float] | None
-            ) -> list[tuple[float, int, str, MachineType, bool]]:
+def _offers(
+    types: list[MachineType],
+    job: Job,
+    refused: set[Kind],
+    policy: Policy,
+    time_left: float,
+    boot_s: dict[str, float] | None,
+) -> list[tuple[float, int, str, MachineType, bool]]:
     """What could be rented for a job: price, how many of its tasks one machine holds, zone,
     type and whether it is a spot machine."""
     dear = policy.dear_types(job)
@@ -330,8 +397,7 @@
         most = capacity(job, empty_room(kind, "", "", False))
         late = max(1.0, kind.boot_s / boot_s[kind.name]) if boot_s else 1.0
         for zone in kind.zones:
-            for spot in ((True, False) if job.spot else (False,)):
-                if most > 0 and job.zone in (None, zone) \
-                        and (kind.name, zone, spot) not in refused:
+            for spot in (True, False) if job.spot else (False,):
+                if most > 0 and job.zone in (None, zone) and (kind.name, zone, spot) not in refused:
                     found.append((price_of(kind, spot) * late, most, zone, kind, spot))
     return found
--- a/clayport/queueing/line.py
+++ b/clayport/queueing/line.py
@@ -80,10 +80,14 @@
 class Line:
     """Everything that waits here."""
 
-    def __init__(self, homes: Callable[[], Mapping[str, HomeJob]],
-                 finish_limits: Mapping[str, Sequence[float]], wait_limits: Mapping[str, float],
-                 shares: Shares, deadline_times: Mapping[str, Sequence[float]] | None = None
-                 ) -> None:
+    def __init__(
+        self,
+        homes: Callable[[], Mapping[str, HomeJob]],
+        finish_limits: Mapping[str, Sequence[float]],
+        wait_limits: Mapping[str, float],
+        shares: Shares,
+        deadline_times: Mapping[str, Sequence[float]] | None = None,
+    ) -> None:
         self.homes = homes
         self.finish_limits, self.wait_limits = finish_limits, wait_limits
         # Of jobs with a deadline of their own, which multiples of it are aimed at.
@@ -144,15 +148,27 @@
         band, key, until = self.standing(hj, now)
         group_key = hj.group
         group = self.groups.get(group_key)
-        if known is not None and group is not None and known.group is group \
-                and known.hj is hj and (known.band, known.key) == (band, key):
+        if (
+            known is not None
+            and group is not None
+            and known.group is group
+            and known.hj is hj
+            and (known.band, known.key) == (band, key)
+        ):
             if pending > known.pending:
                 group.fresh = True
             if pending != known.pending:
                 self.marks[name] = known._replace(pending=pending)
             return
-        back = known is not None and known.group is group and pending <= known.pending \
-            or known is None and flown is not None and flown[0] is hj and pending <= flown[1]
+        back = (
+            known is not None
+            and known.group is group
+            and pending <= known.pending
+            or known is None
+            and flown is not None
+            and flown[0] is hj
+            and pending <= flown[1]
+        )
         self._drop(name, known, group)
         if group is None:
             group = self.groups[group_key] = Group(hj)
--- a/clayport/queueing/shares.py
+++ b/clayport/queueing/shares.py
@@ -61,8 +61,7 @@
 class Account:
     """What a class, or a team, runs here and waits for, in CPUs."""
 
-    __slots__ = ("running", "waiting", "ages", "jobs", "standing", "comes",
-                 "came", "backlog")
+    __slots__ = ("running", "waiting", "ages", "jobs", "standing", "comes", "came", "backlog")
 
     def __init__(self) -> None:
         self.running = self.waiting = 0.0
@@ -86,8 +85,9 @@
 class Shares:
     """Accounts of everything but services."""
 
-    def __init__(self, bears: Mapping[str, float], bears_else: float,
-                 without: Collection[Name] = ()) -> None:
+    def __init__(
+        self, bears: Mapping[str, float], bears_else: float, without: Collection[Name] = ()
+    ) -> None:
         # How long jobs of a class can wait; where nothing is aimed at, the other.
         self.bears, self.bears_else = bears, bears_else
         # Who has no share: teams with a guarantee, which is claimed otherwise.
@@ -102,9 +102,14 @@
 
     def note(self, name: str, job: Job, running: int, pending: int, since: float) -> None:
         """What a job runs and waits for now."""
-        row = Row(names_of(job), running * job.cpus, pending * job.cpus,
-                  pending * job.cpus * max(1.0, job.estimate_s),
-                  (since, name) if pending > 0 else None, job.standing)
+        row = Row(
+            names_of(job),
+            running * job.cpus,
+            pending * job.cpus,
+            pending * job.cpus * max(1.0, job.estimate_s),
+            (since, name) if pending > 0 else None,
+            job.standing,
+        )
         known = self.rows.get(name)
         if known == row:
             return
@@ -145,8 +150,7 @@
                 del self.accounts[which]
 
     def _bears(self, which: Name) -> float:
-        return self.bears.get(which[2], self.bears_else) if which[0] == "class" \
-            else self.bears_else
+        return self.bears.get(which[2], self.bears_else) if which[0] == "class" else self.bears_else
 
     def neglect(self, which: Name, now: float) -> float:
         """0 to 1: how far the oldest of its jobs has used up what it can bear to wait."""
@@ -188,7 +192,10 @@
                 continue
             floor = self.neglect(which, now) * min(total / (count + 1), ENOUGH * needs)
             if floor > 0 and account.running < MARGIN * floor:
-                found[which] = Owed(floor, max(0.0, min(floor - account.running,
-                                                        account.waiting)), total,
-                                    account.standing)
+                found[which] = Owed(
+                    floor,
+                    max(0.0, min(floor - account.running, account.waiting)),
+                    total,
+                    account.standing,
+                )
         return found
--- a/clayport/rebuild/commands.py
+++ b/clayport/rebuild/commands.py
@@ -35,25 +35,38 @@
 
 def parser() -> argparse.ArgumentParser:
     p = argparse.ArgumentParser(
-        prog="clayport", description="Snapshots of the records, and putting them back.")
+        prog="clayport", description="Snapshots of the records, and putting them back."
+    )
     verbs = p.add_subparsers(dest="verb", required=True)
     snapshot = verbs.add_parser("snapshot", help="take, verify or show snapshots")
     actions = snapshot.add_subparsers(dest="action", required=True)
     take = actions.add_parser("take", help="read all records and write a base")
-    take.add_argument("--config", metavar="FILE", required=True,
-                      help="the settings of one of the controllers (JSON)")
+    take.add_argument(
+        "--config",
+        metavar="FILE",
+        required=True,
+        help="the settings of one of the controllers (JSON)",
+    )
     take.add_argument("directory", type=Path)
-    for name, text in (("verify", "read every file; exit 1 if one is damaged"),
-                       ("show", "what the newest that can be used holds")):
+    for name, text in (
+        ("verify", "read every file; exit 1 if one is damaged"),
+        ("show", "what the newest that can be used holds"),
+    ):
         action = actions.add_parser(name, help=text)
         action.add_argument("directory", type=Path)
         if name == "show":
             action.add_argument("--config", metavar="FILE", help="only of this deployment")
     restore = verbs.add_parser(
-        "restore", help="put the newest snapshot back (says what it would do unless --write)",
-        description="With no controller running. Without --write nothing is changed.")
-    restore.add_argument("--config", metavar="FILE", required=True,
-                         help="the settings of one of the controllers (JSON)")
+        "restore",
+        help="put the newest snapshot back (says what it would do unless --write)",
+        description="With no controller running. Without --write nothing is changed.",
+    )
+    restore.add_argument(
+        "--config",
+        metavar="FILE",
+        required=True,
+        help="the settings of one of the controllers (JSON)",
+    )
     restore.add_argument("--write", action="store_true", help="do it")
     restore.add_argument("directory", type=Path)
     return p
@@ -81,22 +94,34 @@
 def store_of(settings: Settings) -> StateStore:
     """The state service, with a controller's share of its limits."""
     state, workers = settings.cluster.state, settings.cluster.workers
-    return StateStore(*endpoint(settings.services.state, "services.state"), state.rps,
-                      state.write_rps, 0.2 * workers.lease_s, settings.cluster.size)
+    return StateStore(
+        *endpoint(settings.services.state, "services.state"),
+        state.rps,
+        state.write_rps,
+        0.2 * workers.lease_s,
+        settings.cluster.size,
+    )
 
 
 async def read_all(store: StateStore) -> tuple[dict[str, tuple[Any, int]], int]:
     """Every record, and a revision up to which all changes are among them."""
-    return await store.scan_all(PREFIXES, read=lambda prefix, count: print(
-        f"{prefix} {count} records", file=sys.stderr))
+    return await store.scan_all(
+        PREFIXES, read=lambda prefix, count: print(f"{prefix} {count} records", file=sys.stderr)
+    )
 
 
 async def _take(settings: Settings, directory: Path) -> int:
     found, rev = await read_all(store_of(settings))
     head = found.get(HEAD_KEY)
     directory.mkdir(parents=True, exist_ok=True)
-    header = Header("base", list(settings.labels), str(head[0]["id"]) if head else "",
-                    int(head[0]["n"]) if head else 0, rev, time.time())
+    header = Header(
+        "base",
+        list(settings.labels),
+        str(head[0]["id"]) if head else "",
+        int(head[0]["n"]) if head else 0,
+        rev,
+        time.time(),
+    )
     print(files.write_base(directory, header, files.rows_of(found)))
     return 0
 
@@ -112,18 +137,23 @@
             print(f"DAMAGED {exc}")
             bad += 1
             continue
-        log = path.with_name("log" + path.name[len("base"):])
+        log = path.with_name("log" + path.name[len("base") :])
         rev, why = files.read_log(log, header, records) if log.exists() else (header.rev, "")
-        print(f"good    {path}: revision {header.rev}, with its log {rev}, "
-              f"{len(records)} records" + (f"; {why}" if why else ""))
+        print(
+            f"good    {path}: revision {header.rev}, with its log {rev}, "
+            f"{len(records)} records" + (f"; {why}" if why else "")
+        )
     if not files.bases(directory):
         raise SnapshotError(f"{directory}: no records")
     return 1 if bad else 0
 
 
 def counts(found: Found) -> str:
-    kinds = Counter(k.partition("/")[0] if not k.startswith("c/") else k.split("/")[1]
-                    for k in found.records if not is_anchor(k))
+    kinds = Counter(
+        k.partition("/")[0] if not k.startswith("c/") else k.split("/")[1]
+        for k in found.records
+        if not is_anchor(k)
+    )
     return ", ".join(f"{name} {count}" for name, count in sorted(kinds.items()))
 
 
@@ -140,8 +170,10 @@
     for why in found.refused:
         print(f"not used: {why}")
     at = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(found.header.at))
-    print(f"controllers {', '.join(found.header.labels)}; history {found.header.history or '-'} "
-          f"(number {found.header.number}); base of {at} UTC, revision {found.rev}")
+    print(
+        f"controllers {', '.join(found.header.labels)}; history {found.header.history or '-'} "
+        f"(number {found.header.number}); base of {at} UTC, revision {found.rev}"
+    )
     print(counts(found))
     return 0
 
@@ -150,8 +182,13 @@
     """What a restore would change."""
     limits = {t.name: (t.cpus_max, t.gpus_max) for t in settings.cluster.teams}
     said = remembered(found, "snapshot")
-    return merge({k: v for k, v in records.items() if not is_anchor(k)}, {said.label: said}, (),
-                 limits, chunk_size(settings.cluster.state.value_kb))
+    return merge(
+        {k: v for k, v in records.items() if not is_anchor(k)},
+        {said.label: said},
+        (),
+        limits,
+        chunk_size(settings.cluster.state.value_kb),
+    )
 
 
 async def _restore(settings: Settings, directory: Path, write: bool) -> int:
@@ -160,17 +197,20 @@
         print(f"not used: {why}")
     store = store_of(settings)
     records, _ = await read_all(store)
-    here = sorted(k[len("c/node/"):] for k in records if k.startswith("c/node/"))
+    here = sorted(k[len("c/node/") :] for k in records if k.startswith("c/node/"))
     if here:
         raise Refused(f"controllers are running ({', '.join(here)}): they rebuild by themselves")
     head = records.get(HEAD_KEY)
-    if head is not None and int(head[0]["n"]) > found.header.number + (
-            head[0].get("by") == BY):
-        raise Refused(f"the snapshot is of history {found.header.number}, the records of "
-                      f"{head[0]['n']}: they have been rebuilt since")
+    if head is not None and int(head[0]["n"]) > found.header.number + (head[0].get("by") == BY):
+        raise Refused(
+            f"the snapshot is of history {found.header.number}, the records of "
+            f"{head[0]['n']}: they have been rebuilt since"
+        )
     merged = planned(settings, found, records)
-    print(f"live jobs {merged.jobs}, {merged.found} of them restored; final records restored "
-          f"{merged.ended}; {len(merged.changes)} changes")
+    print(
+        f"live jobs {merged.jobs}, {merged.found} of them restored; final records restored "
+        f"{merged.ended}; {len(merged.changes)} changes"
+    )
     if not write:
         print("nothing written; --write does it")
         return 0
@@ -178,8 +218,12 @@
     records, _ = await read_all(store)
     anchor = anchor_key("c/", _name(found))
     done = 0
-    for txn in plan.transactions(merged.changes, records, (anchor, records[anchor][1]),
-                                 settings.cluster.state.least().txn_ops):
+    for txn in plan.transactions(
+        merged.changes,
+        records,
+        (anchor, records[anchor][1]),
+        settings.cluster.state.least().txn_ops,
+    ):
         await _settled(store, txn)
         done += len(txn.writes)
         print(f"{done} of {len(merged.changes)}", file=sys.stderr)
@@ -192,8 +236,12 @@
     return f"restored-{header.history or 'none'}-{header.rev}"
 
 
-async def _begin(store: StateStore, records: dict[str, tuple[Any, int]],
-                 head: tuple[Any, int] | None, header: Header) -> None:
+async def _begin(
+    store: StateStore,
+    records: dict[str, tuple[Any, int]],
+    head: tuple[Any, int] | None,
+    header: Header,
+) -> None:
     """A history of its own: what was sent before is not applied any more, and the controllers
     find it to be rebuilt."""
     name = _name(header)
--- a/clayport/rebuild/evidence.py
+++ b/clayport/rebuild/evidence.py
@@ -50,33 +50,40 @@
 def gather(core: Controller, loaded: bool) -> Evidence:
     """This controller's own evidence."""
     now, day = time.monotonic(), time.time()
-    found = Evidence(core.label, core.incarnation, core.generation.number,
-                     dict(core.generation.members), loaded)
+    found = Evidence(
+        core.label, core.incarnation, core.generation.number, dict(core.generation.members), loaded
+    )
     for name, (job, _) in core.live.items():
         link = core.pipes.links.get(name)
-        found.live[name] = (msgspec.to_builtins(link.job if link else job),
-                            round(day - (now - link.submitted), 3) if link else day)
+        found.live[name] = (
+            msgspec.to_builtins(link.job if link else job),
+            round(day - (now - link.submitted), 3) if link else day,
+        )
     for name, status in core.ended.items():
         at = core.pipes.ends.get(name, ("", 0.0))[1]
         desc = core.descs.get(name)
-        found.ended[name] = (status, round(day - (now - at), 3) if at else 0.0,
-                             msgspec.to_builtins(desc) if desc is not None else None)
+        found.ended[name] = (
+            status,
+            round(day - (now - at), 3) if at else 0.0,
+            msgspec.to_builtins(desc) if desc is not None else None,
+        )
     for hj in core.dispatch.homes.values():
         for index, chunk in hj.chunks.items():
             found.chunks[hj.key(index)] = chunk.value()
     found.versions = {label: number for label, (number, _) in core.versions.items()}
-    found.classes = {name: msgspec.to_builtins(msgspec.structs.replace(job, prereqs=None))
-                     for name, job in core.classes.items()}
+    found.classes = {
+        name: msgspec.to_builtins(msgspec.structs.replace(job, prereqs=None))
+        for name, job in core.classes.items()
+    }
     found.machines = {name: room.address for name, room in core.rooms.items()}
-    found.machines.update({name: m.address for name, m in core.owner.machines.items()
-                           if m.address})
+    found.machines.update({name: m.address for name, m in core.owner.machines.items() if m.address})
     return found
 
 
 def pack(found: Evidence) -> list[bytes]:
     """In parts, each of which fits a frame."""
     raw = zlib.compress(msgspec.json.encode(found), 1)
-    return [raw[at:at + PART] for at in range(0, len(raw), PART)]
+    return [raw[at : at + PART] for at in range(0, len(raw), PART)]
 
 
 def unpack(parts: list[bytes]) -> Evidence:
@@ -95,8 +102,11 @@
     """Leave out which jobs were accepted, and how they ended, where another has said the
     same: every controller knows nearly all of it, and they need not be held five times."""
     found.live = {n: row for n, row in found.live.items() if n not in seen.live}
-    found.ended = {n: row for n, row in found.ended.items()
-                   if n not in seen.ended or seen.ended[n][0] != row[0]}
+    found.ended = {
+        n: row
+        for n, row in found.ended.items()
+        if n not in seen.ended or seen.ended[n][0] != row[0]
+    }
 
 
 def split(parts: Mapping[str, Evidence]) -> tuple[dict[str, str], dict[str, Evidence]]:
@@ -105,5 +115,7 @@
     number = max((e.generation for e in parts.values()), default=0)
     members = next((e.members for e in parts.values() if e.generation == number), {})
     return members, {
-        label: e for label, e in parts.items()
-        if e.generation == number and e.loaded and members.get(label) == e.incarnation}
+        label: e
+        for label, e in parts.items()
+        if e.generation == number and e.loaded and members.get(label) == e.incarnation
+    }
--- a/clayport/rebuild/files.py
+++ b/clayport/rebuild/files.py
@@ -261,7 +261,7 @@
 def prune(directory: Path, keep: int) -> None:
     """Leave the newest `keep` bases with their logs, and nothing that was never finished."""
     for path in bases(directory)[keep:]:
-        path.with_name("log" + path.name[len("base"):]).unlink(missing_ok=True)
+        path.with_name("log" + path.name[len("base") :]).unlink(missing_ok=True)
         path.unlink(missing_ok=True)
     for path in directory.glob("*.part"):
         path.unlink(missing_ok=True)
--- a/clayport/rebuild/history.py
+++ b/clayport/rebuild/history.py
@@ -54,8 +54,11 @@
         if not self.name:
             return {}
         touched = {"c/", *(p for key in keys for p in PREFIXES if key.startswith(p))}
-        return {anchor: rev for anchor, rev in self.revs.items()
-                if anchor[:-len(self.name) - 1] in touched}
+        return {
+            anchor: rev
+            for anchor, rev in self.revs.items()
+            if anchor[: -len(self.name) - 1] in touched
+        }
 
     def answered(self, rev: int, floor: int, wrote: bool = False) -> bool:
         """Take note of a revision in an answer; False if it lies below what was known when
--- a/clayport/rebuild/merge.py
+++ b/clayport/rebuild/merge.py
@@ -63,8 +63,13 @@
     keys: set[str]
 
 
-def merge(records: Values, parts: Mapping[str, Evidence], listed: Iterable[Task],
-          limits: Mapping[str, tuple[float, float]], first_size: int) -> Merged:
+def merge(
+    records: Values,
+    parts: Mapping[str, Evidence],
+    listed: Iterable[Task],
+    limits: Mapping[str, tuple[float, float]],
+    first_size: int,
+) -> Merged:
     """What is to be changed of `records` (anchors aside). `limits` are the teams', `first_size`
     the tasks in a chunk whose key says no size."""
     order = sorted(parts.values(), key=lambda e: (-e.generation, e.label))
@@ -76,8 +81,10 @@
         if raw is not None:
             descs[name] = msgspec.convert(raw, Job)
     members, homes = split(parts)
-    stored = _by_job(((k, v) for k, (v, _) in records.items() if k.startswith("run/")
-                      and not is_anchor(k)), first_size)
+    stored = _by_job(
+        ((k, v) for k, (v, _) in records.items() if k.startswith("run/") and not is_anchor(k)),
+        first_size,
+    )
     said = {label: _by_job(e.chunks.items(), first_size) for label, e in homes.items()}
     # What is older than the last generation says what was done, and which attempts were used.
     before = [_by_job(e.chunks.items(), first_size) for e in order if homes.get(e.label) is not e]
@@ -94,11 +101,19 @@
                 stored[name] = _older(stored.get(name), known[name], first_size)
         home = said.get(rendezvous(name, members))
         over = name in ended
-        here = _united(stored.get(name), home.get(name) if home is not None else None,
-                       () if home is not None else seen.get(name, ()), first_size, over)
+        here = _united(
+            stored.get(name),
+            home.get(name) if home is not None else None,
+            () if home is not None else seen.get(name, ()),
+            first_size,
+            over,
+        )
         left = sum(len(c.assigned) for c in here.chunks.values())
-        wanted = {chunk_key(name, i, here.layout): c for i, c in here.chunks.items()
-                  if c.assigned or not over}
+        wanted = {
+            chunk_key(name, i, here.layout): c
+            for i, c in here.chunks.items()
+            if c.assigned or not over
+        }
         for key in here.keys - set(wanted):
             changes[key] = None
         for key, chunk in wanted.items():
@@ -120,9 +135,13 @@
             key = f"c/class/{job_class}"
             if key not in records:
                 changes.setdefault(key, {"j": desc})
-    return Merged(changes, len(live), sum(live_key(n) not in records for n in live),
-                  sum(end_key(n) not in records for n in ended),
-                  {j for j in seen if j not in live and j not in ended})
+    return Merged(
+        changes,
+        len(live),
+        sum(live_key(n) not in records for n in live),
+        sum(end_key(n) not in records for n in ended),
+        {j for j in seen if j not in live and j not in ended},
+    )
 
 
 def _ended(records: Values, order: Iterable[Evidence]) -> dict[str, tuple[str, float, Any]]:
@@ -137,7 +156,7 @@
                 found[name] = (status, known[1] or at, desc if known[2] is None else known[2])
     for key, (value, _) in records.items():
         if key.startswith("end/") and not is_anchor(key):
-            name = key[len("end/"):]
+            name = key[len("end/") :]
             known = found.get(name)
             if known is None or known[0] == value["s"]:
                 desc = value.get("j", known[2] if known else None)
@@ -149,12 +168,13 @@
     return found
 
 
-def _live(records: Values, order: Iterable[Evidence],
-          ended: Mapping[str, Any]) -> dict[str, tuple[Any, float]]:
+def _live(
+    records: Values, order: Iterable[Evidence], ended: Mapping[str, Any]
+) -> dict[str, tuple[Any, float]]:
     found: dict[str, tuple[Any, float]] = {}
     for key, (value, _) in records.items():
-        if key.startswith("c/live/") and key[len("c/live/"):] not in ended:
-            found[key[len("c/live/"):]] = (value["j"], float(value.get("t", 0.0)))
+        if key.startswith("c/live/") and key[len("c/live/") :] not in ended:
+            found[key[len("c/live/") :]] = (value["j"], float(value.get("t", 0.0)))
     for e in order:
         for name, (desc, at) in e.live.items():
             if name not in ended:
@@ -181,8 +201,9 @@
     return found
 
 
-def _united(stored: Chunks | None, said: Chunks | None, seen: Iterable[Task],
-            first_size: int, over: bool) -> Chunks:
+def _united(
+    stored: Chunks | None, said: Chunks | None, seen: Iterable[Task], first_size: int, over: bool
+) -> Chunks:
     """A job's chunks from what is stored, what its home says, and what machines list. Of a
     job that is over all that is listed is still to be cleared, done or not."""
     lead = said or stored or Chunks(0, {}, set())
@@ -192,6 +213,7 @@
 
     def at(number: int) -> Chunk:
         return chunks.setdefault(number // size, Chunk())
+
     if said is not None and stored is not None:
         for chunk in stored.chunks.values():
             for number in chunk.done:
@@ -214,8 +236,7 @@
         if over:
             mine.done.discard(task.number)
         known = mine.assigned.get(task.number)
-        if task.number not in mine.done and (
-                known is None or (task.number, *known) not in where):
+        if task.number not in mine.done and (known is None or (task.number, *known) not in where):
             mine.assigned[task.number] = (task.attempt, task.machine)
         mine.last_attempt = max(mine.last_attempt, task.attempt)
     return Chunks(lead.layout, chunks, keys)
@@ -242,11 +263,15 @@
         return not chunk.assigned and not chunk.done and chunk.last_attempt == 0
     known = Chunk.parse(stored[0], 1)
     return (known.assigned, known.done, known.last_attempt) == (
-        chunk.assigned, chunk.done, chunk.last_attempt)
+        chunk.assigned,
+        chunk.done,
+        chunk.last_attempt,
+    )
 
 
-def _charge(used: dict[str, list[float]], job: Job, count: int,
-            limits: Mapping[str, tuple[float, float]]) -> None:
+def _charge(
+    used: dict[str, list[float]], job: Job, count: int, limits: Mapping[str, tuple[float, float]]
+) -> None:
     cpus, gpus = amounts(job, count)
     if counts(limits.get(job.team, (0.0, 0.0)), cpus, gpus):
         row = used.setdefault(job.team, [0.0, 0.0])
@@ -254,8 +279,12 @@
         row[1] += gpus
 
 
-def _quotas(changes: dict[str, Any], records: Values, used: Mapping[str, list[float]],
-            limits: Mapping[str, tuple[float, float]]) -> None:
+def _quotas(
+    changes: dict[str, Any],
+    records: Values,
+    used: Mapping[str, list[float]],
+    limits: Mapping[str, tuple[float, float]],
+) -> None:
     for team, limit in limits.items():
         if limit[0] <= 0 and limit[1] <= 0:
             continue
@@ -266,8 +295,9 @@
             changes[quota_key(team)] = {"c": round(cpus, 6), "g": round(gpus, 6)}
 
 
-def _final(changes: dict[str, Any], records: Values, name: str, end: tuple[str, float, Any],
-           carry: bool) -> None:
+def _final(
+    changes: dict[str, Any], records: Values, name: str, end: tuple[str, float, Any], carry: bool
+) -> None:
     """The final record of a job; with its description while tasks of it may be there."""
     status, at, desc = end
     if live_key(name) in records:
@@ -281,8 +311,25 @@
 
 
 # Chunks are read without regard to what the job is.
-_ANY = msgspec.convert({
-    "id": "j-0", "jobclass": "-", "owner": "-", "shape": "sweep", "rank": "normal",
-    "pieces": 100_000, "vcpus": 0, "cards": 0, "ram_gb": 0, "bundle": "-", "image_gb": 0,
-    "together": False, "scatter": False, "loaners": False, "guess_s": 0,
-    "snapshot_every_s": 0, "snapshot_s": 0}, Job)
+_ANY = msgspec.convert(
+    {
+        "id": "j-0",
+        "jobclass": "-",
+        "owner": "-",
+        "shape": "sweep",
+        "rank": "normal",
+        "pieces": 100_000,
+        "vcpus": 0,
+        "cards": 0,
+        "ram_gb": 0,
+        "bundle": "-",
+        "image_gb": 0,
+        "together": False,
+        "scatter": False,
+        "loaners": False,
+        "guess_s": 0,
+        "snapshot_every_s": 0,
+        "snapshot_s": 0,
+    },
+    Job,
+)
--- a/clayport/rebuild/plan.py
+++ b/clayport/rebuild/plan.py
@@ -22,7 +22,7 @@
     for key, value in changes.items():
         if key.startswith("c/live/") and value is not None:
             desc = value["j"]
-            ranks[key[len("c/live/"):]] = (desc["shape"] != SERVICE, -RANKS[desc["rank"]])
+            ranks[key[len("c/live/") :]] = (desc["shape"] != SERVICE, -RANKS[desc["rank"]])
 
     def place(key: str) -> tuple[Any, ...]:
         prefix, _, rest = key.partition("/")
@@ -30,11 +30,13 @@
         if key.startswith(("c/live/", "run/")):
             return (0, *ranks.get(job, (True, 0)), job, prefix, key)
         return (1 if prefix == "quota" else 2, True, 0, "", "", key)
+
     return sorted(changes, key=place)
 
 
-def transactions(changes: Mapping[str, Any], records: Values, anchor: tuple[str, int],
-                 txn_ops: int) -> Iterator[Txn]:
+def transactions(
+    changes: Mapping[str, Any], records: Values, anchor: tuple[str, int], txn_ops: int
+) -> Iterator[Txn]:
     """Writes under the condition that the rebuild's own history stands, and that each key is
     as it was read: what somebody else has done meanwhile is never overwritten."""
     txn, size = Txn().require(*anchor), 0
--- a/clayport/rebuild/recorder.py
+++ b/clayport/rebuild/recorder.py
@@ -39,15 +39,15 @@
         if key == GENERATION_KEY:
             said.generation, said.members = int(value["number"]), dict(value["members"])
         elif key.startswith("c/live/"):
-            said.live[rest[len("live/"):]] = (value["j"], float(value.get("t", 0.0)))
+            said.live[rest[len("live/") :]] = (value["j"], float(value.get("t", 0.0)))
         elif prefix == "end":
             said.ended[rest] = (value["s"], float(value.get("t", 0.0)), value.get("j"))
         elif prefix == "run":
             said.chunks[key] = value
         elif key.startswith("c/version/"):
-            said.versions[rest[len("version/"):]] = int(value["format"])
+            said.versions[rest[len("version/") :]] = int(value["format"])
         elif key.startswith("c/class/"):
-            said.classes[rest[len("class/"):]] = value["j"]
+            said.classes[rest[len("class/") :]] = value["j"]
     return said
 
 
@@ -106,16 +106,21 @@
 
     async def _write(self, name: str, number: int) -> None:
         """A base of what is known, and a log for what comes."""
-        header = Header("base", list(self.core.settings.labels), name, number, self.rev,
-                        time.time())
+        header = Header(
+            "base", list(self.core.settings.labels), name, number, self.rev, time.time()
+        )
         if self.log is not None:
             self.log.close()
             self.log = None
         records = dict(self.records)
         self.log, self.base_bytes = await curio.run_in_thread(self._on_disk, header, records)
         self.synced = self.rev
-        log.info("event=snapshot revision=%d records=%d bytes=%d", self.rev, len(records),
-                 self.base_bytes)
+        log.info(
+            "event=snapshot revision=%d records=%d bytes=%d",
+            self.rev,
+            len(records),
+            self.base_bytes,
+        )
 
     def _on_disk(self, header: Header, records: dict[str, tuple[Any, int]]) -> tuple[Log, int]:
         self.directory.mkdir(parents=True, exist_ok=True)
--- a/clayport/rebuild/recovery.py
+++ b/clayport/rebuild/recovery.py
@@ -68,6 +68,7 @@
         self.remembered: Evidence | None = None
         if directory:
             from .recorder import Recorder  # imported only where there is a disk
+
             self.recorder = Recorder(core, Path(directory))
             self.remembered = self.recorder.load()
         self.history = History(self._stand_still)
@@ -123,8 +124,13 @@
         """What a peer has seen; None without an answer."""
         h, core = self.history, self.core
         try:
-            said = Said(*await core.peers[label].call(peerwire.HISTORY, (
-                h.name, h.number, h.floor, bool(h.doubt), core.mirror.seen), core.ttl_s / 4))
+            said = Said(
+                *await core.peers[label].call(
+                    peerwire.HISTORY,
+                    (h.name, h.number, h.floor, bool(h.doubt), core.mirror.seen),
+                    core.ttl_s / 4,
+                )
+            )
         except (PeerError, KeyError):
             return None
         h.told(*said[:4])
@@ -160,8 +166,13 @@
         if kind == peerwire.HISTORY:
             if not h.doubt:
                 h.told(*values[:4])
-            return peerwire.HISTORY_TOLD, (h.name, h.number, h.floor, bool(h.doubt),
-                                           self.core.mirror.seen)
+            return peerwire.HISTORY_TOLD, (
+                h.name,
+                h.number,
+                h.floor,
+                bool(h.doubt),
+                self.core.mirror.seen,
+            )
         name, part = values
         if self.packed[0] != name:
             h.suspect("the records are rebuilt")
@@ -245,14 +256,22 @@
         for entry in entries:
             # Who is there, and understands what: also for who has only just begun.
             if entry.key.startswith("c/version/"):
-                core.mirror.note_version(entry.key[len("c/version/"):], entry.value, entry.rev)
+                core.mirror.note_version(entry.key[len("c/version/") :], entry.value, entry.rev)
         head = records.get(HEAD_KEY)
         # Whoever is there with no record at all has none of before.
-        told = [t for label in core.peers
-                if (head is not None or GENERATION_KEY not in records or self._understands(label))
-                and (t := await self._exchange(label)) is not None]
-        if head is None and not h.name and not any(t.name for t in told) \
-                and GENERATION_KEY in records and not self._all_understand():
+        told = [
+            t
+            for label in core.peers
+            if (head is not None or GENERATION_KEY not in records or self._understands(label))
+            and (t := await self._exchange(label)) is not None
+        ]
+        if (
+            head is None
+            and not h.name
+            and not any(t.name for t in told)
+            and GENERATION_KEY in records
+            and not self._all_understand()
+        ):
             # Somebody may be there who doesn't know of any of this.
             log.info("event=no-history cause='not all controllers are new'")
             h.join("", 0, {}, 0)
@@ -267,9 +286,14 @@
         if core.away or self._somebody_else(head):
             await curio.sleep(core.ttl_s / 16)
             return
-        await self._rebuild(head, records, max(
-            h.number, int(head.value["n"]) if head is not None else 0,
-            *(t.number for t in told)) + 1)
+        await self._rebuild(
+            head,
+            records,
+            max(
+                h.number, int(head.value["n"]) if head is not None else 0, *(t.number for t in told)
+            )
+            + 1,
+        )
 
     def _holds(self, head: Entry, told: list[Said]) -> bool:
         """Whether the history that the head names is whole and later than ours, or, if we
@@ -286,8 +310,11 @@
         the first by name. (Two at once can't both win; they would only hinder each other.)"""
         core, now = self.core, time.monotonic()
         heard = [p.label for p in core.peers.values() if now - p.heard < core.ttl_s]
-        if head is not None and head.value["state"] == REBUILDING \
-                and head.value["by"] != core.label:
+        if (
+            head is not None
+            and head.value["state"] == REBUILDING
+            and head.value["by"] != core.label
+        ):
             return head.value["by"] in heard
         early = now - self.since < core.ttl_s / 2
         return early and any(label < core.label for label in heard)
@@ -296,8 +323,10 @@
 
     async def _anchors(self, name: str) -> dict[str, int]:
         """The anchors of a history that are there, with their revisions."""
-        found = [await self.core.store.get(anchor_key(prefix, name), doubtful=True)
-                 for prefix in PREFIXES]
+        found = [
+            await self.core.store.get(anchor_key(prefix, name), doubtful=True)
+            for prefix in PREFIXES
+        ]
         return {e.key: e.rev for e in found if e is not None}
 
     async def _join(self, head: Entry, revs: dict[str, int]) -> None:
@@ -364,8 +393,14 @@
         if live is not None:
             txn.require(live_key(name), live.rev).delete(live_key(name))
             desc = live.value["j"]
-        await self._once(txn.put(end_key(name), end_value(
-            status, at or time.time(), desc if status == "cancelled" else None)), "end", name)
+        await self._once(
+            txn.put(
+                end_key(name),
+                end_value(status, at or time.time(), desc if status == "cancelled" else None),
+            ),
+            "end",
+            name,
+        )
 
     # -- rebuilding ------------------------------------------------------
 
@@ -378,8 +413,9 @@
         finally:
             store.shared_by(store.controllers)
 
-    async def _put_together(self, head: Entry | None, records: dict[str, Entry], number: int
-                            ) -> None:
+    async def _put_together(
+        self, head: Entry | None, records: dict[str, Entry], number: int
+    ) -> None:
         core, h = self.core, self.history
         began = time.monotonic()
         name = f"{core.rng.getrandbits(64):016x}"
@@ -392,33 +428,50 @@
         listed: list[Task] = []
         epoch = 0
         if missing or not members:
-            log.info("event=rebuild-asks machines=%d missing=%s", len(machines),
-                     ",".join(missing))
+            log.info("event=rebuild-asks machines=%d missing=%s", len(machines), ",".join(missing))
             listed, epoch = await self._account(parts, machines)
         records_now, _ = await core.store.scan_all(PREFIXES, doubtful=True)
         found = {key: row for key, row in records_now.items() if not is_anchor(key)}
-        merged = merge(found, parts, listed, core.limits,
-                       chunk_size(core.settings.cluster.state.value_kb))
-        log.info("event=rebuild-found jobs=%d restored=%d ended=%d changes=%d unknown=%d "
-                 "controllers=%d machines=%d", merged.jobs, merged.found, merged.ended,
-                 len(merged.changes), len(merged.unknown), len(parts), len(machines))
+        merged = merge(
+            found, parts, listed, core.limits, chunk_size(core.settings.cluster.state.value_kb)
+        )
+        log.info(
+            "event=rebuild-found jobs=%d restored=%d ended=%d changes=%d unknown=%d "
+            "controllers=%d machines=%d",
+            merged.jobs,
+            merged.found,
+            merged.ended,
+            len(merged.changes),
+            len(merged.unknown),
+            len(parts),
+            len(machines),
+        )
         written = 0
-        for txn in plan.transactions(merged.changes, found, anchor,
-                                     core.settings.cluster.state.least().txn_ops):
+        for txn in plan.transactions(
+            merged.changes, found, anchor, core.settings.cluster.state.least().txn_ops
+        ):
             await self._write(txn)
             written += len(txn.writes)
             log.debug("event=rebuild-wrote changes=%d of=%d", written, len(merged.changes))
         await self._finish(name, number, anchor, parts, found, epoch)
-        log.info("event=rebuild-done history=%s changes=%d seconds=%.1f", name, written,
-                 time.monotonic() - began)
-
-    async def _begin(self, head: Entry | None, records: dict[str, Entry], name: str,
-                     number: int) -> tuple[str, int]:
+        log.info(
+            "event=rebuild-done history=%s changes=%d seconds=%.1f",
+            name,
+            written,
+            time.monotonic() - began,
+        )
+
+    async def _begin(
+        self, head: Entry | None, records: dict[str, Entry], name: str, number: int
+    ) -> tuple[str, int]:
         """End the history that was: nothing that was sent under it is applied from here on,
         since it names the anchor under `c/`. The others follow, each with its predecessors."""
         core = self.core
-        olds = {self.history.name, head.value["id"] if head is not None else "",
-                *(k[len("c/~"):] for k in records if k.startswith("c/~"))} - {""}
+        olds = {
+            self.history.name,
+            head.value["id"] if head is not None else "",
+            *(k[len("c/~") :] for k in records if k.startswith("c/~")),
+        } - {""}
         there = {old: await self._anchors(old) for old in sorted(olds)}
 
         def renew(txn: Txn, prefix: str) -> Txn:
@@ -428,6 +481,7 @@
                 if key in revs:
                     txn.delete(key)
             return txn.put(anchor_key(prefix, name), anchor_value(name))
+
         txn = renew(Txn().require(HEAD_KEY, head.rev if head is not None else 0), "c/")
         txn.put(HEAD_KEY, {"id": name, "n": number, "state": REBUILDING, "by": core.label})
         anchor = anchor_key("c/", name), await self._write(txn)
@@ -490,15 +544,24 @@
             log.info("event=no-evidence label=%s cause=%s", label, exc)
             return None
 
-    async def _finish(self, name: str, number: int, anchor: tuple[str, int],
-                      parts: dict[str, Evidence], found: dict[str, tuple[Any, int]],
-                      epoch: int) -> None:
+    async def _finish(
+        self,
+        name: str,
+        number: int,
+        anchor: tuple[str, int],
+        parts: dict[str, Evidence],
+        found: dict[str, tuple[Any, int]],
+        epoch: int,
+    ) -> None:
         """The history is whole, and a generation begins under it, above all that anybody has
         seen."""
         core = self.core
         stored = found.get(GENERATION_KEY)
-        later = 1 + max(epoch >> COUNTER_BITS, int(stored[0]["number"]) if stored else 0,
-                         *(e.generation for e in parts.values()))
+        later = 1 + max(
+            epoch >> COUNTER_BITS,
+            int(stored[0]["number"]) if stored else 0,
+            *(e.generation for e in parts.values()),
+        )
         members = {label: e.incarnation for label, e in parts.items() if e.incarnation}
         present = await self._present(members)
         txn = Txn().require(*anchor).require(GENERATION_KEY, stored[1] if stored else 0)
@@ -517,7 +580,7 @@
         end = time.monotonic() + core.ttl_s
         while True:
             entries, _ = await core.store.scan("c/node/", doubtful=True)
-            keys = {e.key[len("c/node/"):]: str(e.value["inc"]) for e in entries}
+            keys = {e.key[len("c/node/") :]: str(e.value["inc"]) for e in entries}
             found = {label: inc for label, inc in members.items() if keys.get(label) == inc}
             if len(found) == len(members) or time.monotonic() >= end:
                 return found or members
@@ -525,8 +588,9 @@
 
     # -- machines --------------------------------------------------------
 
-    async def _account(self, parts: dict[str, Evidence], machines: dict[str, str]
-                       ) -> tuple[list[Task], int]:
+    async def _account(
+        self, parts: dict[str, Evidence], machines: dict[str, str]
+    ) -> tuple[list[Task], int]:
         """What runs on every machine that there may be, and the highest token seen.
 
         Only with a controller's memory gone is this needed. Each machine is told a higher
@@ -536,8 +600,10 @@
         core = self.core
         lag_s = core.settings.cluster.cloud.list_lag_s
         known = {n for e in parts.values() for n in (*e.live, *e.ended)}
-        entries = [*(await core.store.scan("c/live/", doubtful=True))[0],
-                   *(await core.store.scan("end/", doubtful=True))[0]]
+        entries = [
+            *(await core.store.scan("c/live/", doubtful=True))[0],
+            *(await core.store.scan("end/", doubtful=True))[0],
+        ]
         known |= {e.key.rpartition("/")[2] for e in entries}
         token = max((e.generation for e in parts.values()), default=0) + 1 << COUNTER_BITS
         held: dict[str, list[Task]] = {}
@@ -549,8 +615,13 @@
             if now - listed_at > lag_s:
                 listed_at = now
                 try:
-                    machines.update({m.id: m.address for m in await core.cloud.machines()
-                                     if m.state != "failed"})
+                    machines.update(
+                        {
+                            m.id: m.address
+                            for m in await core.cloud.machines()
+                            if m.state != "failed"
+                        }
+                    )
                 except CloudError as exc:
                     log.info("event=cloud-trouble cause=%s", exc)
                     listed_at = -math.inf
@@ -559,8 +630,10 @@
                 return [t for rows in held.values() for t in rows], token
             for first in range(0, len(left), ASKED):
                 async with curio.TaskGroup(wait=all) as group:
-                    asked = {n: await group.spawn(self._ask, n, machines[n], token, known)
-                             for n in left[first:first + ASKED]}
+                    asked = {
+                        n: await group.spawn(self._ask, n, machines[n], token, known)
+                        for n in left[first : first + ASKED]
+                    }
                 for machine, task in asked.items():
                     seen, rows = task.result
                     if seen > token:
@@ -573,12 +646,18 @@
                         silent.setdefault(machine, now)
             await self._give_up(silent, gone, len(held))
             if left:
-                log.info("event=rebuild-accounts machines=%d of=%d silent=%d returned=%d",
-                         len(held), len(machines), len(silent), len(gone))
+                log.info(
+                    "event=rebuild-accounts machines=%d of=%d silent=%d returned=%d",
+                    len(held),
+                    len(machines),
+                    len(silent),
+                    len(gone),
+                )
             await curio.sleep(core.settings.cluster.workers.report_s / 2)
 
-    async def _ask(self, machine: str, address: str, token: int, known: set[str]
-                   ) -> tuple[int, list[Task] | None]:
+    async def _ask(
+        self, machine: str, address: str, token: int, known: set[str]
+    ) -> tuple[int, list[Task] | None]:
         """The highest token that a machine has seen (0: no answer), and what it holds once
         ours is the highest and nothing unknown is on it."""
         client = self.core.fleet.client(address)
@@ -589,21 +668,31 @@
             if report.token > token:
                 return report.token, None
             strange = [p for p in report.tasks if p.task.partition("/")[0] not in known]
-            orders = [{"verb": "clear" if p.state == "exited" else "kill", "piece": p.task,
-                       "try": p.attempt, **({} if p.state == "exited" else {"wind_down_s": 0.0})}
-                      for p in strange]
-            report = await self._report(client, "POST", "/do", {
-                "epoch": token, "tenure": report.session, "orders": orders})
+            orders = [
+                {
+                    "verb": "clear" if p.state == "exited" else "kill",
+                    "piece": p.task,
+                    "try": p.attempt,
+                    **({} if p.state == "exited" else {"wind_down_s": 0.0}),
+                }
+                for p in strange
+            ]
+            report = await self._report(
+                client, "POST", "/do", {"epoch": token, "tenure": report.session, "orders": orders}
+            )
         except (http.NoAnswer, msgspec.MsgspecError):
             return 0, None
         if strange:
             log.info("machine=%s event=stopped-unknown tasks=%d", machine, len(strange))
         if report.token != token or any(
-                p.task.partition("/")[0] not in known and p.state != "exited"
-                for p in report.tasks):
+            p.task.partition("/")[0] not in known and p.state != "exited" for p in report.tasks
+        ):
             return report.token, None
-        return report.token, [Task(*split_task(p.task), p.attempt, machine) for p in report.tasks
-                              if p.task.partition("/")[0] in known]
+        return report.token, [
+            Task(*split_task(p.task), p.attempt, machine)
+            for p in report.tasks
+            if p.task.partition("/")[0] in known
+        ]
 
     async def _report(self, client: Any, method: str, path: str, body: Any) -> Report:
         raw = None if body is None else msgspec.json.encode(body)
