--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -111,20 +111,29 @@
             self._describe(list(index.rooms.values()), types)
         waiting = core.placer.all_demand()
         demand = [n for n in waiting if not n.job.filler]
-        observed = self.took.observed(core.types, (
-            b for n, b in self.boots.items() if n in self.own), now)
-        spare = spare_room([j for j, _ in core.live.values()], core.arrivals, observed,
-                           core.urgent, now)
+        observed = self.took.observed(
+            core.types, (b for n, b in self.boots.items() if n in self.own), now
+        )
+        spare = spare_room(
+            [j for j, _ in core.live.values()], core.arrivals, observed, core.urgent, now
+        )
         self.refused = {k: t for k, t in self.refused.items() if t > now}
         if now >= self.ready_at:
-            await self._rent(self._wanted(waiting, demand, spare, observed, index, policy, types,
-                                          now), types, now)
+            await self._rent(
+                self._wanted(waiting, demand, spare, observed, index, policy, types, now),
+                types,
+                now,
+            )
         await self._return_idle(types, demand, spare, policy, now)
         if now - self.evacuated_at > core.settings.cluster.workers.lease_s / 2:
             for room in list(core.picture.rooms().values()):
                 kind = types.get(room.type)
-                if kind is not None and room.open and policy.blocked(room, kind) > 0 \
-                        and await core.ask_owner(peerwire.EVACUATE, room.machine, False):
+                if (
+                    kind is not None
+                    and room.open
+                    and policy.blocked(room, kind) > 0
+                    and await core.ask_owner(peerwire.EVACUATE, room.machine, False)
+                ):
                     # Replicas placed before a job that needs the GPUs was known.
                     self.evacuated_at = now
                     break
@@ -140,9 +149,17 @@
                 found.append(empty_room(kind, boot.name, boot.kind[1], boot.kind[2]))
         return found
 
-    def _wanted(self, waiting: list[Need], demand: list[Need], spare: list[Need],
-                observed: list[MachineType], index: Index, policy: Policy,
-                types: dict[str, MachineType], now: float) -> list[Kind]:
+    def _wanted(
+        self,
+        waiting: list[Need],
+        demand: list[Need],
+        spare: list[Need],
+        observed: list[MachineType],
+        index: Index,
+        policy: Policy,
+        types: dict[str, MachineType],
+        now: float,
+    ) -> list[Kind]:
         """Machines to rent, from what would not fit into what is there or on its way."""
         core = self.core
         boots = {t.name: t.boot_s for t in core.types}
@@ -159,8 +176,11 @@
         boot_s = min(t.boot_s for t in observed)
         needs = pressing(demand, core.finish_limits, cpus, boot_s=boot_s)
         moving = self._on_dear(index, policy)
-        if not needs and ample(index, spare, policy, patient=True) \
-                and ample(index, moving, policy, patient=True):
+        if (
+            not needs
+            and ample(index, spare, policy, patient=True)
+            and ample(index, moving, policy, patient=True)
+        ):
             return self._fill(waiting, needs, spare, busy, booting, index, policy)
         kept: list[Need] = []
         if moving:
@@ -175,19 +195,39 @@
         if not missing and not kept:
             return self._fill(waiting, needs, spare, busy, booting, index, policy)
         late = {n.job.id for n in pressing(demand, core.finish_limits, cpus, 1.0, 1.0, boot_s)}
-        left = {n.job.id: -math.inf if n.job.aimless or n.job.id not in late
-                else remaining(n.job, n.age_s, core.finish_limits) for n in demand}
+        left = {
+            n.job.id: -math.inf
+            if n.job.aimless or n.job.id not in late
+            else remaining(n.job, n.age_s, core.finish_limits)
+            for n in demand
+        }
         wanted = shopping(observed, missing, set(self.refused), busy, policy, left, boots)
-        wanted += shopping(observed, kept, set(self.refused), busy, policy,
-                           {n.job.id: -math.inf for n in kept}, boots)
+        wanted += shopping(
+            observed,
+            kept,
+            set(self.refused),
+            busy,
+            policy,
+            {n.job.id: -math.inf for n in kept},
+            boots,
+        )
         if any(n.job.gpus > 0 for n in missing + kept):
             return wanted
         # Others lack machines, but none of those with GPUs.
-        return wanted + self._fill([n for n in waiting if n.job.gpus > 0], needs, spare, busy,
-                                   booting, index, policy)
+        return wanted + self._fill(
+            [n for n in waiting if n.job.gpus > 0], needs, spare, busy, booting, index, policy
+        )
 
-    def _fill(self, waiting: list[Need], needs: list[Need], spare: list[Need], busy: float,
-              booting: list[Room], index: Index, policy: Policy) -> list[Kind]:
+    def _fill(
+        self,
+        waiting: list[Need],
+        needs: list[Need],
+        spare: list[Need],
+        busy: float,
+        booting: list[Room],
+        index: Index,
+        policy: Policy,
+    ) -> list[Kind]:
         """Machines for work without any aim, once nothing else lacks any."""
         if not any(n.job.filler for n in waiting):
             return []
@@ -196,8 +236,9 @@
             short(index, spare, policy, True)
             return self._filling(waiting, busy, index, policy)
 
-    def _filling(self, waiting: list[Need], busy: float, index: Index, policy: Policy
-                 ) -> list[Kind]:
+    def _filling(
+        self, waiting: list[Need], busy: float, index: Index, policy: Policy
+    ) -> list[Kind]:
         """Machines for work without any aim: only once nothing else lacks any, within its
         share, and ordinary ones only if it can't be had otherwise. (Within a trial.)"""
         placer = self.core.placer
@@ -221,8 +262,9 @@
                     refused |= ordinary
                 lodger = True
             missing = short(index, [need._replace(tasks=tasks)], policy, lodger=lodger)
-            wanted += shopping(self.core.types, missing, refused, busy, policy,
-                               {need.job.id: -math.inf})
+            wanted += shopping(
+                self.core.types, missing, refused, busy, policy, {need.job.id: -math.inf}
+            )
         return wanted
 
     @staticmethod
@@ -230,8 +272,12 @@
         """Replicas that run on machines far dearer than they need."""
         found = []
         for job in policy.services:
-            cpus = sum(r.lasting for p in index.pools.values() if policy.dear(job, p)
-                       for r in p.rooms.values())
+            cpus = sum(
+                r.lasting
+                for p in index.pools.values()
+                if policy.dear(job, p)
+                for r in p.rooms.values()
+            )
             if cpus > 0:
                 found.append(Need(job, math.ceil(cpus / max(job.cpus, 0.1))))
         return found[:1]
@@ -249,9 +295,15 @@
         for need in self.core.placer.all_demand():
             name = need.job.job_class
             waiting[name] = waiting.get(name, 0) + need.tasks
-        log.debug("event=fleet booting=%d waiting=%s %s", len(self.boots), waiting,
-                  " ".join(f"{t}{'*' if spot else ''}={n:.0f}:{busy:.0f}/{cpus:.0f}"
-                           for (t, spot), (n, cpus, busy) in sorted(kinds.items())))
+        log.debug(
+            "event=fleet booting=%d waiting=%s %s",
+            len(self.boots),
+            waiting,
+            " ".join(
+                f"{t}{'*' if spot else ''}={n:.0f}:{busy:.0f}/{cpus:.0f}"
+                for (t, spot), (n, cpus, busy) in sorted(kinds.items())
+            ),
+        )
 
     async def _list(self, now: float) -> None:
         core = self.core
@@ -276,7 +328,7 @@
                 self.own.discard(name)
                 del self.boots[name]
         for first in range(0, len(failed), RETURN_MOST):
-            await self._return(failed[first:first + RETURN_MOST], now)
+            await self._return(failed[first : first + RETURN_MOST], now)
 
     def _up(self, boot: Boot, now: float) -> None:
         for kind in self.core.types:
@@ -291,8 +343,11 @@
         """
         if now - self.began_at < 2 * self.core.settings.cluster.workers.lease_s:
             return
-        late = [b.name for b in self.boots.values()
-                if b.kind[0] in types and now - b.since > GIVE_UP * types[b.kind[0]].boot_s]
+        late = [
+            b.name
+            for b in self.boots.values()
+            if b.kind[0] in types and now - b.since > GIVE_UP * types[b.kind[0]].boot_s
+        ]
         if late:
             log.info("event=never-up machines=%s", late)
             for name in late:
@@ -328,9 +383,14 @@
                 self.boots[machine] = Boot(machine, kind, now)
                 self.own.add(machine)
 
-    async def _return_idle(self, types: dict[str, MachineType],
-                           demand: list[Need], spare: list[Need], policy: Policy,
-                           now: float) -> None:
+    async def _return_idle(
+        self,
+        types: dict[str, MachineType],
+        demand: list[Need],
+        spare: list[Need],
+        policy: Policy,
+        now: float,
+    ) -> None:
         """Return machines idle for a while that are not needed as spare room."""
         core = self.core
         names: list[str] = []
@@ -340,26 +400,40 @@
         keep = sum(n.job.cpus * n.tasks for n in self._on_dear(index, policy))
         self.held = {n: until for n, until in self.held.items() if now < until}
         hurried = [n for n in demand if not core.patient(n.job, n.age_s)]
-        idle = [r for r in index.rooms.values() if r.idle and r.type in types
-                and (r.tasks == 0 or r.open and not r.spot)
-                and r.machine not in self.returned and r.machine not in self.held
-                and (not r.open or now - r.idle_since > 0.5 * types[r.type].boot_s)]
+        idle = [
+            r
+            for r in index.rooms.values()
+            if r.idle
+            and r.type in types
+            and (r.tasks == 0 or r.open and not r.spot)
+            and r.machine not in self.returned
+            and r.machine not in self.held
+            and (not r.open or now - r.idle_since > 0.5 * types[r.type].boot_s)
+        ]
         # Closed ones first: nothing will ever start there again.
         idle.sort(key=lambda r: (r.open, r.spot, -types[r.type].price))
         few = idle[:TRIES]
         # Together first: where there is room to spare one look says so for all of them.
         # (On a fleet that shrinks, looks one by one were half of all processor time.)
         roomy = sum(r.open for r in few) > 1 and not self._lost(
-            core.picture.index(), [r.machine for r in few if r.open], needs, policy)
+            core.picture.index(), [r.machine for r in few if r.open], needs, policy
+        )
         for room in few:
             # A dear machine is not kept for what may come, or for what can wait.
             cheap = not any(policy.dear(job, room) for job in policy.services)
             if keep > 0 and room.open and cheap:
                 keep -= room.cpus
                 continue
-            if room.open and not roomy and self._worse(
-                    core.picture.index(), (room.machine, *names),
-                    needs if cheap else hurried, policy):
+            if (
+                room.open
+                and not roomy
+                and self._worse(
+                    core.picture.index(),
+                    (room.machine, *names),
+                    needs if cheap else hurried,
+                    policy,
+                )
+            ):
                 continue
             if await core.ask_owner(peerwire.DRAIN, room.machine):
                 names.append(room.machine)
@@ -379,15 +453,22 @@
             return sum(n.tasks for n in short(index, needs, policy))
 
     @classmethod
-    def _worse(cls, index: Index, without: Sequence[str], needs: list[Need], policy: Policy
-               ) -> bool:
+    def _worse(
+        cls, index: Index, without: Sequence[str], needs: list[Need], policy: Policy
+    ) -> bool:
         """Whether less of what is needed would fit without the first of the machines (the
         others are not counted on in any case)."""
         lost = cls._lost(index, without, needs, policy)
         return lost > 0 and lost > cls._lost(index, without[1:], needs, policy)
 
-    async def _consolidate(self, types: dict[str, MachineType], demand: list[Need],
-                           spare: list[Need], policy: Policy, now: float) -> None:
+    async def _consolidate(
+        self,
+        types: dict[str, MachineType],
+        demand: list[Need],
+        spare: list[Need],
+        policy: Policy,
+        now: float,
+    ) -> None:
         """Empty a machine whose work the others have room for, the dearest first.
 
         Nothing that waits could use it: neither a job that fits no machine of its
@@ -408,8 +489,11 @@
             if guests and room.gpus < kind.gpus:
                 continue  # its GPUs are in use
             lasting = room.lasting
-            if lasting <= 0 or now - self.emptied.get(room.machine, -1e9) < \
-                    2 * core.settings.cluster.workers.lease_s:
+            if (
+                lasting <= 0
+                or now - self.emptied.get(room.machine, -1e9)
+                < 2 * core.settings.cluster.workers.lease_s
+            ):
                 continue  # empties by itself, or has just been tried
             dear = any(policy.dear(job, room) for job in policy.services)
             # The dear ones first, then those with the fewest replicas to move.
@@ -419,32 +503,49 @@
         for _, lasting, name in sorted(offers)[:TRIES]:
             room, kind = rooms[name], types[rooms[name].type]
             dear = any(policy.dear(job, room) for job in policy.services)
-            waiting = [n for n in demand if fits(n.job, kind)
-                       and not (dear and core.patient(n.job, n.age_s))]
+            waiting = [
+                n
+                for n in demand
+                if fits(n.job, kind) and not (dear and core.patient(n.job, n.age_s))
+            ]
             if waiting and not dear:
                 continue
-            rest = [r for r in rooms.values() if r.open and r.machine != room.machine
-                    and not (r.spot and not room.spot)]
+            rest = [
+                r
+                for r in rooms.values()
+                if r.open and r.machine != room.machine and not (r.spot and not room.spot)
+            ]
             free = sum(r.cpus for r in rest)
             if dear:
                 # Its replicas are worth more than the progress of the lowest rank, which
                 # makes way for what waits as well. (Something always waits, and kept nine
                 # dear machines with replicas rented all day.)
-                free += sum(used[0] for r in rest for (rank, _), used in r.used.items()
-                            if rank <= RANKS["best_effort"])
+                free += sum(
+                    used[0]
+                    for r in rest
+                    for (rank, _), used in r.used.items()
+                    if rank <= RANKS["best_effort"]
+                )
                 free -= sum(n.tasks * n.job.cpus for n in waiting)
             # Enough stays free that the next job doesn't buy it back.
-            if free < (2 * kind.cpus if dear else max(2 * kind.cpus, SLACK * total)) \
-                    or not dear and self._worse(core.picture.index(), (
-                        name, *(r.machine for r in rooms.values() if r.spot and not room.spot)),
-                        spare, policy):
+            if (
+                free < (2 * kind.cpus if dear else max(2 * kind.cpus, SLACK * total))
+                or not dear
+                and self._worse(
+                    core.picture.index(),
+                    (name, *(r.machine for r in rooms.values() if r.spot and not room.spot)),
+                    spare,
+                    policy,
+                )
+            ):
                 continue
             self.emptied[name] = now
             if await core.ask_owner(peerwire.EVACUATE, name, True):
                 # Each replica that moves is missed for about as long as a report takes.
                 share = lasting / max(lasting, total_lasting)
-                self.emptying_at = now + max(2.0, share / MOVING) \
-                    * core.settings.cluster.workers.report_s
+                self.emptying_at = (
+                    now + max(2.0, share / MOVING) * core.settings.cluster.workers.report_s
+                )
             return
         # The best few are the same a moment later.
         self.emptying_at = now + 2 * core.settings.cluster.workers.report_s
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -59,8 +59,14 @@
 class Controller:
     """The state shared by the routines of one process, and membership itself."""
 
-    def __init__(self, settings: Settings, incarnation: str = "", rebuild: bool = False,
-                 snapshots: str = "", second_copy: bool = False) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: str = "",
+        rebuild: bool = False,
+        snapshots: str = "",
+        second_copy: bool = False,
+    ) -> None:
         self.settings = settings
         self.label = settings.label
         # Drawn anew by each process; all that is drawn later follows from it.
@@ -70,29 +76,46 @@
         # A crashed controller is evicted when its lease ends: a third of a
         # worker's lease leaves the workers time to find their new owner.
         self.ttl_s = 0.3 * c.workers.lease_s
-        self.store = StateStore(*endpoint(settings.services.state, "services.state"),
-                                c.state.rps, c.state.write_rps, 0.2 * c.workers.lease_s, c.size,
-                                self.rng.uniform)
-        self.cloud = Cloud(*endpoint(settings.services.cloud, "services.cloud"), c.cloud.rps,
-                           c.workers.lease_s, self.rng.uniform)
-        self.peers = {m.label: peers.Peer(
-            m.label, *endpoint(m.address, "members"), 0.1 * c.workers.lease_s, self.rng.uniform)
-            for m in settings.members}
+        self.store = StateStore(
+            *endpoint(settings.services.state, "services.state"),
+            c.state.rps,
+            c.state.write_rps,
+            0.2 * c.workers.lease_s,
+            c.size,
+            self.rng.uniform,
+        )
+        self.cloud = Cloud(
+            *endpoint(settings.services.cloud, "services.cloud"),
+            c.cloud.rps,
+            c.workers.lease_s,
+            self.rng.uniform,
+        )
+        self.peers = {
+            m.label: peers.Peer(
+                m.label, *endpoint(m.address, "members"), 0.1 * c.workers.lease_s, self.rng.uniform
+            )
+            for m in settings.members
+        }
         # What is aimed at for the classes: the time to finish, and which of them
         # are to start soon.
         # All such times of a class, ascending: what can't keep the first may keep the next.
         self.finish_all: dict[str, list[float]] = {}
         self.deadline_times: dict[str, list[float]] = {}
         for aim in c.objectives:
-            for kind, value, times in (("finished", aim.within_s, self.finish_all),
-                                       ("deadline", aim.times, self.deadline_times)):
+            for kind, value, times in (
+                ("finished", aim.within_s, self.finish_all),
+                ("deadline", aim.times, self.deadline_times),
+            ):
                 if aim.kind == kind and aim.job_class and value:
                     times[aim.job_class] = sorted({*times.get(aim.job_class, ()), value})
         self.finish_limits = {name: times[0] for name, times in self.finish_all.items()}
         # Work with more slack than this keeps off dear machines.
         self.patience_s = 2 * c.workers.lease_s
-        self.wait_limits = {a.job_class: a.within_s for a in c.objectives
-                            if a.kind == "wait" and a.job_class and a.within_s}
+        self.wait_limits = {
+            a.job_class: a.within_s
+            for a in c.objectives
+            if a.kind == "wait" and a.job_class and a.within_s
+        }
         self.urgent = set(self.wait_limits)
         self.aimed = {a.job_class for a in c.objectives if a.job_class}
         self.arrivals = Arrivals(20 * c.workers.lease_s, time.monotonic())
@@ -142,8 +165,9 @@
         self.events: dict[str, curio.Event] = {}
         self.raised: dict[str, None] = {}  # in order: a day in tests must repeat
         self.coros: list[Coroutine[Any, Any, Any]] = []
-        self.owner = Owner(self.job_of, self.over, self._emit, 0.5 * c.workers.lease_s,
-                           0.3 * c.workers.lease_s)
+        self.owner = Owner(
+            self.job_of, self.over, self._emit, 0.5 * c.workers.lease_s, 0.3 * c.workers.lease_s
+        )
         self.fleet = Fleet(self)
         self.mirror = Mirror(self)
         self.picture = Picture(self)
@@ -161,6 +185,7 @@
         a directory, if one is given. With a `second_copy`, nobody is told 201 before a
         disk, or another controller's memory, has the record as well."""
         from .rebuild.recovery import Recovery  # imported only where it is used
+
         self.recovery = Recovery(self, snapshots, second_copy)
 
     def note_head(self, value: Any) -> None:
@@ -250,7 +275,8 @@
     def judged(self, job: Job) -> Job:
         """The job, with whether anybody has said when it is to be started or finished."""
         return msgspec.structs.replace(
-            job, aimless=job.deadline_s is None and job.job_class not in self.aimed)
+            job, aimless=job.deadline_s is None and job.job_class not in self.aimed
+        )
 
     def patient(self, job: Job, age_s: float) -> bool:
         """Whether the job can wait for a machine that isn't dear.
@@ -258,8 +284,9 @@
         Work without any aim always can: it once had the dearest machines rented, at
         eighteen times the price, since what has no limit was taken for late.
         """
-        return job.kind != SERVICE and (job.aimless or slack(
-            job, age_s, self.finish_limits) > self.patience_s)
+        return job.kind != SERVICE and (
+            job.aimless or slack(job, age_s, self.finish_limits) > self.patience_s
+        )
 
     def fragile(self, job: Job, age_s: float) -> bool:
         """Whether the job would be late if a machine under it were taken back.
@@ -267,8 +294,11 @@
         Of arrays that don't save, a quarter was late because of a few tasks begun anew:
         of eighty tasks on ten spot machines one is lost more often than one thinks.
         """
-        return job.spot and job.checkpoint_s == 0 and \
-            remaining(job, age_s, self.finish_limits) < LINE * job.estimate_s
+        return (
+            job.spot
+            and job.checkpoint_s == 0
+            and remaining(job, age_s, self.finish_limits) < LINE * job.estimate_s
+        )
 
     def room_changed(self) -> None:
         if self.owner.room_rev != self.picture.own_rev:
@@ -325,8 +355,10 @@
         A controller that lost the state service alone does not see its own eviction
         in the watch; if it kept its workers, their new owners would never hear them.
         """
-        return any(p.state_ok and p.generation > self.generation.number
-                   and now - p.heard < self.ttl_s for p in self.peers.values())
+        return any(
+            p.state_ok and p.generation > self.generation.number and now - p.heard < self.ttl_s
+            for p in self.peers.values()
+        )
 
     def may_renew(self, now: float) -> bool:
         """Whether leases may be renewed: a cancelled task must not be kept alive past its
@@ -359,8 +391,11 @@
     def begin(self, generation: Generation) -> None:
         self.generation = generation
         self.serving = False
-        log.info("generation=%d event=begin members=%s", generation.number,
-                 ",".join(sorted(generation.members)))
+        log.info(
+            "generation=%d event=begin members=%s",
+            generation.number,
+            ",".join(sorted(generation.members)),
+        )
         if self.recovery is not None:
             self.recovery.history.unsure = True  # who has seen more than the records show?
         for hj in self.dispatch.homes.values():
@@ -381,7 +416,8 @@
             try:
                 entries, _ = await self.store.scan("run/")
                 if self.recovery is not None and not self.recovery.history.complete(
-                        "run/", [e.key for e in entries]):
+                    "run/", [e.key for e in entries]
+                ):
                     return
                 found: dict[str, dict[tuple[int, int], Chunk]] = {}
                 unreadable: set[str] = set()
@@ -404,8 +440,10 @@
                         continue
                     self.mirror.note_end(job, *ended(entry.value), entry.rev)
                     if "j" in entry.value:
-                        orphans[job] = (self.judged(msgspec.convert(entry.value["j"], Job)),
-                                        entry.value["s"])
+                        orphans[job] = (
+                            self.judged(msgspec.convert(entry.value["j"], Job)),
+                            entry.value["s"],
+                        )
                 if self.generation is not generation or self.in_doubt:
                     return
                 for job, (desc, rev) in self.live.items():
@@ -415,8 +453,11 @@
                     self.descs[job] = desc
                     self.home(desc, 0, found[job], status)
                 self.serving = True
-                log.info("generation=%d event=serving jobs=%d", generation.number,
-                         len(self.dispatch.homes))
+                log.info(
+                    "generation=%d event=serving jobs=%d",
+                    generation.number,
+                    len(self.dispatch.homes),
+                )
                 for name in ("place", "starved", "demand", "prereqs"):
                     self.signal(name)
                 await self.flush()
@@ -427,12 +468,17 @@
                 log.error("event=malformed-state cause=%r", exc)
             await self.store.rest(attempt)
 
-    def home(self, job: Job, rev: int, chunks: dict[tuple[int, int], Chunk],
-              ended: str) -> None:
-        hj = HomeJob(job, rev, chunk_size(self.settings.cluster.state.value_kb),
-                     time.monotonic(), ended, self.generation.number,
-                     self.settings.cluster.workers.report_s,
-                     6 * self.settings.cluster.workers.lease_s)
+    def home(self, job: Job, rev: int, chunks: dict[tuple[int, int], Chunk], ended: str) -> None:
+        hj = HomeJob(
+            job,
+            rev,
+            chunk_size(self.settings.cluster.state.value_kb),
+            time.monotonic(),
+            ended,
+            self.generation.number,
+            self.settings.cluster.workers.report_s,
+            6 * self.settings.cluster.workers.lease_s,
+        )
         hj.suspected = job.id in self.owner.faulty
         hj.load_all(chunks)
         link = self.pipes.links.get(job.id)
@@ -453,8 +499,10 @@
                         lease, self.lease = self.lease, None
                         key = NODE_PREFIX + self.label
                         # (Carried out late, it must not take away a later one of ours.)
-                        await self.store.commit(Txn().require(key, self.node_revs.get(
-                            self.label, 0)).delete(key), ahead_s=LEASE_S)
+                        await self.store.commit(
+                            Txn().require(key, self.node_revs.get(self.label, 0)).delete(key),
+                            ahead_s=LEASE_S,
+                        )
                         log.info("event=stepped-aside lease=%d", lease)
                 elif self.lease is None:
                     lease = await self.store.lease(self.ttl_s)
@@ -514,8 +562,7 @@
                 continue
             txn = Txn().require(GENERATION_KEY, self.generation.rev)
             try:
-                await self.store.commit(txn.put(GENERATION_KEY, proposal.value()),
-                                        ahead_s=LEASE_S)
+                await self.store.commit(txn.put(GENERATION_KEY, proposal.value()), ahead_s=LEASE_S)
             except Conflict:
                 await curio.sleep(self.ttl_s / 20)
             except (Unavailable, Unknown, NoLease):
@@ -528,8 +575,9 @@
             log.info("event=left-out label=%s seconds=%.1f", label, self.flaps.until[label] - now)
         if not may_propose(self.label, self.generation.members, self.nodes):
             return None
-        return successor(self.generation, self.flaps.admitted(
-            self.generation.members, self.nodes, now))
+        return successor(
+            self.generation, self.flaps.admitted(self.generation.members, self.nodes, now)
+        )
 
     async def keep_peers(self, peer: peers.Peer) -> None:
         """Exchange signs of life, demand and whether the state service answers."""
@@ -540,7 +588,8 @@
                 sign = (*self._sign(now), self._told(peer.label))
                 if self.promising:
                     label, number, ok, rev, incarnation, promised = await peer.call(
-                        peerwire.BEAT, (*sign, self.incarnation, self.mirror.known_rev))
+                        peerwire.BEAT, (*sign, self.incarnation, self.mirror.known_rev)
+                    )
                     if promised and label == peer.label:
                         self.horizon.promised(label, incarnation, now, time.monotonic())
                 else:
@@ -550,9 +599,18 @@
             except peers.PeerError as exc:
                 log.debug("peer=%s event=out-of-reach cause=%s", peer.label, exc)
             now = time.monotonic()
-            away = self.state_known and self.awake(now) and should_leave(
-                now, self.label, {p.label: p.heard for p in self.peers.values()}, self.nodes,
-                1.5 * self.ttl_s) and now - self.started > 2 * self.ttl_s
+            away = (
+                self.state_known
+                and self.awake(now)
+                and should_leave(
+                    now,
+                    self.label,
+                    {p.label: p.heard for p in self.peers.values()},
+                    self.nodes,
+                    1.5 * self.ttl_s,
+                )
+                and now - self.started > 2 * self.ttl_s
+            )
             if away != self.away:
                 log.info("event=%s cause=peers", "away" if away else "back")
                 self.away = away
@@ -566,8 +624,7 @@
 
     def _told(self, label: str) -> list[tuple[str, int, float, str]]:
         """What waits here, for the one member that rents by it; nobody else asks."""
-        return self.placer.demand() if self.serving and label == self.generation.provisioner \
-            else []
+        return self.placer.demand() if self.serving and label == self.generation.provisioner else []
 
     def _heard(self, peer: peers.Peer, number: int, ok: bool, rev: int) -> None:
         peer.heard = time.monotonic()
@@ -587,7 +644,8 @@
                 self.types = await self.cloud.catalogue()
                 self.owner.types = {t.name: t for t in self.types}
                 self.pipes.fetch_gb_per_s = min(
-                    (t.fetch_gb_per_s for t in self.types if t.fetch_gb_per_s > 0), default=1.0)
+                    (t.fetch_gb_per_s for t in self.types if t.fetch_gb_per_s > 0), default=1.0
+                )
                 self.owner.touch_all()
                 attempt.served()
                 await curio.sleep(self.jitter(20 * self.settings.cluster.workers.lease_s))
@@ -617,8 +675,11 @@
                     self.signal("demand")
             if kind == peerwire.PING:
                 return peerwire.PONG, self._sign(now)
-            return peerwire.BEATEN, (*self._sign(now), self.incarnation,
-                                     peer is not None and self._promise(label, values[6], now))
+            return peerwire.BEATEN, (
+                *self._sign(now),
+                self.incarnation,
+                peer is not None and self._promise(label, values[6], now),
+            )
         if kind == peerwire.ENDED:
             if values[1] in ("done", "cancelled") and values[0] not in self.ended:
                 self.mirror.note_end(values[0], values[1])
@@ -626,9 +687,11 @@
         if kind in (peerwire.HISTORY, peerwire.EVIDENCE):
             if self.recovery is not None:
                 return self.recovery.answer(kind, values)
-            return (peerwire.HISTORY_TOLD, ("", 0, 0, False, 0)) \
-                if kind == peerwire.HISTORY \
+            return (
+                (peerwire.HISTORY_TOLD, ("", 0, 0, False, 0))
+                if kind == peerwire.HISTORY
                 else (peerwire.EVIDENCE_TOLD, (0, b""))
+            )
         if kind == peerwire.INSPECT:
             return peerwire.ACK, (await self.fleet.inspect(values[0], values[1]),)
         current = self.serving and values[0] == self.generation.number
@@ -640,8 +703,9 @@
             counts = self.dispatch.counts(values[1]) if current else None
             return peerwire.COUNTED, (counts is not None, *(counts or (0, 0)))
         if kind == peerwire.ROOM:
-            return peerwire.TABLE, self.picture.table(values[1], [n for (n,) in values[2]]) \
-                if current else (False, 0, False, [], [], [])
+            return peerwire.TABLE, self.picture.table(
+                values[1], [n for (n,) in values[2]]
+            ) if current else (False, 0, False, [], [], [])
         if kind == peerwire.RESERVE:
             job = self.job_of(values[1])
             if not current or job is None:
@@ -672,7 +736,8 @@
         elif kind == peerwire.PREEMPT:
             wanting = self.job_of(values[2])
             done = wanting is not None and self.owner.preempt(
-                wanting, values[1], values[4], now, [t for (t,) in values[5]], values[3])
+                wanting, values[1], values[4], now, [t for (t,) in values[5]], values[3]
+            )
             self.fleet.poke(values[1])
             return peerwire.ACK, (done,)
         elif kind == peerwire.EVACUATE:
@@ -702,16 +767,21 @@
         self.mirror.make_up(label)
         return False
 
-    async def _passed_on(self, current: bool, body: bytes, now: float
-                         ) -> tuple[int, tuple[Any, ...]]:
+    async def _passed_on(
+        self, current: bool, body: bytes, now: float
+    ) -> tuple[int, tuple[Any, ...]]:
         """A report of a worker that can't reach us, passed on by a peer."""
         from .model import Report
+
         try:
             report = msgspec.json.decode(body, type=Report)
         except msgspec.MsgspecError:
             return peerwire.REPORTED, (400, b"{}")
-        if not current or self.generation.place(report.machine) != self.label \
-                or not self.may_renew(now):
+        if (
+            not current
+            or self.generation.place(report.machine) != self.label
+            or not self.may_renew(now)
+        ):
             return peerwire.REPORTED, (503, b"{}")
         status, value = self.fleet.own_report(report, now, False)
         return peerwire.REPORTED, (status, msgspec.json.encode(value))
@@ -762,11 +832,15 @@
         """DRAIN or EVACUATE: whether the machine's owner has agreed."""
         owner = self.generation.place(machine)
         if owner == self.label:
-            return self.owner.drain(machine) if kind == peerwire.DRAIN \
+            return (
+                self.owner.drain(machine)
+                if kind == peerwire.DRAIN
                 else self.fleet.evacuate(machine, *more)
+            )
         try:
-            return bool((await self.peers[owner].call(
-                kind, (self.generation.number, machine, *more)))[0])
+            return bool(
+                (await self.peers[owner].call(kind, (self.generation.number, machine, *more)))[0]
+            )
         except (peers.PeerError, KeyError):
             return False
 
@@ -785,21 +859,40 @@
     def duties(self) -> tuple[Callable[..., Coroutine[Any, Any, None]], ...]:
         """The long-lived routines besides the listeners and those for each controller."""
         recovery = self.recovery
-        return (*((recovery.run,) if recovery is not None else ()),
-                *((recovery.recorder.run,) if recovery is not None and recovery.recorder else ()),
-                self.keep_awake, self.mirror.follow, self.keep_lease, self.keep_members,
-                self.mirror.keep_prereqs, self.keep_catalogue, self.picture.refresh,
-                self.placer.place_all, self.fleet.watch_silence, self.provisioner.run)
+        return (
+            *((recovery.run,) if recovery is not None else ()),
+            *((recovery.recorder.run,) if recovery is not None and recovery.recorder else ()),
+            self.keep_awake,
+            self.mirror.follow,
+            self.keep_lease,
+            self.keep_members,
+            self.mirror.keep_prereqs,
+            self.keep_catalogue,
+            self.picture.refresh,
+            self.placer.place_all,
+            self.fleet.watch_silence,
+            self.provisioner.run,
+        )
 
     async def run(self) -> None:
         """All routines until one fails; the rest is cancelled in order then."""
         s, w = self.settings, self.settings.cluster.workers
-        users = http.Server(self.api.handle, self.settings.cluster.machine_limits.max_sockets * 5
-                            // 8, 3 * w.lease_s, w.lease_s, "/v1/report")
+        users = http.Server(
+            self.api.handle,
+            self.settings.cluster.machine_limits.max_sockets * 5 // 8,
+            3 * w.lease_s,
+            w.lease_s,
+            "/v1/report",
+        )
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(users.serve, *endpoint(s.bind, "bind"))
-            await group.spawn(peers.serve, *endpoint(s.peer_bind, "peer_bind"), self.answer,
-                              4 * s.cluster.size, w.lease_s)
+            await group.spawn(
+                peers.serve,
+                *endpoint(s.peer_bind, "peer_bind"),
+                self.answer,
+                4 * s.cluster.size,
+                w.lease_s,
+            )
             for peer in self.peers.values():
                 await group.spawn(self.duty, self.keep_peers, peer)
             for label in s.labels:
--- a/clayport/statestore.py
+++ b/clayport/statestore.py
@@ -161,9 +161,16 @@
 class StateStore:
     """Requests to the state service, paced to this controller's share."""
 
-    def __init__(self, host: str, port: int, rps: float, write_rps: float, timeout_s: float,
-                 controllers: int, uniform: Callable[[float, float], float] = random.uniform
-                 ) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        rps: float,
+        write_rps: float,
+        timeout_s: float,
+        controllers: int,
+        uniform: Callable[[float, float], float] = random.uniform,
+    ) -> None:
         self.client = http.Client(host, port, keep=8)
         self.watcher = http.Client(host, port, keep=1)
         self.recorder = http.Client(host, port, keep=1)
@@ -177,12 +184,24 @@
         self.last_bad = now
         self.sent = 0
         rate = self.requests.rate
-        self.gate = Gate(Inflight(max(FLYING_LEAST, int(START_S * rate)), FLYING_LEAST,
-                                  max(2 * FLYING_LEAST, int(rate))), timeout_s)
+        self.gate = Gate(
+            Inflight(
+                max(FLYING_LEAST, int(START_S * rate)),
+                FLYING_LEAST,
+                max(2 * FLYING_LEAST, int(rate)),
+            ),
+            timeout_s,
+        )
         # Asked again after a pause like an eighth of the time that a request may take; what
         # waits for the service to come back is woken when it does.
-        self.patience = Patience(Retries(timeout_s / 8, timeout_s, Budget(
-            RETRIES, max(1.0, AGAIN * rate), max(1.0, AGAIN * rate), now), uniform))
+        self.patience = Patience(
+            Retries(
+                timeout_s / 8,
+                timeout_s,
+                Budget(RETRIES, max(1.0, AGAIN * rate), max(1.0, AGAIN * rate), now),
+                uniform,
+            )
+        )
         self.begin, self.rest = self.patience.begin, self.patience.rest
         # Where records may be rebuilt: the history that commits rest on, and how the peers
         # are asked what they have seen of it.
@@ -204,9 +223,16 @@
         """Whether the latest answer was one that served."""
         return self.last_ok >= self.last_bad
 
-    async def _call(self, method: str, path: str, body: Any = None, changes: int = 0,
-                    deadline: Deadline | None = None, ahead_s: float = 0.0,
-                    doubtful: bool = False) -> tuple[int, bytes]:
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        changes: int = 0,
+        deadline: Deadline | None = None,
+        ahead_s: float = 0.0,
+        doubtful: bool = False,
+    ) -> tuple[int, bytes]:
         deadline = deadline or Deadline()
         if self.history is not None and self.history.doubt and not doubtful:
             raise Unavailable("the records are in doubt", self.timeout_s)
@@ -225,23 +251,32 @@
         raw = None if body is None else msgspec.json.encode(body)
         if ahead_s >= LEASE_S:
             # A lease and the generation wait for nobody.
-            return await self._send(method, path, raw, self.timeout_s, self.client, doubtful,
-                                    changes > 0)
+            return await self._send(
+                method, path, raw, self.timeout_s, self.client, doubtful, changes > 0
+            )
         try:
             async with self.gate.passing(ahead_s, deadline) as passage:
                 left = deadline.left(time.monotonic(), self.timeout_s)
                 if left <= 0:
                     raise Closed("its time is over")
-                status, payload = await self._send(method, path, raw, left, self.client,
-                                                   doubtful, changes > 0)
+                status, payload = await self._send(
+                    method, path, raw, left, self.client, doubtful, changes > 0
+                )
                 passage.served = True
                 return status, payload
         except Closed as exc:
             raise Unavailable(str(exc), self.timeout_s) from None
 
-    async def _send(self, method: str, path: str, raw: bytes | None, timeout_s: float,
-                    client: http.Client, doubtful: bool = False, wrote: bool = False
-                    ) -> tuple[int, bytes]:
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        raw: bytes | None,
+        timeout_s: float,
+        client: http.Client,
+        doubtful: bool = False,
+        wrote: bool = False,
+    ) -> tuple[int, bytes]:
         """One exchange, and what it says of the service. With records in doubt only what is
         asked in spite of that (`doubtful`)."""
         name, floor = "", 0
@@ -275,8 +310,12 @@
         asked for under one that has ended since."""
         assert self.history is not None
         rev = self._decode(payload, _Shown).rev
-        if self.history.name != name or rev and not self.history.answered(rev, floor, wrote) \
-                or self.history.doubt:
+        if (
+            self.history.name != name
+            or rev
+            and not self.history.answered(rev, floor, wrote)
+            or self.history.doubt
+        ):
             raise Unknown("the records are in doubt")
 
     async def _failed(self) -> None:
@@ -285,12 +324,17 @@
             self.history.unsure = True
         await self.patience.seen(False)
 
-    async def _read(self, path: str, deadline: Deadline | None = None, doubtful: bool = False
-                    ) -> tuple[int, bytes]:
+    async def _read(
+        self, path: str, deadline: Deadline | None = None, doubtful: bool = False
+    ) -> tuple[int, bytes]:
         """A read may be repeated: an unanswered one is tried once more."""
         try:
-            return await self._call("GET", path, deadline=deadline and deadline.part(
-                time.monotonic(), 0.5), doubtful=doubtful)
+            return await self._call(
+                "GET",
+                path,
+                deadline=deadline and deadline.part(time.monotonic(), 0.5),
+                doubtful=doubtful,
+            )
         except Unknown:
             return await self._call("GET", path, deadline=deadline, doubtful=doubtful)
 
@@ -302,8 +346,9 @@
         except msgspec.MsgspecError as exc:
             raise Unknown(f"malformed answer: {exc}") from None
 
-    async def get(self, key: str, deadline: Deadline | None = None, doubtful: bool = False
-                  ) -> Entry | None:
+    async def get(
+        self, key: str, deadline: Deadline | None = None, doubtful: bool = False
+    ) -> Entry | None:
         status, payload = await self._read(f"/keys/{key}", deadline, doubtful)
         if status == 404:
             return None
@@ -328,9 +373,12 @@
                 return entries, first
             since = page.items[-1].key
 
-    async def scan_all(self, prefixes: Iterable[str], doubtful: bool = False,
-                       read: Callable[[str, int], None] = lambda prefix, count: None
-                       ) -> tuple[dict[str, tuple[Any, int]], int]:
+    async def scan_all(
+        self,
+        prefixes: Iterable[str],
+        doubtful: bool = False,
+        read: Callable[[str, int], None] = lambda prefix, count: None,
+    ) -> tuple[dict[str, tuple[Any, int]], int]:
         """All keys with any of the prefixes (value, revision), and a revision up to which all
         changes are among them; `read` is told how many each prefix has."""
         found: dict[str, tuple[Any, int]] = {}
@@ -351,8 +399,13 @@
         """So many controllers use the service now: all, or one while the others stand still."""
         self.requests.rate, self.changes.rate = (r * 0.9 / controllers for r in self.rates)
 
-    async def commit(self, txn: Txn, deadline: Deadline | None = None,
-                     ahead_s: float = 0.0, doubtful: bool = False) -> int:
+    async def commit(
+        self,
+        txn: Txn,
+        deadline: Deadline | None = None,
+        ahead_s: float = 0.0,
+        doubtful: bool = False,
+    ) -> int:
         """Apply; the revision. Conflict, NoLease, Unavailable or Unknown otherwise.
 
         It holds in the history that is acted on, and in no other (`rebuild.history`).
@@ -360,14 +413,23 @@
         `ahead_s` is for what users and replicas wait for: the outcomes of a job of
         thousands of short tasks once delayed submissions.
         """
-        when = txn.when if doubtful or self.history is None else {
-            **txn.when, **self.history.conditions(txn.when)}
+        when = (
+            txn.when
+            if doubtful or self.history is None
+            else {**txn.when, **self.history.conditions(txn.when)}
+        )
         body: dict[str, Any] = {"when": [{"key": k, "key_rev": r} for k, r in when.items()]}
         if txn.writes:
             body["writes"] = txn.writes
-        status, payload = await self._call("POST", "/commit", body, changes=len(txn.writes),
-                                           deadline=deadline, ahead_s=ahead_s,
-                                           doubtful=doubtful)
+        status, payload = await self._call(
+            "POST",
+            "/commit",
+            body,
+            changes=len(txn.writes),
+            deadline=deadline,
+            ahead_s=ahead_s,
+            doubtful=doubtful,
+        )
         if status == 200:
             return int(self._decode(payload, _Revision).rev)
         if status == 409:
@@ -382,8 +444,9 @@
         raise Unavailable(f"{status} {payload[:200]!r}")
 
     async def lease(self, ttl_s: float) -> int:
-        status, payload = await self._call("POST", "/leases", {"ttl_ms": int(ttl_s * 1000)},
-                                           ahead_s=LEASE_S, doubtful=True)
+        status, payload = await self._call(
+            "POST", "/leases", {"ttl_ms": int(ttl_s * 1000)}, ahead_s=LEASE_S, doubtful=True
+        )
         if status != 200:
             raise Unavailable(f"{status} for a lease")
         return int(self._decode(payload, _Lease).id)
@@ -391,20 +454,23 @@
     async def renew(self, lease: int) -> bool:
         """False when the lease has ended."""
         # Never behind users' reads: a controller that many asked once lost its lease.
-        status, _ = await self._call("POST", f"/leases/{lease}/touch", {}, ahead_s=LEASE_S,
-                                     doubtful=True)
+        status, _ = await self._call(
+            "POST", f"/leases/{lease}/touch", {}, ahead_s=LEASE_S, doubtful=True
+        )
         return status == 200
 
-    async def watch(self, prefix: str, since: int, wait_s: float, apart: bool = False
-                    ) -> tuple[list[Change], int]:
+    async def watch(
+        self, prefix: str, since: int, wait_s: float, apart: bool = False
+    ) -> tuple[list[Change], int]:
         """Changes after `since`; an empty list when the time is over. Each kind of watch
         (`apart`: the second) has a connection of its own."""
         path = f"/changes?prefix={prefix}&since={since}&block_ms={int(wait_s * 1000)}"
         pause = self.requests.delay(1, time.monotonic())
         if pause > 0:
             await curio.sleep(pause)
-        status, payload = await self._send("GET", path, None, wait_s + self.timeout_s,
-                                           self.recorder if apart else self.watcher)
+        status, payload = await self._send(
+            "GET", path, None, wait_s + self.timeout_s, self.recorder if apart else self.watcher
+        )
         if status == 410:
             raise Compacted
         if status != 200:
@@ -469,7 +535,7 @@
         most = max(1, self.most - self.store.beside)
         for first in range(0, len(keys), most):
             txn = Txn()
-            for key in keys[first:first + most]:
+            for key in keys[first : first + most]:
                 txn.require(key, batch.revs[key])
             try:
                 until = Deadline.within(time.monotonic(), 2 * self.timeout_s)
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -98,9 +98,14 @@
     hands an event to the home.
     """
 
-    def __init__(self, job_of: Callable[[str], Job | None], over: Callable[[str], bool],
-                 emit: Callable[[str, tuple[str, str, int, str, str, bool]], None],
-                 reserve_s: float, direct_pause_s: float) -> None:
+    def __init__(
+        self,
+        job_of: Callable[[str], Job | None],
+        over: Callable[[str], bool],
+        emit: Callable[[str, tuple[str, str, int, str, str, bool]], None],
+        reserve_s: float,
+        direct_pause_s: float,
+    ) -> None:
         self.job_of, self.over, self.emit = job_of, over, emit
         self.reserve_s, self.direct_pause_s = reserve_s, direct_pause_s
         self.machines: dict[str, Machine] = {}
@@ -251,15 +256,20 @@
         """The cloud takes the machine: tasks that can save are stopped to do so."""
         for key, status in m.listed.items():
             job = self.job_of(key[0].partition("/")[0])
-            if status[0] == "running" and job is not None and job.checkpoint_s > 0 \
-                    and key not in m.kills:
+            if (
+                status[0] == "running"
+                and job is not None
+                and job.checkpoint_s > 0
+                and key not in m.kills
+            ):
                 m.kills[key] = job.save_s
 
     def sick(self, m: Machine) -> bool:
         """A machine that fails the work of several jobs, or again and again that of one that
         runs well elsewhere, and completes none."""
-        return bool(m.errors) and (len(m.errors) >= 2 or any(
-            n >= 2 and job in self.sound for job, n in m.errors.items()))
+        return bool(m.errors) and (
+            len(m.errors) >= 2 or any(n >= 2 and job in self.sound for job, n in m.errors.items())
+        )
 
     def judge(self, name: str, job: str, at_fault: bool) -> None:
         """A home says whose fault an error was. What a job failed by its own is held
@@ -297,8 +307,9 @@
             if job not in self.faulty:
                 m.errors[job] = m.errors.get(job, 0) + 1
             if self.sick(m):
-                log.info("machine=%s job=%s event=sick errors=%d", m.name, job,
-                         sum(m.errors.values()))
+                log.info(
+                    "machine=%s job=%s event=sick errors=%d", m.name, job, sum(m.errors.values())
+                )
         elif status[1] == "done":
             m.errors.clear()
         self.emit(key[0].partition("/")[0], (m.name, key[0], key[1], *status))
@@ -340,8 +351,9 @@
 
     # -- what homes ask --------------------------------------------------
 
-    def reserve(self, job: Job, items: Iterable[tuple[str, int]], attempt: int,
-                now: float) -> list[bool]:
+    def reserve(
+        self, job: Job, items: Iterable[tuple[str, int]], attempt: int, now: float
+    ) -> list[bool]:
         """Keep room for tasks; refused where it is short (the decline that ASC counts)."""
         granted = []
         rooms: dict[str, Room] = {}  # of machines asked for several tasks: built once
@@ -351,10 +363,13 @@
                 rooms[name] = self.room(m)
             # A reservation never replaces what is wanted or there already: let go, it
             # would be taken to have never been sent.
-            ok = m is not None and (f"{job.id}/{number}", attempt) not in m.want \
-                and (f"{job.id}/{number}", attempt) not in m.listed \
-                and rooms[name].fits(job) \
+            ok = (
+                m is not None
+                and (f"{job.id}/{number}", attempt) not in m.want
+                and (f"{job.id}/{number}", attempt) not in m.listed
+                and rooms[name].fits(job)
                 and (m.hold_job == job.id or now >= m.hold_until)
+            )
             if ok and m is not None:
                 m.want[(f"{job.id}/{number}", attempt)] = Want(RESERVED, now)
                 rooms[name].take(job)
@@ -405,8 +420,15 @@
                     want.phase = LIVE
                 m.kills[key] = min(grace, m.kills.get(key, grace))
 
-    def preempt(self, job: Job, name: str, grace_s: float, now: float,
-                over: Iterable[str] = (), count: int = 1) -> bool:
+    def preempt(
+        self,
+        job: Job,
+        name: str,
+        grace_s: float,
+        now: float,
+        over: Iterable[str] = (),
+        count: int = 1,
+    ) -> bool:
         """Stop work of lower rank until `count` tasks of `job` fit; whether one will.
 
         Of the lowest rank first, and what can save its progress before what can't.
@@ -522,8 +544,11 @@
             if m.hold_job and now >= m.hold_until:
                 m.hold_job = ""
                 self.touch(m.name)
-            for key in [k for k, w in m.want.items()
-                        if w.phase == RESERVED and now - w.since > self.reserve_s]:
+            for key in [
+                k
+                for k, w in m.want.items()
+                if w.phase == RESERVED and now - w.since > self.reserve_s
+            ]:
                 del m.want[key]
                 self.touch(m.name)
 
@@ -575,8 +600,13 @@
     # -- room ------------------------------------------------------------
 
     def open(self, m: Machine) -> bool:
-        return m.known and not m.draining and m.notice_at is None and not m.fencing \
+        return (
+            m.known
+            and not m.draining
+            and m.notice_at is None
+            and not m.fencing
             and not self.sick(m)
+        )
 
     def room(self, m: Machine, owner: str = "", now: float | None = None) -> Room:
         """The machine's free room: everything wanted or still listed is counted. A copy
@@ -597,9 +627,21 @@
 
     def _build(self, m: Machine) -> tuple[Room, bool]:
         kind = self.types.get(m.type)
-        room = Room(m.name, m.address, m.type, m.zone, m.spot, self.open(m) and kind is not None,
-                    kind.cpus if kind else 0.0, kind.gpus if kind else 0.0,
-                    kind.memory_gb if kind else 0.0, 0, m.images, math.inf, "")
+        room = Room(
+            m.name,
+            m.address,
+            m.type,
+            m.zone,
+            m.spot,
+            self.open(m) and kind is not None,
+            kind.cpus if kind else 0.0,
+            kind.gpus if kind else 0.0,
+            kind.memory_gb if kind else 0.0,
+            0,
+            m.images,
+            math.inf,
+            "",
+        )
         known = True
         keys = dict.fromkeys(k for k, s in m.listed.items() if s[0] != "exited")
         keys.update(dict.fromkeys(k for k in m.want if m.listed.get(k, ("",))[0] != "exited"))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -44,9 +44,13 @@
 
 def pytest_sessionfinish(session: pytest.Session, exitstatus: int) -> None:
     ledger = session.config.stash[KEY]
-    whole = not session.config.option.collectonly and session.config.args == \
-        session.config.getini("testpaths") and not session.config.option.keyword \
-        and not session.config.option.deselect and not session.shouldstop
+    whole = (
+        not session.config.option.collectonly
+        and session.config.args == session.config.getini("testpaths")
+        and not session.config.option.keyword
+        and not session.config.option.deselect
+        and not session.shouldstop
+    )
     ledger.wrong += known_red.judge(ledger.listed, ledger.outcomes, whole)
     if ledger.wrong and session.exitstatus == 0:
         session.exitstatus = 1
@@ -56,6 +60,7 @@
     ledger = config.stash[KEY]
     for test, red in ledger.listed.items():
         terminalreporter.write_line(
-            f"known red: {test}: {ledger.outcomes.get(test, 'not run')}; {red.cause} ({red.issue})")
+            f"known red: {test}: {ledger.outcomes.get(test, 'not run')}; {red.cause} ({red.issue})"
+        )
     for line in ledger.wrong:
         terminalreporter.write_line(f"KNOWN-RED.txt: {line}")
--- a/tests/plain.py
+++ b/tests/plain.py
@@ -15,9 +15,16 @@
     """Lower is better; the last is the salt, by which equal rooms differ."""
     left = round(room.cpus + room.gpus, 6)
     herd = crc32(f"{salt}{room.machine}".encode()) / 2**32
-    return (float(dear), float(job.gpus == 0 and room.gpus > 0), float(fragile and room.spot),
-            0.0 if job.image in room.images else 1.0, 0.0 if room.spot else 1.0,
-            -room.lasting, left, herd)
+    return (
+        float(dear),
+        float(job.gpus == 0 and room.gpus > 0),
+        float(fragile and room.spot),
+        0.0 if job.image in room.images else 1.0,
+        0.0 if room.spot else 1.0,
+        -room.lasting,
+        left,
+        herd,
+    )
 
 
 def best_zone(job: Job, wanted: int, rooms: list[Room]) -> list[Room]:
@@ -26,22 +33,42 @@
     for room in rooms:
         by_zone[room.zone] = by_zone.get(room.zone, 0) + capacity(job, room)
         cached[room.zone] = cached.get(room.zone, 0) + (job.image in room.images)
-    zone = max(by_zone, key=lambda z: (by_zone[z] >= wanted, min(wanted, cached[z]),
-                                       -by_zone[z] if by_zone[z] >= wanted else by_zone[z], z))
+    zone = max(
+        by_zone,
+        key=lambda z: (
+            by_zone[z] >= wanted,
+            min(wanted, cached[z]),
+            -by_zone[z] if by_zone[z] >= wanted else by_zone[z],
+            z,
+        ),
+    )
     return [r for r in rooms if r.zone == zone]
 
 
-def place(job: Job, wanted: int, rooms: list[Room], spread: Spread, salt: str, policy: Policy,
-          patient: bool = False, fragile: bool = False) -> list[Room]:
-    candidates = [r for r in rooms if r.allows(job) and r.fits(job)
-                  and not (patient and policy.dear(job, r))]
+def place(
+    job: Job,
+    wanted: int,
+    rooms: list[Room],
+    spread: Spread,
+    salt: str,
+    policy: Policy,
+    patient: bool = False,
+    fragile: bool = False,
+) -> list[Room]:
+    candidates = [
+        r for r in rooms if r.allows(job) and r.fits(job) and not (patient and policy.dear(job, r))
+    ]
     if job.one_zone and not spread.counts and not spread.unknown and candidates:
         candidates = best_zone(job, wanted, candidates)
     chosen: list[Room] = []
     candidates.sort(key=lambda r: preference(job, r, salt, policy.dear(job, r), fragile))
     for room in candidates:
-        while len(chosen) < wanted and room.fits(job) and spread.allows(room.zone) \
-                and not policy.kept(job, room):
+        while (
+            len(chosen) < wanted
+            and room.fits(job)
+            and spread.allows(room.zone)
+            and not policy.kept(job, room)
+        ):
             room.take(job)
             spread.add(room.zone)
             chosen.append(room)
@@ -53,12 +80,24 @@
     return chosen
 
 
-def preempt(job: Job, wanted: int, rooms: list[Room], spread: Spread, policy: Policy,
-            most: int | None = None, fragile: bool = False) -> list[tuple[Room, int]]:
+def preempt(
+    job: Job,
+    wanted: int,
+    rooms: list[Room],
+    spread: Spread,
+    policy: Policy,
+    most: int | None = None,
+    fragile: bool = False,
+) -> list[tuple[Room, int]]:
     offers = []
     for room in rooms:
-        if not room.open or room.hold not in ("", job.id) or not room.allows(job) \
-                or not spread.allows(room.zone) or policy.kept(job, room):
+        if (
+            not room.open
+            or room.hold not in ("", job.id)
+            or not room.allows(job)
+            or not spread.allows(room.zone)
+            or policy.kept(job, room)
+        ):
             continue
         cost = room.after_preemption(job)
         if cost is not None and (most is None or cost[0] <= most):
--- a/tests/recovery.py
+++ b/tests/recovery.py
@@ -38,8 +38,14 @@
         fields = dict(f.split("=", 1) for f in match[2].split() if "=" in f)
         kind = fields.get("event", "")
         if kind in ("fence", "launch"):
-            found.append(Event(float(match[1]), kind, fields.get("machine", fields.get("job", "")),
-                               int(fields["tasks"])))
+            found.append(
+                Event(
+                    float(match[1]),
+                    kind,
+                    fields.get("machine", fields.get("job", "")),
+                    int(fields["tasks"]),
+                )
+            )
         elif kind == "rented" and fields.get("got", "0") != "0":
             found.append(Event(float(match[1]), kind, "", int(fields["got"])))
     return found
@@ -54,8 +60,7 @@
     result = {"machines fenced": len(held), "tasks lost": lost}
     for share in (0.5, 0.9) if fenced else ():
         result[f"{share:.0%} of the fences"] = fenced[int(share * (len(fenced) - 1))]
-    result["first rental"] = min((e.at - at for e in after if e.kind == "rented"),
-                                 default=math.inf)
+    result["first rental"] = min((e.at - at for e in after if e.kind == "rented"), default=math.inf)
     launched, jobs = 0, set()
     for event in after:
         launched += event.tasks if event.kind == "launch" else 0
@@ -69,11 +74,16 @@
 
 def main() -> int:
     args = argparse.ArgumentParser(
-        description="How long after a mass end everything runs again, from a day's log.")
+        description="How long after a mass end everything runs again, from a day's log."
+    )
     args.add_argument("log", type=Path)
     args.add_argument("--at", type=float, required=True, help="when it ended, in seconds")
-    args.add_argument("--write-rps", type=float, required=True,
-                      help="changes a second that the state service takes")
+    args.add_argument(
+        "--write-rps",
+        type=float,
+        required=True,
+        help="changes a second that the state service takes",
+    )
     chosen = args.parse_args()
     if chosen.write_rps <= 0:
         args.error("--write-rps: a positive number")
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -92,8 +92,16 @@
         self.now += self.rng.choice((0.2, 1.0, 4.0, 9.8, 9.95, 10.0, 15.0))
 
     def step(self) -> None:
-        what: list[Callable[[], None]] = [self.commit, self.look_up, self.word, self.tell,
-                                          self.beat, self.beat, self.read, self.wait]
+        what: list[Callable[[], None]] = [
+            self.commit,
+            self.look_up,
+            self.word,
+            self.tell,
+            self.beat,
+            self.beat,
+            self.read,
+            self.wait,
+        ]
         if self.rng.random() < 0.15:
             what = [self.begin_teller, self.begin_renewer]
         self.rng.choice(what)()
@@ -128,6 +136,7 @@
 
     def init(self: Any, peers: Any, for_s: float, now: float) -> None:
         before(self, peers, for_s, now - for_s)
+
     patch.setattr(Promises, "__init__", init)
 
 
@@ -135,6 +144,7 @@
     def promise(self: Any, peer: str, now: float) -> bool:
         self.until[peer] = now + self.for_s
         return True
+
     patch.setattr(Promises, "promise", promise)
 
 
@@ -147,6 +157,7 @@
 
     def promised(self: Any, peer: str, incarnation: str, sent: float, received: float) -> None:
         before(self, peer, "any", sent, received)
+
     patch.setattr(Horizon, "promised", promised)
 
 
@@ -159,6 +170,7 @@
 
     def promised(self: Any, peer: str, incarnation: str, sent: float, received: float) -> None:
         before(self, peer, incarnation, received, received)
+
     patch.setattr(Horizon, "promised", promised)
 
 
@@ -171,12 +183,22 @@
     patch.setattr(Promises, "ended", lambda self, job, rev: before(self, job, rev or 1))
 
 
-@pytest.mark.parametrize("part", [
-    a_new_one_has_promised_nothing, it_promises_whatever_was_told, it_tells_at_once,
-    another_process_vouches_as_well, promises_count_without_the_records,
-    a_promise_counts_from_its_answer, clocks_do_not_drift, a_revision_that_is_not_known_is_any])
-def test_each_part_of_it_is_needed(monkeypatch: pytest.MonkeyPatch,
-                                   part: Callable[[pytest.MonkeyPatch], None]) -> None:
+@pytest.mark.parametrize(
+    "part",
+    [
+        a_new_one_has_promised_nothing,
+        it_promises_whatever_was_told,
+        it_tells_at_once,
+        another_process_vouches_as_well,
+        promises_count_without_the_records,
+        a_promise_counts_from_its_answer,
+        clocks_do_not_drift,
+        a_revision_that_is_not_known_is_any,
+    ],
+)
+def test_each_part_of_it_is_needed(
+    monkeypatch: pytest.MonkeyPatch, part: Callable[[pytest.MonkeyPatch], None]
+) -> None:
     part(monkeypatch)
     assert broken(4000) > 0
 
@@ -188,7 +210,7 @@
     promises.acknowledge("a", "j-1")
     assert not promises.tell("j-1", 21.0)
     assert promises.wait_s("j-1", 21.0) == 9.0
-    assert promises.promise("b", 21.5)      # it may take a moment
+    assert promises.promise("b", 21.5)  # it may take a moment
     assert not promises.promise("b", 23.0) and promises.promise("a", 23.0)
     assert promises.owed("b") == ["j-1"]
     assert not promises.tell("j-1", 31.0) and promises.tell("j-1", 31.5)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -22,10 +22,14 @@
 from .world import TYPES
 from .world import job as wire_job
 
-SMALL, PAIR, LOW = (msgspec.convert(wire_job(n, **fields), Job) for n, fields in (
-    (1, {"cards": 2.0, "pieces": 1, "loaners": False}),
-    (2, {"cards": 2.0, "pieces": 2, "shape": "ensemble", "together": True, "loaners": False}),
-    (3, {"rank": "best_effort", "jobclass": "unnamed", "pieces": 20})))
+SMALL, PAIR, LOW = (
+    msgspec.convert(wire_job(n, **fields), Job)
+    for n, fields in (
+        (1, {"cards": 2.0, "pieces": 1, "loaners": False}),
+        (2, {"cards": 2.0, "pieces": 2, "shape": "ensemble", "together": True, "loaners": False}),
+        (3, {"rank": "best_effort", "jobclass": "unnamed", "pieces": 20}),
+    )
+)
 
 
 class Home:
@@ -33,6 +37,7 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         from .test_program import GOOD
+
         self.now = 1000.0
         monkeypatch.setattr(time, "monotonic", lambda: self.now)
         self.c = Controller(parse(json.dumps(GOOD).encode()))
@@ -53,8 +58,9 @@
         self.seq += 1
         token = self.c.owner.machine(name, self.now).token
         pieces = [Piece(t, 1, "running") for t in tasks]
-        self.c.owner.take_report(Report(name, "m:1", kind, zone, False, 1, self.seq, token,
-                                        pieces), self.now, True)
+        self.c.owner.take_report(
+            Report(name, "m:1", kind, zone, False, 1, self.seq, token, pieces), self.now, True
+        )
 
     def order(self, hj: HomeJob) -> tuple[float, ...]:
         placer = self.c.placer
@@ -69,6 +75,7 @@
         async def run() -> None:
             for coro in coros:
                 await coro
+
         curio.run(run)
         for coro in self.c.coros:
             coro.close()  # commands to workers, which there are none of here
@@ -90,35 +97,45 @@
     assert owner.machines["m1"].hold_job == "" and "m1" in (owner.changed(before) or [])
 
 
-@pytest.mark.parametrize("fields, age, grace", [
-    ({}, 0.0, 10.0), ({"jobclass": "web"}, 1.0, 0.0), ({"jobclass": "web"}, 3.0, 10.0),
-    ({"shape": "daemon"}, 900.0, 0.0)])
-def test_nothing_saves_for_what_is_to_start_soon(monkeypatch: pytest.MonkeyPatch,
-                                                 fields: dict[str, Any], age: float,
-                                                 grace: float) -> None:
+@pytest.mark.parametrize(
+    "fields, age, grace",
+    [
+        ({}, 0.0, 10.0),
+        ({"jobclass": "web"}, 1.0, 0.0),
+        ({"jobclass": "web"}, 3.0, 10.0),
+        ({"shape": "daemon"}, 900.0, 0.0),
+    ],
+)
+def test_nothing_saves_for_what_is_to_start_soon(
+    monkeypatch: pytest.MonkeyPatch, fields: dict[str, Any], age: float, grace: float
+) -> None:
     job = msgspec.convert(wire_job(1, **fields), Job)
     assert min(10.0, Home(monkeypatch).c.placer._grace(job, age)) == grace
 
 
-@pytest.mark.parametrize("fields, age, patient", [
-    ({"jobclass": "unnamed"}, 0.0, True),                    # nobody has set it an aim
-    ({"jobclass": "unnamed"}, 900.0, True),
-    ({"jobclass": "unnamed", "due_s": 30.0}, 0.0, False),
-    ({}, 0.0, True),                                         # finished within 90 s is asked
-    ({}, 60.0, False),
-    ({"shape": "daemon", "jobclass": "unnamed"}, 0.0, False),
-])
-def test_who_can_wait_for_a_machine_that_is_not_dear(monkeypatch: pytest.MonkeyPatch,
-                                                     fields: dict[str, Any], age: float,
-                                                     patient: bool) -> None:
+@pytest.mark.parametrize(
+    "fields, age, patient",
+    [
+        ({"jobclass": "unnamed"}, 0.0, True),  # nobody has set it an aim
+        ({"jobclass": "unnamed"}, 900.0, True),
+        ({"jobclass": "unnamed", "due_s": 30.0}, 0.0, False),
+        ({}, 0.0, True),  # finished within 90 s is asked
+        ({}, 60.0, False),
+        ({"shape": "daemon", "jobclass": "unnamed"}, 0.0, False),
+    ],
+)
+def test_who_can_wait_for_a_machine_that_is_not_dear(
+    monkeypatch: pytest.MonkeyPatch, fields: dict[str, Any], age: float, patient: bool
+) -> None:
     """Work without an aim was taken for late, and rented machines at 18 times the price."""
     home = Home(monkeypatch)
     job = msgspec.convert(wire_job(1, **fields), Job)
     assert home.c.patient(home.c.judged(job), age) == patient
 
 
-def test_lower_ranks_give_way_before_a_dear_machine_is_filled(monkeypatch: pytest.MonkeyPatch
-                                                              ) -> None:
+def test_lower_ranks_give_way_before_a_dear_machine_is_filled(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Else what is late stays on dear machines while cheap ones run what can wait."""
     home = Home(monkeypatch)
     home.c.live[LOW.id] = (LOW, 1)
@@ -138,7 +155,8 @@
 
 
 def test_a_replica_does_not_wait_for_the_lowest_rank_where_there_is_none(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Looking for the lowest rank in vain put the look for others off by half a second,
     again and again until the start was late."""
     home = Home(monkeypatch)
@@ -146,35 +164,43 @@
     home.c.live[normal.id] = (normal, 1)
     home.report("m1", "north", "plain", *(f"{normal.id}/{n}" for n in range(4)))
     home.c.owner.machines["m1"].images["img-1"] = 1.0
-    home.wait(msgspec.convert(wire_job(6, pieces=2, shape="daemon", jobclass="web",
-                                       rank="production", loaners=False), Job))
+    home.wait(
+        msgspec.convert(
+            wire_job(6, pieces=2, shape="daemon", jobclass="web", rank="production", loaners=False),
+            Job,
+        )
+    )
     home.look()
     assert len(home.c.owner.machines["m1"].kills) == 2
 
 
 def test_a_guarantee_is_claimed_where_no_lower_rank_can_be_stopped(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     home = Home(monkeypatch)
     claims: list[str] = []
 
     async def claim(job: Job, machines: list[str]) -> None:
         claims.append(job.id)
+
     monkeypatch.setattr(home.c.placer, "_claim", claim)
     home.c.live[SMALL.id] = (SMALL, 1)
     home.report("m1", "north", "accel", "j-000001/0")
-    gang = msgspec.convert(wire_job(7, pieces=1, cards=1.0, owner="tight", shape="ensemble",
-                                    loaners=False), Job)
+    gang = msgspec.convert(
+        wire_job(7, pieces=1, cards=1.0, owner="tight", shape="ensemble", loaners=False), Job
+    )
     home.wait(gang)
     home.look()
     assert claims == [gang.id]
 
 
-@pytest.mark.parametrize("busy, claimed", [
-    (["m1", "m2"], []), (["m1"], ["m1"]), ([], [])])
-def test_others_are_stopped_only_for_a_gang_that_can_start(busy: list[str], claimed: list[str]
-                                                           ) -> None:
+@pytest.mark.parametrize("busy, claimed", [(["m1", "m2"], []), (["m1"], ["m1"]), ([], [])])
+def test_others_are_stopped_only_for_a_gang_that_can_start(
+    busy: list[str], claimed: list[str]
+) -> None:
     """Gangs of two had one task after another stopped and started nowhere."""
     from .test_placement import ACCEL, room
+
     rooms = [room("m1", ACCEL), room("m2", ACCEL), room("m3", ACCEL, zone="south")]
     for each in rooms:
         if each.machine in busy or each.zone == "south":
@@ -183,11 +209,13 @@
         rooms = rooms[2:]  # only the one of the other zone, which is not enough
     from clayport.placement import Spread
     from clayport.placer import Placer
+
     assert Placer._claimable(PAIR, rooms, Spread(PAIR, ())) == claimed
 
 
-def test_what_missed_its_start_comes_after_what_can_make_it(monkeypatch: pytest.MonkeyPatch
-                                                            ) -> None:
+def test_what_missed_its_start_comes_after_what_can_make_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     home = Home(monkeypatch)
     home.c.wait_limits["batch"] = 30.0
     late, early = home.wait(PAIR), home.wait(SMALL)
@@ -197,8 +225,9 @@
     assert home.order(late) < home.order(early)
 
 
-def test_demand_beyond_its_bound_is_told_by_urgency(monkeypatch: pytest.MonkeyPatch,
-                                                    caplog: pytest.LogCaptureFixture) -> None:
+def test_demand_beyond_its_bound_is_told_by_urgency(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
     home = Home(monkeypatch)
     caplog.set_level("INFO")
     for number in range(DEMAND_MOST + 50):
@@ -212,8 +241,9 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_a_table_made_of_changes_is_the_whole_table(monkeypatch: pytest.MonkeyPatch,
-                                                    seed: int) -> None:
+def test_a_table_made_of_changes_is_the_whole_table(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
     """Peers pull what changed since their last pull; nothing may be missing from it."""
     rng = random.Random(seed)
     owner_side, home = Home(monkeypatch), Home(monkeypatch)
@@ -224,14 +254,19 @@
 
     async def call(_: int, values: tuple[Any, ...]) -> tuple[Any, ...]:
         return owner_side.c.picture.table(values[1], [n for (n,) in values[2]])
+
     home.c.peers["c1"].call = call  # type: ignore[method-assign,assignment]
     for step in range(60):
         owner_side.now = home.now = home.now + 1.0
         name = f"m{rng.randrange(6)}"
         what = rng.choice(["report", "report", "reserve", "remove", "drain", "hold", "expire"])
         if what == "report" or name not in owner.machines:
-            owner_side.report(name, "north", "plain", *(
-                f"{LOW.id}/{rng.randrange(20)}" for _ in range(rng.randrange(3))))
+            owner_side.report(
+                name,
+                "north",
+                "plain",
+                *(f"{LOW.id}/{rng.randrange(20)}" for _ in range(rng.randrange(3))),
+            )
         elif what == "reserve":
             owner.reserve(LOW, [(name, step)], 1, home.now)
         elif what == "remove":
@@ -248,11 +283,13 @@
             picture.stale[name] = None
         if rng.random() < 0.5:
             curio.run(picture.refresh_peers, False)
-            shown = {n: (r.cpus, r.tasks, r.open, r.idle_since, r.used) for n, r in
-                     home.c.rooms.items()}
+            shown = {
+                n: (r.cpus, r.tasks, r.open, r.idle_since, r.used) for n, r in home.c.rooms.items()
+            }
             rooms = [owner.room(m, "c1", home.now) for m in owner.machines.values() if m.known]
-            assert shown == {r.machine: (r.cpus, r.tasks, r.open, r.idle_since, r.used)
-                             for r in rooms}
+            assert shown == {
+                r.machine: (r.cpus, r.tasks, r.open, r.idle_since, r.used) for r in rooms
+            }
 
 
 def test_a_table_forgets_old_changes_only_as_a_whole() -> None:
@@ -273,17 +310,28 @@
     def noted(hj: HomeJob, wanted: int, look: Any) -> Any:
         found.append(hj.job.id)
         return seek(hj, wanted, look)
+
     monkeypatch.setattr(placer, "_seek", noted)
     return found
 
 
-@pytest.mark.parametrize("happens, looked", [
-    ("nothing", []), ("an equal job", ["j-000001"]), ("another job", ["j-000009"]),
-    ("a full machine reports", []), ("a machine has room", ["j-000001"]),
-    ("a machine has room, a moment ago", []),
-    ("room kept for it", ["j-000002"]), ("time", ["j-000001"]), ("prices", ["j-000001"])])
-def test_what_found_no_room_sleeps_until_it_may(monkeypatch: pytest.MonkeyPatch, happens: str,
-                                                looked: list[str]) -> None:
+@pytest.mark.parametrize(
+    "happens, looked",
+    [
+        ("nothing", []),
+        ("an equal job", ["j-000001"]),
+        ("another job", ["j-000009"]),
+        ("a full machine reports", []),
+        ("a machine has room", ["j-000001"]),
+        ("a machine has room, a moment ago", []),
+        ("room kept for it", ["j-000002"]),
+        ("time", ["j-000001"]),
+        ("prices", ["j-000001"]),
+    ],
+)
+def test_what_found_no_room_sleeps_until_it_may(
+    monkeypatch: pytest.MonkeyPatch, happens: str, looked: list[str]
+) -> None:
     """A pass cost a look at each of hundreds of waiting jobs whatever had changed. But what
     could be placed must never be slept through."""
     home = Home(monkeypatch)
@@ -327,8 +375,9 @@
     home = Home(monkeypatch)
     for number in range(4):
         home.report(f"m{number}", "north", "plain")
-    jobs = [home.wait(msgspec.convert(wire_job(n, pieces=4, due_s=100.0 + n), Job))
-            for n in range(1, 5)]
+    jobs = [
+        home.wait(msgspec.convert(wire_job(n, pieces=4, due_s=100.0 + n), Job)) for n in range(1, 5)
+    ]
     raised = []
     monkeypatch.setattr(home.c, "signal", lambda name: raised.append(name))
     home.c.placer._pass(home.now)
@@ -364,16 +413,22 @@
     assert not owner.room(m).open
 
 
-@pytest.mark.parametrize("fields, ended, waits", [
-    ({"pieces": 5}, [(0, True)], True),
-    ({"pieces": 5}, [(0, True), (1, False)], False),            # one is to run again
-    ({"pieces": 2}, [(0, True), (1, True)], False),             # the last: its user waits
-    ({"pieces": 5, "owner": "tight"}, [(0, True)], False),      # others wait for its quota
-    ({"pieces": 5, "shape": "ensemble"}, [(0, True)], False),
-])
+@pytest.mark.parametrize(
+    "fields, ended, waits",
+    [
+        ({"pieces": 5}, [(0, True)], True),
+        ({"pieces": 5}, [(0, True), (1, False)], False),  # one is to run again
+        ({"pieces": 2}, [(0, True), (1, True)], False),  # the last: its user waits
+        ({"pieces": 5, "owner": "tight"}, [(0, True)], False),  # others wait for its quota
+        ({"pieces": 5, "shape": "ensemble"}, [(0, True)], False),
+    ],
+)
 def test_done_tasks_of_an_array_are_committed_together(
-        monkeypatch: pytest.MonkeyPatch, fields: dict[str, Any],
-        ended: list[tuple[int, bool]], waits: bool) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+    fields: dict[str, Any],
+    ended: list[tuple[int, bool]],
+    waits: bool,
+) -> None:
     """Each had a commit of its own. But nobody may ever wait for it, and it must not be put
     off again and again."""
     home = Home(monkeypatch)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -47,22 +47,34 @@
     chunk = Chunk()
     chunk.assigned = {n: (1, f"m{n}") for n in range(tasks)}
     hj.load({0: chunk})
-    verdicts = [hj.event(f"m{n}", n, 1, "running" if e == "r" else "exited",
-                         {"e": "error", "d": "done"}.get(e, ""), 10.0)
-                for n, e in enumerate(events)]
+    verdicts = [
+        hj.event(
+            f"m{n}",
+            n,
+            1,
+            "running" if e == "r" else "exited",
+            {"e": "error", "d": "done"}.get(e, ""),
+            10.0,
+        )
+        for n, e in enumerate(events)
+    ]
     return hj, verdicts, hj.not_before
 
 
-@pytest.mark.parametrize("events, at_fault, last", [
-    ("ee", False, OK),                  # two machines may both be sick
-    ("eee", True, JOB_AT_FAULT),
-    ("deee", False, MACHINE_AT_FAULT),  # it has run well elsewhere
-    ("rrrreee", False, MACHINE_AT_FAULT),
-    ("rreee", True, JOB_AT_FAULT),
-    ("eeed", False, OK),                # what failed has passed
-])
-def test_a_job_that_fails_on_several_machines_is_at_fault(events: str, at_fault: bool,
-                                                          last: int) -> None:
+@pytest.mark.parametrize(
+    "events, at_fault, last",
+    [
+        ("ee", False, OK),  # two machines may both be sick
+        ("eee", True, JOB_AT_FAULT),
+        ("deee", False, MACHINE_AT_FAULT),  # it has run well elsewhere
+        ("rrrreee", False, MACHINE_AT_FAULT),
+        ("rreee", True, JOB_AT_FAULT),
+        ("eeed", False, OK),  # what failed has passed
+    ],
+)
+def test_a_job_that_fails_on_several_machines_is_at_fault(
+    events: str, at_fault: bool, last: int
+) -> None:
     hj, verdicts, _ = started(events)
     assert (hj.at_fault, verdicts[-1]) == (at_fault, last)
 
@@ -78,7 +90,8 @@
 
 
 def test_a_job_at_fault_is_tried_on_one_machine_and_wanted_nowhere(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     home = Home(monkeypatch)
     for name in ("m1", "m2", "m3", "m4"):
         home.report(name, "north", "plain")
@@ -91,7 +104,8 @@
 
 @pytest.mark.parametrize("state, starts", [("running", 1), ("pulling", 0)])
 def test_a_replica_is_tried_again_while_others_of_its_job_run(
-        monkeypatch: pytest.MonkeyPatch, state: str, starts: int) -> None:
+    monkeypatch: pytest.MonkeyPatch, state: str, starts: int
+) -> None:
     home = Home(monkeypatch)
     home.report("m4", "north", "plain")
     hj = home.wait(made(1, pieces=2, shape="daemon", loaners=False))
@@ -109,18 +123,27 @@
 OTHER = (("j-000002/0", 1), "exited", "error")
 
 
-@pytest.mark.parametrize("steps, sick", [
-    ([("report", ERROR, OTHER)], True),
-    ([("report", ERROR, OTHER), ("judge", "j-000002", True)], False),
-    ([("judge", "j-000002", True), ("report", ERROR, OTHER)], False),
-    ([("report", *(((f"j-000001/{n}", 1), "exited", "error") for n in range(8)))], False),
-    ([("report", *(((f"j-000001/{n}", 1), "exited", "error") for n in range(2))),
-      ("judge", "j-000001", False)], True),
-    ([("report", ERROR, OTHER), ("end", "j-000002", "cancelled")], False),
-    ([("report", ERROR, OTHER), ("end", "j-000002", "done")], True),
-])
-def test_no_sound_machine_is_closed_for_a_job_at_fault(steps: list[tuple[Any, ...]], sick: bool
-                                                       ) -> None:
+@pytest.mark.parametrize(
+    "steps, sick",
+    [
+        ([("report", ERROR, OTHER)], True),
+        ([("report", ERROR, OTHER), ("judge", "j-000002", True)], False),
+        ([("judge", "j-000002", True), ("report", ERROR, OTHER)], False),
+        ([("report", *(((f"j-000001/{n}", 1), "exited", "error") for n in range(8)))], False),
+        (
+            [
+                ("report", *(((f"j-000001/{n}", 1), "exited", "error") for n in range(2))),
+                ("judge", "j-000001", False),
+            ],
+            True,
+        ),
+        ([("report", ERROR, OTHER), ("end", "j-000002", "cancelled")], False),
+        ([("report", ERROR, OTHER), ("end", "j-000002", "done")], True),
+    ],
+)
+def test_no_sound_machine_is_closed_for_a_job_at_fault(
+    steps: list[tuple[Any, ...]], sick: bool
+) -> None:
     b = Bench()
     b.report()
     for what, *args in steps:
@@ -133,12 +156,18 @@
     assert b.owner.sick(b.machine) == sick
 
 
-@pytest.mark.parametrize("rank, owed, tasks", [
-    ("best_effort", 0.0, 8),    # a quarter of 64 CPUs
-    ("best_effort", 24.0, 12),  # what it is owed it may take beyond that
-    ("normal", 0.0, 16), ("production", 0.0, 16)])  # all but what it alone would keep rented
+@pytest.mark.parametrize(
+    "rank, owed, tasks",
+    [
+        ("best_effort", 0.0, 8),  # a quarter of 64 CPUs
+        ("best_effort", 24.0, 12),  # what it is owed it may take beyond that
+        ("normal", 0.0, 16),
+        ("production", 0.0, 16),
+    ],
+)  # all but what it alone would keep rented
 def test_what_nobody_waits_for_comes_last_and_within_its_share(
-        monkeypatch: pytest.MonkeyPatch, rank: str, owed: float, tasks: int) -> None:
+    monkeypatch: pytest.MonkeyPatch, rank: str, owed: float, tasks: int
+) -> None:
     """A guest's arrays filled the fleet for minutes, and made all of their rank late. Kept to
     a quarter beside what can have them stopped as well, they waited for most of a day while a
     third of the fleet was free."""
@@ -161,14 +190,20 @@
     assert {m for _, m in guest.starts} <= {"m0", "m1", "m2", "m3"} | used
 
 
-def test_room_for_what_nobody_waits_for_follows_who_is_there(monkeypatch: pytest.MonkeyPatch
-                                                             ) -> None:
+def test_room_for_what_nobody_waits_for_follows_who_is_there(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Whoever could be hindered is remembered, not looked for with each pass; with the last
     of them gone the next is found at once, not a quarter of a second later."""
     home = Home(monkeypatch)
     placer, live = home.c.placer, home.c.live
-    jobs = [made(1, rank="best_effort"), made(2, rank="best_effort"), made(3, rank="normal"),
-            made(4, jobclass="unnamed"), made(5, shape="daemon", guess_s=0.0)]
+    jobs = [
+        made(1, rank="best_effort"),
+        made(2, rank="best_effort"),
+        made(3, rank="normal"),
+        made(4, jobclass="unnamed"),
+        made(5, shape="daemon", guess_s=0.0),
+    ]
     live.update({job.id: (job, 1) for job in jobs})
     cpu, gpu = made(8, jobclass="unnamed"), made(9, jobclass="unnamed", cards=1.0)
     found = [(placer.hinders(cpu, 0), placer.hinders(cpu))]
@@ -181,10 +216,12 @@
     assert placer.hinders(cpu, 0) and not placer.hinders(gpu)
 
 
-@pytest.mark.parametrize("fields, kills", [
-    ({"snapshot_every_s": 15.0, "snapshot_s": 3.0}, 2), ({}, 0)])
-def test_it_keeps_no_machine_rented(monkeypatch: pytest.MonkeyPatch, fields: dict[str, Any],
-                                    kills: int) -> None:
+@pytest.mark.parametrize(
+    "fields, kills", [({"snapshot_every_s": 15.0, "snapshot_s": 3.0}, 2), ({}, 0)]
+)
+def test_it_keeps_no_machine_rented(
+    monkeypatch: pytest.MonkeyPatch, fields: dict[str, Any], kills: int
+) -> None:
     """What saves goes on elsewhere; for the rest the machine closes and empties by itself."""
     home = Home(monkeypatch)
     guest = made(1, jobclass="unnamed", rank="best_effort", **fields)
@@ -221,8 +258,9 @@
 
 
 @pytest.mark.parametrize("still_s", [0.0, 2.0, 5.0, 10.0, 20.0, 60.0])
-def test_nobody_was_silent_while_we_stood_still(monkeypatch: pytest.MonkeyPatch, still_s: float
-                                                ) -> None:
+def test_nobody_was_silent_while_we_stood_still(
+    monkeypatch: pytest.MonkeyPatch, still_s: float
+) -> None:
     """After standing still for seconds a controller found all others silent: it stepped
     aside, and asked after every machine."""
     home = Home(monkeypatch)
@@ -258,14 +296,18 @@
     assert found == [200, 503, 200]
 
 
-@pytest.mark.parametrize("age, waiting, wanted", [
-    (5.0, 25000, None),     # hardly begun: nothing to judge it by
-    (100.0, 10000, None),   # 150 a second: done in time
-    (100.0, 20000, 546),    # 50 a second: late, unless so many run at a time
-    (300.0, 20000, 3000),   # nothing rented now would be there sooner than in 40 s
-])
-def test_many_short_tasks_are_rented_for_by_their_pace(age: float, waiting: int,
-                                                       wanted: int | None) -> None:
+@pytest.mark.parametrize(
+    "age, waiting, wanted",
+    [
+        (5.0, 25000, None),  # hardly begun: nothing to judge it by
+        (100.0, 10000, None),  # 150 a second: done in time
+        (100.0, 20000, 546),  # 50 a second: late, unless so many run at a time
+        (300.0, 20000, 3000),  # nothing rented now would be there sooner than in 40 s
+    ],
+)
+def test_many_short_tasks_are_rented_for_by_their_pace(
+    age: float, waiting: int, wanted: int | None
+) -> None:
     """A job of 25,000 tasks counted as early until it was nearly due, then as all too late."""
     job = made(1, pieces=25000, guess_s=4.0, vcpus=0.25, due_s=400.0, rank="best_effort")
     found = pressing([Need(job, waiting, age)], {}, 1e9, boot_s=40.0)
@@ -301,15 +343,24 @@
         with pytest.raises(Unavailable):
             await lookups.unchanged("x", 1)
         return answers
+
     assert curio.run(main) == [True, True, False, True, True]
     assert sent == [{"a"}, {"a", "b"}, {"c"}, {"x"}]  # two conditions a request at most
 
 
-@pytest.mark.parametrize("level, ahead_s, wait", [
-    (5.0, 0.0, 0.0), (-15.0, 0.0, 1.6), (-4.0, URGENT_S, 0.0), (-15.0, URGENT_S, 1.1),
-    (-40.0, LEASE_S, 0.0)])
-def test_users_go_ahead_of_what_waits_for_the_state_service(level: float, ahead_s: float,
-                                                            wait: float) -> None:
+@pytest.mark.parametrize(
+    "level, ahead_s, wait",
+    [
+        (5.0, 0.0, 0.0),
+        (-15.0, 0.0, 1.6),
+        (-4.0, URGENT_S, 0.0),
+        (-15.0, URGENT_S, 1.1),
+        (-40.0, LEASE_S, 0.0),
+    ],
+)
+def test_users_go_ahead_of_what_waits_for_the_state_service(
+    level: float, ahead_s: float, wait: float
+) -> None:
     bucket = Bucket(10.0, 0.0)
     bucket.level = level
     assert bucket.delay(1.0, 0.0, ahead_s) == pytest.approx(wait)
@@ -322,35 +373,44 @@
     async def main() -> None:
         with pytest.raises(Unavailable, match="too much"):
             await store.get("c/live/j-000001", Deadline.within(time.monotonic(), 0.5))
+
     before = store.requests.level
     curio.run(main)
     assert before <= store.requests.level < 0  # it has taken nothing from the others
 
 
-@pytest.mark.parametrize("took, booting, factor", [
-    ([1.0, 0.7, 1.4, 6.0], [], 1.0),          # a single late one is usual
-    ([3.0, 5.0, 1.0, 4.0], [], 4.0),
-    ([1.0], [2.0, 3.0, 3.5], 3.0),            # overdue, and not up yet
-    ([1.0, 1.0, 1.0], [0.5, 0.6], 1.0),       # not due yet: says nothing
-    ([0.05, 0.04, 0.1], [], 0.05),
-    ([9.0, 9.0], [], 1.0),                    # too few
-])
-def test_boots_are_expected_as_they_were_seen(took: list[float], booting: list[float],
-                                              factor: float) -> None:
+@pytest.mark.parametrize(
+    "took, booting, factor",
+    [
+        ([1.0, 0.7, 1.4, 6.0], [], 1.0),  # a single late one is usual
+        ([3.0, 5.0, 1.0, 4.0], [], 4.0),
+        ([1.0], [2.0, 3.0, 3.5], 3.0),  # overdue, and not up yet
+        ([1.0, 1.0, 1.0], [0.5, 0.6], 1.0),  # not due yet: says nothing
+        ([0.05, 0.04, 0.1], [], 0.05),
+        ([9.0, 9.0], [], 1.0),  # too few
+    ],
+)
+def test_boots_are_expected_as_they_were_seen(
+    took: list[float], booting: list[float], factor: float
+) -> None:
     kind = msgspec.convert(TYPES[0], MachineType)
     boots = Boots(200.0)
     for ratio in took:
         boots.note(kind, ratio * kind.boot_s, 100.0)
-    waiting = [Boot(f"m{n}", (kind.name, "north", False), 100.0 - r * kind.boot_s)
-               for n, r in enumerate(booting)]
+    waiting = [
+        Boot(f"m{n}", (kind.name, "north", False), 100.0 - r * kind.boot_s)
+        for n, r in enumerate(booting)
+    ]
     [seen] = boots.observed([kind], waiting, 100.0)
     assert seen.boot_s == pytest.approx(factor * kind.boot_s)
     assert boots.observed([kind], [], 400.0) == [kind]  # it is tried again
 
 
 def test_a_type_that_comes_up_late_is_as_much_dearer() -> None:
-    types = msgspec.convert([TYPES[0], {**TYPES[0], "label": "other", "rate": 0.6,
-                                        "spot_price": 0.2}], list[MachineType])
+    types = msgspec.convert(
+        [TYPES[0], {**TYPES[0], "label": "other", "rate": 0.6, "spot_price": 0.2}],
+        list[MachineType],
+    )
     job, boots = made(1, loaners=False), {t.name: t.boot_s for t in types}
     for factor, chosen in ((1.0, "plain"), (3.0, "other")):
         late = [msgspec.structs.replace(types[0], boot_s=types[0].boot_s * factor), types[1]]
@@ -358,8 +418,9 @@
         assert {k[0] for k in bought} == {chosen}
 
 
-def test_a_routine_does_not_go_on_under_the_next_generation(monkeypatch: pytest.MonkeyPatch
-                                                            ) -> None:
+def test_a_routine_does_not_go_on_under_the_next_generation(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Delayed by a peer that had crashed, one did, beside its successor: both used the same
     attempt number, the second reservation replaced the first one's launch, and its release
     said that tasks were gone that ran (eleven ran twice)."""
@@ -398,8 +459,9 @@
 
 
 @pytest.mark.parametrize("value_kb, limit", [(8.0, 12), (32.0, 28)])
-def test_scattered_tasks_are_committed_in_transactions_that_fit(value_kb: float, limit: int
-                                                                ) -> None:
+def test_scattered_tasks_are_committed_in_transactions_that_fit(
+    value_kb: float, limit: int
+) -> None:
     """What waits again, or ended, all over a huge job was one transaction, refused whole."""
     size = chunk_size(value_kb)
     hj = HomeJob(made(1, pieces=25000), 1, size, 0.0)
@@ -440,10 +502,14 @@
             c.owner.launch([(f"m{number}", f"j-000001/{number}", 1)])
             home.report(f"m{number}", "north", "plain")
             c.owner.machines[f"m{number}"].listed[(f"j-000001/{number}", 1)] = (
-                "exited", "done", False)
+                "exited",
+                "done",
+                False,
+            )
 
     async def give_back(names: list[str]) -> None:
         returned.extend(names)
+
     monkeypatch.setattr(c.cloud, "give_back", give_back)
     home.now += 1000.0
     types = {t.name: t for t in c.types}
@@ -452,16 +518,16 @@
         for _ in range(3):
             home.now += 1.0
             c.owner.touch_all()
-            await c.provisioner._return_idle(types, [], [],
-                                             OPEN, home.now)
+            await c.provisioner._return_idle(types, [], [], OPEN, home.now)
+
     curio.run(rounds)
     assert sorted(returned) == ["m4", "m5"]
 
 
-@pytest.mark.parametrize("spare, returned, looks", [
-    (0, 4, 1), (8, 4, 1), (16, 2, 7), (24, 0, 9)])
+@pytest.mark.parametrize("spare, returned, looks", [(0, 4, 1), (8, 4, 1), (16, 2, 7), (24, 0, 9)])
 def test_idle_machines_are_looked_at_together(
-        monkeypatch: pytest.MonkeyPatch, spare: int, returned: int, looks: int) -> None:
+    monkeypatch: pytest.MonkeyPatch, spare: int, returned: int, looks: int
+) -> None:
     """Of six, four are asked about in a round; what is to be expected keeps its room. One
     look for each was half of all processor time on a large fleet with little to do."""
     home = Home(monkeypatch)
@@ -471,11 +537,13 @@
 
     async def give_back(names: list[str]) -> None:
         gone.extend(names)
+
     lost = c.provisioner._lost
 
     def count(*args: Any) -> int:
         asked.append(args[1])
         return lost(*args)
+
     monkeypatch.setattr(c.cloud, "give_back", give_back)
     monkeypatch.setattr(type(c.provisioner), "_lost", staticmethod(count))
     home.now += 1000.0
@@ -487,7 +555,8 @@
 
 
 def test_gangs_without_an_aim_get_their_machines_beside_arrays_with_one(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """On a recorded day only arrays had an aim. Gangs on whole GPU machines, which may not
     use spot ones, waited from its second minute to its ninth: the arrays of the lowest rank
     held the quarter of the fleet that all work without an aim shared, and nothing was rented
@@ -498,14 +567,18 @@
     archive = made(7, jobclass="unnamed", rank="best_effort", pieces=100)
     home.c.live[archive.id] = (archive, 1)
     home.c.owner.touch_all()
-    gang = home.wait(made(1, jobclass="unnamed", shape="ensemble", pieces=1, vcpus=16.0,
-                          cards=2.0, loaners=False))
+    gang = home.wait(
+        made(
+            1, jobclass="unnamed", shape="ensemble", pieces=1, vcpus=16.0, cards=2.0, loaners=False
+        )
+    )
     home.wait(made(2, pieces=4))  # an array with an aim
     home.look()
     assert gang.starts == []  # there is no machine for it yet
     waiting = home.c.placer.all_demand()
-    bought = home.c.provisioner._filling(waiting, 64.0, home.c.picture.index(),
-                                         home.c.placer.policy())
+    bought = home.c.provisioner._filling(
+        waiting, 64.0, home.c.picture.index(), home.c.placer.policy()
+    )
     assert [kind[0] for kind in bought] == ["accel"] and not bought[0][2]
     # On one that the lowest rank fills it makes room, but not where others are.
     home.report("m9", "north", "accel", *(f"j-000007/9{n}" for n in range(4)))
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -45,15 +45,21 @@
         except CloudError as exc:
             return str(exc)
         return ""
+
     tasks = [await curio.spawn(one, n) for n in names]
     return [await t.join() for t in tasks]
 
 
-@pytest.mark.parametrize("count, fails, requests", [
-    (1, set(), [1]), (100, set(), [100]),
-    (320, set(), [100, 100, 100, 20]),  # each had a request of its own: a hundred seconds
-    (320, {2}, [100, 100, 100, 20]), (150, {1, 2}, [100, 50]),
-])
+@pytest.mark.parametrize(
+    "count, fails, requests",
+    [
+        (1, set(), [1]),
+        (100, set(), [100]),
+        (320, set(), [100, 100, 100, 20]),  # each had a request of its own: a hundred seconds
+        (320, {2}, [100, 100, 100, 20]),
+        (150, {1, 2}, [100, 50]),
+    ],
+)
 def test_many_fences_go_together(count: int, fails: set[int], requests: list[int]) -> None:
     core = Core()
     core.fails = fails
@@ -75,6 +81,7 @@
 
     async def turn() -> None:
         core.generation = object()  # type: ignore[assignment]
+
     core.turn = turn  # type: ignore[method-assign]
     found = curio.run(fence_all, fences, ["i-000001", "i-000002"])
     assert core.sent == [] and all("generation" in f for f in found)
@@ -85,18 +92,23 @@
 
     async def fail(_: Any) -> None:
         raise ValueError("malformed")
+
     core.return_now = fail  # type: ignore[method-assign]
     fences = Fences(core)  # type: ignore[arg-type]
     assert all(curio.run(fence_all, fences, ["i-000001"]))
     assert not fences.waiting and not fences.sending
 
 
-@pytest.mark.parametrize("ours, theirs, answers", [
-    (False, False, False), (True, False, True), (False, True, True), (False, None, False)])
+@pytest.mark.parametrize(
+    "ours, theirs, answers",
+    [(False, False, False), (True, False, True), (False, True, True), (False, None, False)],
+)
 def test_a_silent_machine_is_asked_by_two_at_once(
-        monkeypatch: pytest.MonkeyPatch, ours: bool, theirs: bool | None, answers: bool) -> None:
+    monkeypatch: pytest.MonkeyPatch, ours: bool, theirs: bool | None, answers: bool
+) -> None:
     """One after the other took until the machine's lease was over. Who can't be reached
     (None) says nothing, and the next is asked."""
+
     class Asked:
         def __init__(self, says: bool | None) -> None:
             self.says = says
@@ -106,18 +118,25 @@
             if self.says is None:
                 raise PeerError("away")
             return (self.says,)
+
     fleet: Any = object.__new__(Fleet)
-    fleet.core = SimpleNamespace(peers={"out": Asked(True), "c1": Asked(None if theirs is None
-                                                                       else theirs),
-                                        "c2": Asked(False)})
+    fleet.core = SimpleNamespace(
+        peers={
+            "out": Asked(True),
+            "c1": Asked(None if theirs is None else theirs),
+            "c2": Asked(False),
+        }
+    )
     fleet.command_s = 3.0
 
     async def inspect(*_: Any) -> bool:
         await curio.sleep(3.0)
         return ours
+
     fleet.inspect = inspect
 
     async def main(clock: Clock) -> tuple[bool, float]:
         began = clock()
         return await fleet._answers("i-000001", "m:1", {"c0", "c1", "c2"}), clock() - began
+
     assert simulate(monkeypatch, main) == (answers, 4.0)
--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -32,8 +32,13 @@
 def cut(raw: bytes, seed: int) -> list[bytes]:
     """The same bytes as they may arrive; seed 0: all at once, 1: one by one."""
     rng = random.Random(seed)
-    at = [] if seed == 0 else range(1, len(raw)) if seed == 1 and len(raw) < 3000 \
+    at = (
+        []
+        if seed == 0
+        else range(1, len(raw))
+        if seed == 1 and len(raw) < 3000
         else sorted(rng.sample(range(1, len(raw)), min(3, len(raw) - 1)))
+    )
     return [raw[a:b] for a, b in zip([0, *at], [*at, len(raw)])]
 
 
@@ -43,7 +48,8 @@
 
     async def handler(method: str, path: str, body: bytes) -> Any:
         asked.append((method, path, body))
-        return 200 + len(asked) % 2, b'{"n":%d}' % len(asked), [("Retry-After", "1")][:len(body)]
+        return 200 + len(asked) % 2, b'{"n":%d}' % len(asked), [("Retry-After", "1")][: len(body)]
+
     server = Server(handler, 10, 60.0, 10.0, "/v1/report")
     sock = Sock(chunks)
 
@@ -53,6 +59,7 @@
             await sock.close()
         else:
             await server._connection(sock)
+
     curio.run(run)
     assert not server.until and not server.open
     return asked, sock.sent, sock.closed
@@ -65,26 +72,39 @@
 POST = head("POST /v1/report HTTP/1.1", "Content-Length: 7") + b'{"a":1}'
 GET = head("GET /api/jobs/j-000001?x=1 HTTP/1.1")
 REQUESTS = [
-    GET, POST, POST + GET + POST,
+    GET,
+    POST,
+    POST + GET + POST,
     head("POST /a HTTP/1.1", "Content-Length: 0"),
     head("POST /a HTTP/1.1", "CONTENT-LENGTH:   7  ") + b'{"a":1}' + GET,
     # What h11 keeps, and what comes after it on the same connection.
-    GET + head("GET / HTTP/1.0") + GET, head("GET / HTTP/1.1", "Connection: close") + GET,
+    GET + head("GET / HTTP/1.0") + GET,
+    head("GET / HTTP/1.1", "Connection: close") + GET,
     POST + head("POST /a HTTP/1.1", "Transfer-Encoding: chunked") + b"3\r\nabc\r\n0\r\n\r\n" + POST,
     head("POST /a HTTP/1.1", "Expect: 100-continue", "Content-Length: 3") + b"abc" + GET,
-    head("HEAD /up HTTP/1.1") + GET, head("GET /up HTTP/1.1", "Upgrade: h2c") + GET,
+    head("HEAD /up HTTP/1.1") + GET,
+    head("GET /up HTTP/1.1", "Upgrade: h2c") + GET,
     head("GET /up HTTP/1.1", "Cookie: " + "c" * 2000) + GET,
     head("GET /up HTTP/1.1", "X: a,", " folded") + GET,
-    b"GET /up HTTP/1.1\nHost: x\n\n" + GET, b"GET /up HTTP/1.1\nHost: x\n\r\n" + GET,
+    b"GET /up HTTP/1.1\nHost: x\n\n" + GET,
+    b"GET /up HTTP/1.1\nHost: x\n\r\n" + GET,
     # Errors, each of which is told and ends the connection.
-    head("GET /up HTTP/1.1", "Cookie: " + "c" * 20000), b"\r\n" + GET, b"\x16\x03\x01\x02\x00",
-    b"GET /up HTTP/1.1\r\n\r\n", b"nonsense\r\n\r\n", head("GET /up HTTP/2.0"),
+    head("GET /up HTTP/1.1", "Cookie: " + "c" * 20000),
+    b"\r\n" + GET,
+    b"\x16\x03\x01\x02\x00",
+    b"GET /up HTTP/1.1\r\n\r\n",
+    b"nonsense\r\n\r\n",
+    head("GET /up HTTP/2.0"),
     head("POST /a HTTP/1.1", "Content-Length: 1", "Content-Length: 2") + b"ab",
     head("POST /a HTTP/1.1", "Content-Length: 2", "Content-Length: 2") + b"ab" + GET,
-    head("POST /a HTTP/1.1", "Content-Length: -1"), head("POST /a HTTP/1.1", "Content-Length: x"),
+    head("POST /a HTTP/1.1", "Content-Length: -1"),
+    head("POST /a HTTP/1.1", "Content-Length: x"),
     head("POST /a HTTP/1.1", f"Content-Length: {MAX_BODY}") + b"a" * MAX_BODY + GET,
     head("POST /a HTTP/1.1", f"Content-Length: {MAX_BODY + 1}") + b"a" * (MAX_BODY + 1),
-    GET[:-2], GET[:9], POST[:-3], POST + POST[:-3],
+    GET[:-2],
+    GET[:9],
+    POST[:-3],
+    POST + POST[:-3],
 ]
 
 
@@ -105,18 +125,27 @@
     (OK, (200, b"{}", True)),
     (answer("HTTP/1.1 409 Conflict", "content-length: 0"), (409, b"", True)),
     (OK + b"more", (200, b"{}", False)),
-    (answer("HTTP/1.1 200 OK", "Content-Length: 2", "Connection: close") + b"{}",
-     (200, b"{}", False)),
+    (
+        answer("HTTP/1.1 200 OK", "Content-Length: 2", "Connection: close") + b"{}",
+        (200, b"{}", False),
+    ),
     (answer("HTTP/1.0 200 OK", "Content-Length: 2") + b"{}", (200, b"{}", False)),
     (answer("HTTP/1.0 200 OK") + b"{}", (200, b"{}", False)),
-    (answer("HTTP/1.1 200 OK", "Transfer-Encoding: chunked") + b"2\r\n{}\r\n0\r\n\r\n",
-     (200, b"{}", True)),
+    (
+        answer("HTTP/1.1 200 OK", "Transfer-Encoding: chunked") + b"2\r\n{}\r\n0\r\n\r\n",
+        (200, b"{}", True),
+    ),
     (answer("HTTP/1.1 100 Continue") + OK, (200, b"{}", True)),
     (answer("HTTP/1.1 204 No Content"), (204, b"", True)),
-    (answer("HTTP/1.1 200 OK", "X: " + "x" * 3000, "Content-Length: 2") + b"{}",
-     (200, b"{}", True)),
+    (
+        answer("HTTP/1.1 200 OK", "X: " + "x" * 3000, "Content-Length: 2") + b"{}",
+        (200, b"{}", True),
+    ),
     (b"HTTP/1.1 200 OK\nContent-Length: 2\n\n{}", (200, b"{}", True)),
-    (OK[:-1], None), (OK[:20], None), (b"", None), (b"\x15\x03\x01", None),
+    (OK[:-1], None),
+    (OK[:20], None),
+    (b"", None),
+    (b"\x15\x03\x01", None),
 ]
 
 
@@ -130,10 +159,14 @@
 
             async def run(c: Client = client, s: Sock = sock, plain: bool = plain) -> Any:
                 try:
-                    return await (c._by_h11(s, "POST", "/commit", b"{}", b"") if plain
-                                  else c._exchange(s, "POST", "/commit", b"{}"))
+                    return await (
+                        c._by_h11(s, "POST", "/commit", b"{}", b"")
+                        if plain
+                        else c._exchange(s, "POST", "/commit", b"{}")
+                    )
                 except Exception:
                     return None
+
             found.append(curio.run(run))
         if raw.endswith(b"more") and seed:
             continue  # what comes after an answer may not have come yet
--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -27,15 +27,38 @@
     return msgspec.convert(wire_job(number, **fields), Job)
 
 
-JOBS = [make(n, **fields) for n, fields in enumerate([
-    {}, {"vcpus": 2.0, "rank": "best_effort", "snapshot_every_s": 5.0}, {"ram_gb": 30.0},
-    {"shape": "daemon", "rank": "production", "pieces": 3, "loaners": False},
-    {"shape": "daemon", "rank": "production", "pieces": 4, "scatter": True, "bundle": "web"},
-    {"cards": 1.0, "vcpus": 4.0}, {"shape": "ensemble", "pieces": 2, "cards": 2.0, "vcpus": 12.0,
-                                   "together": True, "loaners": False},
-    {"shape": "ensemble", "pieces": 5, "together": True, "rank": "high"},
-    {"flavors": ["accel"], "vcpus": 1.0}, {"site": "south", "pieces": 9, "bundle": "web"},
-    {"vcpus": 0.5, "ram_gb": 60.0, "rank": "high"}], 1)]
+JOBS = [
+    make(n, **fields)
+    for n, fields in enumerate(
+        [
+            {},
+            {"vcpus": 2.0, "rank": "best_effort", "snapshot_every_s": 5.0},
+            {"ram_gb": 30.0},
+            {"shape": "daemon", "rank": "production", "pieces": 3, "loaners": False},
+            {
+                "shape": "daemon",
+                "rank": "production",
+                "pieces": 4,
+                "scatter": True,
+                "bundle": "web",
+            },
+            {"cards": 1.0, "vcpus": 4.0},
+            {
+                "shape": "ensemble",
+                "pieces": 2,
+                "cards": 2.0,
+                "vcpus": 12.0,
+                "together": True,
+                "loaners": False,
+            },
+            {"shape": "ensemble", "pieces": 5, "together": True, "rank": "high"},
+            {"flavors": ["accel"], "vcpus": 1.0},
+            {"site": "south", "pieces": 9, "bundle": "web"},
+            {"vcpus": 0.5, "ram_gb": 60.0, "rank": "high"},
+        ],
+        1,
+    )
+]
 
 
 class Fleet:
@@ -55,9 +78,21 @@
         known = self.rooms.get(name)
         kind = BY_NAME[known.type] if known else rng.choice(KINDS)
         zone, spot = (known.zone, known.spot) if known else (rng.choice(ZONES), rng.random() < 0.4)
-        room = Room(name, "", kind.name, zone, spot, rng.random() < 0.9, kind.cpus, kind.gpus,
-                    kind.memory_gb, 0, rng.sample(["web", "img-1", "other"], rng.randrange(3)),
-                    math.inf, "c0")
+        room = Room(
+            name,
+            "",
+            kind.name,
+            zone,
+            spot,
+            rng.random() < 0.9,
+            kind.cpus,
+            kind.gpus,
+            kind.memory_gb,
+            0,
+            rng.sample(["web", "img-1", "other"], rng.randrange(3)),
+            math.inf,
+            "c0",
+        )
         for _ in range(rng.randrange(5)):
             job = rng.choice(JOBS)
             if room.allows(job) and room.fits(job):
@@ -73,11 +108,15 @@
     def same(self) -> None:
         """Both hold the same, and the totals are what a sum over the rooms gives."""
         state = {n: (r.open, r.cpus, r.gpus, r.memory_gb, r.tasks) for n, r in self.rooms.items()}
-        assert state == {n: (r.open, r.cpus, r.gpus, r.memory_gb, r.tasks)
-                         for n, r in self.index.rooms.items()}
+        assert state == {
+            n: (r.open, r.cpus, r.gpus, r.memory_gb, r.tasks) for n, r in self.index.rooms.items()
+        }
         for pool in self.index.pools.values():
-            rooms = [r for r in self.rooms.values()
-                     if (r.type, r.zone, r.spot) == (pool.type, pool.zone, pool.spot)]
+            rooms = [
+                r
+                for r in self.rooms.values()
+                if (r.type, r.zone, r.spot) == (pool.type, pool.zone, pool.spot)
+            ]
             totals = pool.count()
             assert totals.machines == sum(r.open for r in rooms)
             assert totals.free == pytest.approx(sum(r.cpus for r in rooms))
@@ -86,12 +125,24 @@
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
-@given(st.integers(0, 10**6), st.integers(0, 40), st.lists(st.tuples(
-    st.sampled_from(["place", "preempt", "show", "drop", "close", "trial", "policy"]),
-    st.integers(0, 39), st.integers(0, len(JOBS) - 1), st.integers(1, 12), st.booleans(),
-    st.booleans()), max_size=40))
+@given(
+    st.integers(0, 10**6),
+    st.integers(0, 40),
+    st.lists(
+        st.tuples(
+            st.sampled_from(["place", "preempt", "show", "drop", "close", "trial", "policy"]),
+            st.integers(0, 39),
+            st.integers(0, len(JOBS) - 1),
+            st.integers(1, 12),
+            st.booleans(),
+            st.booleans(),
+        ),
+        max_size=40,
+    ),
+)
 def test_the_index_answers_as_the_plain_search(
-        seed: int, machines: int, steps: list[tuple[str, int, int, int, bool, bool]]) -> None:
+    seed: int, machines: int, steps: list[tuple[str, int, int, int, bool, bool]]
+) -> None:
     fleet = Fleet(seed, machines)
     policies = [Policy(JOBS, KINDS), Policy((), KINDS)]
     for what, number, which, wanted, patient, fragile in steps:
@@ -109,10 +160,12 @@
                 room.close()
                 fleet.rooms[room.machine].open = False
         elif what == "preempt":
-            expected = plain.preempt(job, wanted, rooms, Spread(job, zones), policy,
-                                     wanted % 4, fragile)
-            found = preempt(job, wanted, fleet.index, Spread(job, zones), policy, wanted % 4,
-                            fragile)
+            expected = plain.preempt(
+                job, wanted, rooms, Spread(job, zones), policy, wanted % 4, fragile
+            )
+            found = preempt(
+                job, wanted, fleet.index, Spread(job, zones), policy, wanted % 4, fragile
+            )
             assert [(r.machine, n) for r, n in found] == [(r.machine, n) for r, n in expected]
         elif what == "trial":
             # What is tried leaves nothing behind, machines taken out or put in included.
@@ -120,8 +173,9 @@
             with fleet.index.trial([f"i-{number:04d}"], [extra]):
                 place(job, wanted, fleet.index, Spread(job, ()), policy, patient, fragile)
         else:
-            expected = plain.place(job, wanted, rooms, Spread(job, zones), "c1", policy, patient,
-                                   fragile)
+            expected = plain.place(
+                job, wanted, rooms, Spread(job, zones), "c1", policy, patient, fragile
+            )
             chosen = place(job, wanted, fleet.index, Spread(job, zones), policy, patient, fragile)
             assert [r.machine for r in chosen] == [r.machine for r in expected]
         fleet.same()
@@ -140,18 +194,21 @@
                 index.remove(f"i-{gone}")
             for old in range(number - 11, number - 8):
                 index.remove(f"i-{old}")
-        found = {r.machine for r, _ in preempt(high, 99, index, Spread(high, ()),
-                                               Policy([], KINDS))}
+        found = {
+            r.machine for r, _ in preempt(high, 99, index, Spread(high, ()), Policy([], KINDS))
+        }
         assert found == set(index.rooms)
-    pool, = index.pools.values()
+    (pool,) = index.pools.values()
     assert len(pool.changes) <= 4 * FORGET_LEAST and len(pool.shelf().where) == len(index.rooms)
 
 
 def test_nowhere_is_known_until_something_changes() -> None:
     """A question without an answer costs what has changed, not the fleet."""
     index, job = Index(), JOBS[0]
-    full = [Room(f"m{n}", "", "plain", "north", False, True, 1, 0, 64, 0, (), 0.0, "c0")
-            for n in range(50)]
+    full = [
+        Room(f"m{n}", "", "plain", "north", False, True, 1, 0, 64, 0, (), 0.0, "c0")
+        for n in range(50)
+    ]
     for room in full:
         index.add(room)
     assert place(job, 1, index, Spread(job, ())) == []
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -54,11 +54,16 @@
     assert over and covered == [0, 1, 2]
     assert txn.when[live_key("j-000001")] == 5 and txn.when["c/generation"] == 7
     assert {w.get("write") or w.get("remove") for w in txn.writes} == {
-        live_key("j-000001"), end_key("j-000001"), chunk_key("j-000001", 0)}
+        live_key("j-000001"),
+        end_key("j-000001"),
+        chunk_key("j-000001", 0),
+    }
 
 
-@pytest.mark.parametrize("cause, again", [("done", 0), ("error", 1), ("stopped", 1), ("", 1),
-                                          ("no_room", 1), ("mates_gone", 1)])
+@pytest.mark.parametrize(
+    "cause, again",
+    [("done", 0), ("error", 1), ("stopped", 1), ("", 1), ("no_room", 1), ("mates_gone", 1)],
+)
 def test_what_is_not_done_waits_again(cause: str, again: int) -> None:
     hj = started(home())
     hj.event("m1", 1, 1, "exited" if cause else GONE, cause, 1.0)
@@ -80,14 +85,17 @@
     assert [w for w in txn.writes if "remove" in w] == [{"remove": chunk_key("j-000001", 0)}]
 
 
-@pytest.mark.parametrize("event, verdict", [
-    (("m1", 0, 1, "running", ""), OK),
-    (("m2", 0, 1, "running", ""), KILL),         # assigned elsewhere
-    (("m1", 0, 9, "running", ""), KILL),         # another attempt
-    (("m1", 0, 9, "exited", "stopped"), CLEAR),
-    (("m1", 0, 9, GONE, ""), OK),
-    (("m1", 2, 1, "running", ""), LATER),        # its commit is under way
-])
+@pytest.mark.parametrize(
+    "event, verdict",
+    [
+        (("m1", 0, 1, "running", ""), OK),
+        (("m2", 0, 1, "running", ""), KILL),  # assigned elsewhere
+        (("m1", 0, 9, "running", ""), KILL),  # another attempt
+        (("m1", 0, 9, "exited", "stopped"), CLEAR),
+        (("m1", 0, 9, GONE, ""), OK),
+        (("m1", 2, 1, "running", ""), LATER),  # its commit is under way
+    ],
+)
 def test_verdicts(event: tuple[str, int, int, str, str], verdict: int) -> None:
     hj = started(home(), 2)
     hj.take(1)
@@ -112,11 +120,15 @@
     assert hj.pending == 3 and hj.broken() == []
 
 
-@pytest.mark.parametrize("state, cause, filled", [
-    ("waiting", "", True), ("pulling", "", True),
-    ("running", "", False),            # started: the attempt is over
-    ("waiting", "alone", False),       # the others have given up waiting
-])
+@pytest.mark.parametrize(
+    "state, cause, filled",
+    [
+        ("waiting", "", True),
+        ("pulling", "", True),
+        ("running", "", False),  # started: the attempt is over
+        ("waiting", "alone", False),  # the others have given up waiting
+    ],
+)
 def test_gang_that_has_not_started_is_completed(state: str, cause: str, filled: bool) -> None:
     hj = started(home(shape="ensemble"))
     for number in (1, 2):
@@ -127,7 +139,7 @@
     hj.covered(covered)
     assert (hj.filling, hj.pending) == (filled, 1 if filled else 0)
     assert bool(hj.broken()) != filled
-    assert hj.left == {"m1"}           # the replacement goes elsewhere
+    assert hj.left == {"m1"}  # the replacement goes elsewhere
 
 
 def test_attempts_never_repeat_over_a_takeover() -> None:
@@ -166,13 +178,16 @@
     assert hj.take(3) == [0, 1, 2] and hj.pending == MAX_TASKS - 3
 
 
-@pytest.mark.parametrize("fields, limit, ok", [
-    ({"vcpus": 4.0}, (0.0, 0.0), True),                        # no limit
-    ({"vcpus": 4.0}, (4.0, 0.0), True),                        # an array: one task
-    ({"vcpus": 4.0, "shape": "ensemble"}, (8.0, 0.0), False),  # a gang: all tasks
-    ({"vcpus": 4.0, "shape": "daemon"}, (12.0, 0.0), True),
-    ({"cards": 2.0}, (0.0, 1.0), False),
-])
+@pytest.mark.parametrize(
+    "fields, limit, ok",
+    [
+        ({"vcpus": 4.0}, (0.0, 0.0), True),  # no limit
+        ({"vcpus": 4.0}, (4.0, 0.0), True),  # an array: one task
+        ({"vcpus": 4.0, "shape": "ensemble"}, (8.0, 0.0), False),  # a gang: all tasks
+        ({"vcpus": 4.0, "shape": "daemon"}, (12.0, 0.0), True),
+        ({"cards": 2.0}, (0.0, 1.0), False),
+    ],
+)
 def test_can_ever_run(fields: dict[str, Any], limit: tuple[float, float], ok: bool) -> None:
     assert can_ever_run(msgspec.convert(wire_job(1, **fields), Job), limit) == ok
 
@@ -181,9 +196,9 @@
     hj = HomeJob(msgspec.convert(wire_job(1, pieces=3), Job), 1, 50, 0.0)
     _, chunks = hj.start_txn(1, [(0, "m1"), (1, "m1"), (2, "m2")], 1)
     hj.committed(chunks, 2)
-    assert hj.unheard(0.0, 10.0) == set()         # just committed
+    assert hj.unheard(0.0, 10.0) == set()  # just committed
     hj.event("m1", 1, 1, "running", "", 5.0)
-    assert hj.unheard(5.0, 10.0) == set()         # too soon for a second look
+    assert hj.unheard(5.0, 10.0) == set()  # too soon for a second look
     assert hj.unheard(11.0, 10.0) == {0, 2}
     hj.event("m2", 2, 1, "gone", "", 12.0)
     assert hj.unheard(22.0, 10.0) == {0}
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -23,18 +23,25 @@
 GREEN = "tests/test_some.py::test_green | none | 7\n"
 
 
-@pytest.mark.parametrize("listed, code, said", [
-    (RED, 0, "known red: tests/test_some.py::test_red: failed; two is not one (7)"),
-    ("", 1, "1 failed"),
-    (RED + GREEN, 1, "test_green: passed; its line is to be removed"),
-    (RED + "tests/test_some.py::test_none | gone | 7\n", 1, "test_none: there is no such test"),
-    (RED + "tests/test_some.py::test_other\n", 1, "line 2: not 'test | cause | issue'"),
-    (RED + RED, 1, "listed twice"),
-    (RED + "".join(f"tests/a.py::test_{n} | gone | 7\n" for n in range(3)), 1,
-     "4 tests are listed, 3 at most"),
-])
-def test_ci_passes_over_what_is_listed(pytester: pytest.Pytester, listed: str, code: int,
-                                       said: str) -> None:
+@pytest.mark.parametrize(
+    "listed, code, said",
+    [
+        (RED, 0, "known red: tests/test_some.py::test_red: failed; two is not one (7)"),
+        ("", 1, "1 failed"),
+        (RED + GREEN, 1, "test_green: passed; its line is to be removed"),
+        (RED + "tests/test_some.py::test_none | gone | 7\n", 1, "test_none: there is no such test"),
+        (RED + "tests/test_some.py::test_other\n", 1, "line 2: not 'test | cause | issue'"),
+        (RED + RED, 1, "listed twice"),
+        (
+            RED + "".join(f"tests/a.py::test_{n} | gone | 7\n" for n in range(3)),
+            1,
+            "4 tests are listed, 3 at most",
+        ),
+    ],
+)
+def test_ci_passes_over_what_is_listed(
+    pytester: pytest.Pytester, listed: str, code: int, said: str
+) -> None:
     here = Path(__file__).parent
     tests = pytester.mkdir("tests")
     for name in ("conftest.py", "known_red.py"):
@@ -49,27 +56,47 @@
 
 
 def report(largest: int) -> dict[str, Any]:
-    return {"scenario": "day", "classes": {"a": {"accepted": 8, "started": 8, "done": 8}},
-            "largest": {"a": {"jobs": 4, "started": largest}}}
+    return {
+        "scenario": "day",
+        "classes": {"a": {"accepted": 8, "started": 8, "done": 8}},
+        "largest": {"a": {"jobs": 4, "started": largest}},
+    }
 
 
-LOG = "".join(f"  {10 + n}.0 host-0 INFO clayport.api job=j-{n} event=accepted class=a kind=sweep "
-              f"tasks={n}\n  {20 + 60 * n}.5 host-1 INFO clayport.dispatch job=j-{n} "
-              f"generation=1 event=launch tasks=1 attempt=1\n" for n in range(1, 9))
+LOG = "".join(
+    f"  {10 + n}.0 host-0 INFO clayport.api job=j-{n} event=accepted class=a kind=sweep "
+    f"tasks={n}\n  {20 + 60 * n}.5 host-1 INFO clayport.dispatch job=j-{n} "
+    f"generation=1 event=launch tasks=1 attempt=1\n"
+    for n in range(1, 9)
+)
 
 
-@pytest.mark.parametrize("largest, log, code, said", [
-    (4, "", 0, "a largest started 1.000 of 4"),
-    (2, "", 0, "a largest started 0.500 of 4"),
-    (1, "", 1, "FAILED; a largest started 0.250 of 4"),
-    (4, LOG, 1, "a largest began in 240 s (log; longest 482 s) 0.000 of 2"),
-    (4, LOG.replace("tasks=8", "tasks=0"), 1, "longest 424 s) 0.000 of 2"),
-    (4, LOG.replace("tasks=1\n", "tasks=80\n").replace("tasks=2\n", "tasks=90\n"), 0,
-     "largest began in 240 s (log; longest 128 s) 1.000 of 2"),
-], ids=["all", "half", "a quarter", "late", "late as well", "in time"])
+@pytest.mark.parametrize(
+    "largest, log, code, said",
+    [
+        (4, "", 0, "a largest started 1.000 of 4"),
+        (2, "", 0, "a largest started 0.500 of 4"),
+        (1, "", 1, "FAILED; a largest started 0.250 of 4"),
+        (4, LOG, 1, "a largest began in 240 s (log; longest 482 s) 0.000 of 2"),
+        (4, LOG.replace("tasks=8", "tasks=0"), 1, "longest 424 s) 0.000 of 2"),
+        (
+            4,
+            LOG.replace("tasks=1\n", "tasks=80\n").replace("tasks=2\n", "tasks=90\n"),
+            0,
+            "largest began in 240 s (log; longest 128 s) 1.000 of 2",
+        ),
+    ],
+    ids=["all", "half", "a quarter", "late", "late as well", "in time"],
+)
 def test_a_day_fails_whose_largest_jobs_were_not_served(
-        tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch,
-        largest: int, log: str, code: int, said: str) -> None:
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+    largest: int,
+    log: str,
+    code: int,
+    said: str,
+) -> None:
     """The bench's figure says how many were started, the log when."""
     (tmp_path / "r.json").write_text(json.dumps(report(largest)))
     args = ["served", str(tmp_path / "r.json"), "--all"]
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -18,9 +18,15 @@
     return Retries(0.5, 4.0, budget, random.Random(seed).uniform)
 
 
-@pytest.mark.parametrize("at, now, needs, left, allowed", [
-    (10.0, 4.0, 0.0, 6.0, True), (10.0, 4.0, 5.9, 6.0, True), (10.0, 4.0, 6.0, 6.0, False),
-    (10.0, 12.0, 0.0, 0.0, False)])
+@pytest.mark.parametrize(
+    "at, now, needs, left, allowed",
+    [
+        (10.0, 4.0, 0.0, 6.0, True),
+        (10.0, 4.0, 5.9, 6.0, True),
+        (10.0, 4.0, 6.0, 6.0, False),
+        (10.0, 12.0, 0.0, 0.0, False),
+    ],
+)
 def test_deadline(at: float, now: float, needs: float, left: float, allowed: bool) -> None:
     deadline = Deadline(at)
     assert (deadline.left(now), deadline.allows(now, needs)) == (left, allowed)
@@ -45,10 +51,13 @@
     assert attempt.pause(0.0) is None and budget.level == 2.0
 
 
-@pytest.mark.parametrize("firsts, asked, waits", [
-    (0, 3, [0.0, 0.0, 0.5]),     # two are saved up; the next are paced
-    (20, 3, [0.0, 0.0, 0.5]),    # first tries earn no more than `most`
-])
+@pytest.mark.parametrize(
+    "firsts, asked, waits",
+    [
+        (0, 3, [0.0, 0.0, 0.5]),  # two are saved up; the next are paced
+        (20, 3, [0.0, 0.0, 0.5]),  # first tries earn no more than `most`
+    ],
+)
 def test_the_budget_paces_all_who_ask_again(firsts: int, asked: int, waits: list[float]) -> None:
     """A hundred jobs that each ask again in an outage ask together as often as a few."""
     budget = Budget(0.1, 2.0, 2.0, 0.0)
@@ -68,13 +77,15 @@
     assert [budget.turn(0.0) for _ in range(2)] == [0.0, 0.0] and budget.turn(0.0) > 100.0
 
 
-@pytest.mark.parametrize("answers, bound", [
-    ([(0.01, True)] * 60, 12),                     # grows while it is used and answered well
-    ([(0.01, True)] * 3 + [(1.0, True)] * 30, 4),  # slow answers: more would only wait longer
-    ([(1.0, False)] * 40, 2),                      # unanswered: down to the least, not below
-])
-def test_the_bound_follows_how_requests_fare(answers: list[tuple[float, bool]], bound: int
-                                             ) -> None:
+@pytest.mark.parametrize(
+    "answers, bound",
+    [
+        ([(0.01, True)] * 60, 12),  # grows while it is used and answered well
+        ([(0.01, True)] * 3 + [(1.0, True)] * 30, 4),  # slow answers: more would only wait longer
+        ([(1.0, False)] * 40, 2),  # unanswered: down to the least, not below
+    ],
+)
+def test_the_bound_follows_how_requests_fare(answers: list[tuple[float, bool]], bound: int) -> None:
     inflight, now = Inflight(8, 2, 12), 0.0
     for took, served in answers:
         while not inflight.full:
@@ -102,8 +113,7 @@
     assert inflight.bound == 10
 
 
-@pytest.mark.parametrize("backlog, answer", [
-    (0.0, 0), (3.5, 0), (3.6, 2), (10.0, 9), (500.0, 30)])
+@pytest.mark.parametrize("backlog, answer", [(0.0, 0), (3.5, 0), (3.6, 2), (10.0, 9), (500.0, 30)])
 def test_the_door_says_when_to_come_back(backlog: float, answer: int) -> None:
     assert Door(3.5, 30.0).ask(backlog) == answer
 
@@ -122,17 +132,27 @@
                 await curio.sleep(takes)
                 passage.served = True
                 passed.append(name)
-        tasks = [await curio.spawn(one, n, a, t) for n, a, t in (
-            ("a", 0.0, 1.0), ("b", 0.0, 9.0), ("later", 0.0, 1.0), ("urgent", 1.0, 1.0))]
+
+        tasks = [
+            await curio.spawn(one, n, a, t)
+            for n, a, t in (
+                ("a", 0.0, 1.0),
+                ("b", 0.0, 9.0),
+                ("later", 0.0, 1.0),
+                ("urgent", 1.0, 1.0),
+            )
+        ]
         for task in tasks:
             await task.join()
         assert gate.inflight.flying == 0
+
     simulate(monkeypatch, main)
     assert most == 2 and passed.index("urgent") < passed.index("later")
 
 
 def test_who_leaves_the_line_takes_no_place_with_it(monkeypatch: Any) -> None:
     """Cancelled or out of time just as its turn came: the place must go to the next."""
+
     async def main(clock: Clock) -> None:
         gate = Gate(Inflight(1, 1, 1), 60.0)
         done = []
@@ -147,6 +167,7 @@
                 async with gate.passing(0.0, Deadline.within(clock(), 1.0)):
                     raise AssertionError("let in too late")
             done.append("hurried")
+
         holder = await curio.spawn(hold)
         await curio.sleep(0)
         waiting = await curio.spawn(hurried)
@@ -157,20 +178,24 @@
         for task in (holder, waiting, last):
             await task.join()
         assert done == ["hurried"] and not gate.line and gate.inflight.flying == 0
+
     simulate(monkeypatch, main)
 
 
 def test_all_who_wait_for_a_server_go_on_when_it_is_back(monkeypatch: Any) -> None:
     """Not when their own long pauses end: after an outage everybody is needed at once."""
+
     async def main(clock: Clock) -> None:
-        patience = Patience(Retries(8.0, 60.0, Budget(0.0, 1.0, 0.01, clock()),
-                                    random.Random(1).uniform))
+        patience = Patience(
+            Retries(8.0, 60.0, Budget(0.0, 1.0, 0.01, clock()), random.Random(1).uniform)
+        )
         woken: list[float] = []
 
         async def one() -> None:
             attempt = patience.begin()
             assert await patience.rest(attempt)
             woken.append(clock())
+
         await patience.seen(False)
         tasks = [await curio.spawn(one) for _ in range(20)]
         await curio.sleep(2.0)
@@ -181,4 +206,5 @@
         assert max(woken) - min(woken) < 0.1
         await patience.seen(True)  # still there: nothing to wake anybody for
         assert not patience.back.is_set()
+
     simulate(monkeypatch, main)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -21,8 +21,14 @@
 KINDS: dict[str, dict[str, Any]] = {
     "sweep": {"pieces": 3},
     "ensemble": {"pieces": 2, "shape": "ensemble", "loaners": False},
-    "daemon": {"pieces": 2, "shape": "daemon", "jobclass": "web", "rank": "production",
-               "loaners": False, "guess_s": 0.0},
+    "daemon": {
+        "pieces": 2,
+        "shape": "daemon",
+        "jobclass": "web",
+        "rank": "production",
+        "loaners": False,
+        "guess_s": 0.0,
+    },
     "saves": {"pieces": 2, "snapshot_every_s": 5.0, "snapshot_s": 3.0},
 }
 
@@ -80,8 +86,10 @@
             await world.abort(name, label)
         else:
             status, answer = await (
-                world.user(label, "POST", "/api/jobs", world.jobs[name]) if row.way == "submit"
-                else world.user(label, "GET", f"/api/jobs/{name}"))
+                world.user(label, "POST", "/api/jobs", world.jobs[name])
+                if row.way == "submit"
+                else world.user(label, "GET", f"/api/jobs/{name}")
+            )
             if status == 200:
                 world.note(name, answer["status"])
         await curio.sleep(0.05)
@@ -107,8 +115,7 @@
     world.hold_s = (20.0, 60.0)
     for number in range(100, 112):
         world.kinds[job(number)["id"]] = "launch"
-        await curio.spawn(world.submit, job(number, vcpus=0.5, guess_s=LONG_S), LONG_S,
-                          daemon=True)
+        await curio.spawn(world.submit, job(number, vcpus=0.5, guess_s=LONG_S), LONG_S, daemon=True)
     end = world.clock() + 20.0
     while world.clock() < end:
         await curio.sleep(0.05)
@@ -138,8 +145,12 @@
         name, refused, asked = cast(world, row) if row.kind != "launch" else await launching(world)
         world.state.refused.add(refused)
         if row.word == "alone":
-            world.cut |= {f"{a}>{b}" for a in world.labels for b in world.labels
-                          if a != b and refused in (a, b)}
+            world.cut |= {
+                f"{a}>{b}"
+                for a in world.labels
+                for b in world.labels
+                if a != b and refused in (a, b)
+            }
         await curio.sleep(row.refused_s)
         if row.word in ("refused", "ends, heard by nobody"):
             world.cut.add(f"{asked}>{refused}")
@@ -161,29 +172,51 @@
 
 ROWS = [
     # The refusal just before, as long as a controller's lease, with a new generation begun.
-    *(Gap(refused_s=s, word=w, home=h) for s, w, h in (
-        (0.5, "ends, heard by nobody", "refused"), (0.5, "refused", "confirmer"),
-        (3.2, "ends", "confirmer"), (4.0, "ends, heard by nobody", "refused"),
-        (6.0, "refused", "third"), (12.0, "cut", "confirmer"), (20.0, "none", "third"))),
-    *(Gap(5, s, word=w, home=h) for s, w, h in (
-        (0.5, "cut", "confirmer"), (0.5, "ends, heard by nobody", "confirmer"),
-        (6.0, "ends", "confirmer"))),
+    *(
+        Gap(refused_s=s, word=w, home=h)
+        for s, w, h in (
+            (0.5, "ends, heard by nobody", "refused"),
+            (0.5, "refused", "confirmer"),
+            (3.2, "ends", "confirmer"),
+            (4.0, "ends, heard by nobody", "refused"),
+            (6.0, "refused", "third"),
+            (12.0, "cut", "confirmer"),
+            (20.0, "none", "third"),
+        )
+    ),
+    *(
+        Gap(5, s, word=w, home=h)
+        for s, w, h in (
+            (0.5, "cut", "confirmer"),
+            (0.5, "ends, heard by nobody", "confirmer"),
+            (6.0, "ends", "confirmer"),
+        )
+    ),
     *(Gap(refused_s=3.2, home="confirmer", way=way) for way in ("retry", "poll", "submit")),
     *(Gap(refused_s=3.2, home="confirmer", kind=kind) for kind in ("ensemble", "daemon", "saves")),
-    Gap(refused_s=0.5, kind="launch", word="none"), Gap(refused_s=0.5, kind="launch", word="cut"),
+    Gap(refused_s=0.5, kind="launch", word="none"),
+    Gap(refused_s=0.5, kind="launch", word="cut"),
     Gap(refused_s=3.2, home="confirmer", word="freezes"),
     # Of no use to it that the others have told each other.
-    *(Gap(c, s, word="alone", home=h, outage_s=o * CANCEL_S) for c, s, h, o in (
-        (3, 0.5, "refused", 3), (5, 4.0, "third", 3), (3, 4.0, "confirmer", 0.0))),
+    *(
+        Gap(c, s, word="alone", home=h, outage_s=o * CANCEL_S)
+        for c, s, h, o in ((3, 0.5, "refused", 3), (5, 4.0, "third", 3), (3, 4.0, "confirmer", 0.0))
+    ),
     *(Gap(refused_s=3.2, home="confirmer", outage_s=s * CANCEL_S) for s in (0.5, 1.0)),
     Gap(refused_s=3.2, home="any", times=2),
 ]
 
 
-@pytest.mark.parametrize("row", ROWS, ids=lambda r: "-".join(
-    str(x) for x, d in zip(r, Gap._field_defaults.values()) if x != d).replace(" ", "_"))
+@pytest.mark.parametrize(
+    "row",
+    ROWS,
+    ids=lambda r: "-".join(
+        str(x) for x, d in zip(r, Gap._field_defaults.values()) if x != d
+    ).replace(" ", "_"),
+)
 def test_what_is_cancelled_is_gone_although_nobody_reaches_the_state_service(
-        monkeypatch: pytest.MonkeyPatch, row: Gap) -> None:
+    monkeypatch: pytest.MonkeyPatch, row: Gap
+) -> None:
     world = simulate(monkeypatch, lambda clock: gap(clock, row))
     assert world.broken == []
 
@@ -203,17 +236,28 @@
     return world
 
 
-@pytest.mark.parametrize("controllers, ends, back_s, kept", [
-    (3, (), 0.0, True), (5, (), 0.0, True),
-    (3, (1,), 0.3, True), (3, (1,), 0.8 * LEASE_S, True), (5, (1, 3), 0.8 * LEASE_S, True),
-    (3, (0, 1), 0.3, True),
-    # What these may have told after their promises were over, nobody knows.
-    (3, (1,), 2 * LEASE_S, False),
-    # Nobody is left who knows what users were told.
-    (3, (0, 1, 2), 0.3, False)])
+@pytest.mark.parametrize(
+    "controllers, ends, back_s, kept",
+    [
+        (3, (), 0.0, True),
+        (5, (), 0.0, True),
+        (3, (1,), 0.3, True),
+        (3, (1,), 0.8 * LEASE_S, True),
+        (5, (1, 3), 0.8 * LEASE_S, True),
+        (3, (0, 1), 0.3, True),
+        # What these may have told after their promises were over, nobody knows.
+        (3, (1,), 2 * LEASE_S, False),
+        # Nobody is left who knows what users were told.
+        (3, (0, 1, 2), 0.3, False),
+    ],
+)
 def test_an_outage_in_which_nothing_is_cancelled_ends_no_lease(
-        monkeypatch: pytest.MonkeyPatch, controllers: int, ends: tuple[int, ...], back_s: float,
-        kept: bool) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+    controllers: int,
+    ends: tuple[int, ...],
+    back_s: float,
+    kept: bool,
+) -> None:
     world = simulate(monkeypatch, lambda clock: out(clock, controllers, ends, back_s))
     assert world.broken == []
     assert all(w.session == 1 for w in world.workers.values() if not w.gone) == kept
@@ -226,8 +270,11 @@
     """1: one loses the state service and the other controllers, not its workers and users."""
     for _ in range(2):
         label = world.rng.choice(world.labels)
-        lost = {f"{label}>state", *(f"{label}>{x}" for x in world.labels if x != label),
-                *(f"{x}>{label}" for x in world.labels if x != label)}
+        lost = {
+            f"{label}>state",
+            *(f"{label}>{x}" for x in world.labels if x != label),
+            *(f"{x}>{label}" for x in world.labels if x != label),
+        }
         world.cut |= lost
         await curio.sleep(world.rng.uniform(15.0, 60.0))
         world.cut -= lost
@@ -316,8 +363,16 @@
         world.cut.clear()
 
 
-SCENES: list[Scene] = [cut_leader, there_and_back, ends_far_apart, old_reports, commands_held,
-                       late_writes, slow_then_out, deaf_machines]
+SCENES: list[Scene] = [
+    cut_leader,
+    there_and_back,
+    ends_far_apart,
+    old_reports,
+    commands_held,
+    late_writes,
+    slow_then_out,
+    deaf_machines,
+]
 
 
 async def meet(clock: Clock, scenes: tuple[Scene, ...], seed: int, controllers: int) -> World:
@@ -341,19 +396,31 @@
 
 def held_up(world: World) -> list[str]:
     """Rules broken, and what was not served once it was calm."""
-    return [*world.broken, *(f"waits {i}" for i in sorted(world.accepted)
-                             if world.jobs[i]["shape"] != "daemon"
-                             and world.told.get(i) not in ("done", "cancelled")),
-            *(["not all were accepted"] if len(world.accepted) != JOBS_A_DAY else [])]
+    return [
+        *world.broken,
+        *(
+            f"waits {i}"
+            for i in sorted(world.accepted)
+            if world.jobs[i]["shape"] != "daemon" and world.told.get(i) not in ("done", "cancelled")
+        ),
+        *(["not all were accepted"] if len(world.accepted) != JOBS_A_DAY else []),
+    ]
 
 
 @pytest.mark.parametrize("controllers", [3, 5])
-@pytest.mark.parametrize("scenes", [
-    *((s,) for s in SCENES), (cut_leader, late_writes), (slow_then_out, old_reports),
-    (deaf_machines, there_and_back)],
-    ids=lambda scenes: "+".join(s.__name__ for s in scenes))
-def test_rules_hold_when_two_troubles_meet(monkeypatch: pytest.MonkeyPatch,
-                                           scenes: tuple[Scene, ...], controllers: int) -> None:
+@pytest.mark.parametrize(
+    "scenes",
+    [
+        *((s,) for s in SCENES),
+        (cut_leader, late_writes),
+        (slow_then_out, old_reports),
+        (deaf_machines, there_and_back),
+    ],
+    ids=lambda scenes: "+".join(s.__name__ for s in scenes),
+)
+def test_rules_hold_when_two_troubles_meet(
+    monkeypatch: pytest.MonkeyPatch, scenes: tuple[Scene, ...], controllers: int
+) -> None:
     world = simulate(monkeypatch, lambda clock: meet(clock, scenes, 50, controllers))
     assert held_up(world) == []
 
@@ -379,6 +446,7 @@
                 carried.remove(entry)
                 if commit(entry[1])[0] == 200:
                     found.append(entry[1])
+
     world.state.commit = remember  # type: ignore[method-assign]
     await world.open()
     await curio.spawn(again_and_again, daemon=True)
@@ -390,21 +458,23 @@
 
 @pytest.mark.parametrize("seed, controllers", [(71, 3), (72, 3), (73, 5)])
 def test_no_transaction_does_anything_when_it_is_carried_out_once_more(
-        monkeypatch: pytest.MonkeyPatch, seed: int, controllers: int) -> None:
+    monkeypatch: pytest.MonkeyPatch, seed: int, controllers: int
+) -> None:
     """A controller's key, put without naming what it replaces, was put in its successor's
     place; and removed late, it took a later one away."""
     world, found = simulate(monkeypatch, lambda clock: copied(clock, seed, controllers))
     assert found == [] and held_up(world) == []
 
 
-async def deaf(clock: Clock, share: float, for_s: float, leader_ends: bool
-               ) -> tuple[World, int, float]:
+async def deaf(
+    clock: Clock, share: float, for_s: float, leader_ends: bool
+) -> tuple[World, int, float]:
     """Machines with long tasks hear nothing for a while: how many were given back, and when
     all of these tasks ran again for good."""
     world = World(clock, 44)
     await fill(world)
     busy = sorted((w for w in world.workers.values() if w.on()), key=lambda w: -len(w.on()))
-    chosen = busy[:max(1, int(share * len(busy)))]
+    chosen = busy[: max(1, int(share * len(busy)))]
     tasks = {k[0] for w in chosen for k in w.on()}
     world.deaf.update(w.name for w in chosen)
     if leader_ends:
@@ -420,15 +490,27 @@
 
 
 @pytest.mark.parametrize("leader_ends", [False, True])
-@pytest.mark.parametrize("share, for_s, gone, most_s", [
-    # Tasks go on where they hear again in time.
-    (0.0, 0.4 * LEASE_S, False, 0.0), (0.8, 0.4 * LEASE_S, False, 0.0),
-    # Beyond that they begin elsewhere, although the machines go on reporting.
-    (0.0, 10 * LEASE_S, True, CANCEL_S), (0.8, 10 * LEASE_S, True, 2 * CANCEL_S)])
+@pytest.mark.parametrize(
+    "share, for_s, gone, most_s",
+    [
+        # Tasks go on where they hear again in time.
+        (0.0, 0.4 * LEASE_S, False, 0.0),
+        (0.8, 0.4 * LEASE_S, False, 0.0),
+        # Beyond that they begin elsewhere, although the machines go on reporting.
+        (0.0, 10 * LEASE_S, True, CANCEL_S),
+        (0.8, 10 * LEASE_S, True, 2 * CANCEL_S),
+    ],
+)
 def test_machines_that_hear_nothing_keep_no_task_for_ever(
-        monkeypatch: pytest.MonkeyPatch, share: float, for_s: float, gone: bool, most_s: float,
-        leader_ends: bool) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+    share: float,
+    for_s: float,
+    gone: bool,
+    most_s: float,
+    leader_ends: bool,
+) -> None:
     world, returned, missed_s = simulate(
-        monkeypatch, lambda clock: deaf(clock, share, for_s, leader_ends))
+        monkeypatch, lambda clock: deaf(clock, share, for_s, leader_ends)
+    )
     assert world.broken == []
     assert bool(returned) == gone and missed_s <= most_s
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -16,10 +16,29 @@
 
 JOBS: list[tuple[dict[str, Any], float]] = [
     ({"pieces": 6}, 6.0),
-    ({"pieces": 2, "shape": "daemon", "jobclass": "web", "rank": "production", "loaners": False,
-      "scatter": True, "guess_s": 0.0}, 1e9),
-    ({"pieces": 2, "shape": "ensemble", "owner": "tight", "cards": 1.0, "together": True,
-      "loaners": False}, 9.0),
+    (
+        {
+            "pieces": 2,
+            "shape": "daemon",
+            "jobclass": "web",
+            "rank": "production",
+            "loaners": False,
+            "scatter": True,
+            "guess_s": 0.0,
+        },
+        1e9,
+    ),
+    (
+        {
+            "pieces": 2,
+            "shape": "ensemble",
+            "owner": "tight",
+            "cards": 1.0,
+            "together": True,
+            "loaners": False,
+        },
+        9.0,
+    ),
     ({"pieces": 3, "owner": "tight", "cards": 1.0}, 5.0),
     ({"pieces": 12, "rank": "best_effort", "bundle": "img-2"}, 10.0),
     ({"pieces": 3, "site": "south", "flavors": ["plain"]}, 4.0),
@@ -34,8 +53,22 @@
     rng = world.rng
     while world.clock() < calm_at:
         await curio.sleep(rng.uniform(1.0, 6.0))
-        what = rng.choice(["crash", "crash", "crash_all", "cut", "one_way", "loss", "outage",
-                           "hang", "die", "worker_cut", "held", "held"])
+        what = rng.choice(
+            [
+                "crash",
+                "crash",
+                "crash_all",
+                "cut",
+                "one_way",
+                "loss",
+                "outage",
+                "hang",
+                "die",
+                "worker_cut",
+                "held",
+                "held",
+            ]
+        )
         if what == "crash":
             await curio.spawn(restart, world, rng.choice(world.labels), daemon=True)
         elif what == "crash_all" and rng.random() < 0.3:
@@ -44,8 +77,11 @@
         elif what in ("cut", "one_way", "worker_cut"):
             a = rng.choice(world.labels)
             others = sorted(world.workers) or world.labels
-            entry = {"cut": a, "one_way": f"{a}>{rng.choice([*world.labels, 'state', 'cloud'])}",
-                     "worker_cut": rng.choice(others)}[what]
+            entry = {
+                "cut": a,
+                "one_way": f"{a}>{rng.choice([*world.labels, 'state', 'cloud'])}",
+                "worker_cut": rng.choice(others),
+            }[what]
             await curio.spawn(cut, world, entry, rng.uniform(2.0, 25.0), daemon=True)
         elif what == "held":
             await curio.spawn(held, world, rng.choice(world.labels), daemon=True)
@@ -104,9 +140,14 @@
 
 async def lower(world: World) -> None:
     """Moments after all are new, with whatever is still to be moved."""
-    while not any(c.upgraded and c.serving and not any(
-            h.wide or h.size > c.narrow_size < h.job.tasks for h in c.dispatch.homes.values())
-            for c in world.controllers.values()):
+    while not any(
+        c.upgraded
+        and c.serving
+        and not any(
+            h.wide or h.size > c.narrow_size < h.job.tasks for h in c.dispatch.homes.values()
+        )
+        for c in world.controllers.values()
+    ):
         await curio.sleep(0.2)
     await curio.sleep(world.rng.uniform(0.0, 20.0))
     world.state.limits.update(LOWER)
@@ -122,6 +163,7 @@
         number[0] += 1
         await world.submit(value, world.rng.uniform(2.0, 6.0))
         return str(value["id"])
+
     a = await one(rank="best_effort", pieces=40)
     b = await one(a, pieces=2)
     c = await one(a, shape="ensemble", pieces=2, together=True, loaners=False)
@@ -154,14 +196,17 @@
     while clock() < world.upgraded_at:
         await curio.sleep(1.0)
     await curio.spawn(world.submit, job(15, pieces=120, vcpus=1.0), 8.0, daemon=True)
-    lines = [await curio.spawn(pipeline, world, 100 * (n + 1), n % 2 == 0, daemon=True)
-             for n in range(PIPELINES_A_DAY)]
+    lines = [
+        await curio.spawn(pipeline, world, 100 * (n + 1), n % 2 == 0, daemon=True)
+        for n in range(PIPELINES_A_DAY)
+    ]
     end = clock() + 400.0
     while clock() < end and not world.broken:
         await curio.sleep(2.0)
         finite = [i for i in world.accepted if world.jobs[i]["shape"] != "daemon"]
         if all(t.terminated for t in lines) and all(
-                world.told.get(i) in ("done", "cancelled") for i in finite):
+            world.told.get(i) in ("done", "cancelled") for i in finite
+        ):
             break
     if not world.broken:
         await curio.sleep(40.0)
@@ -171,22 +216,37 @@
 LOWER = {"value_kb": 2.0, "txn_ops": 5}
 
 
-@pytest.mark.parametrize("seed, controllers, rebuild", [
-    (21, 3, False), (23, 3, False), (24, 3, False), (29, 5, False),
-    # The records get a history once all are new, and not before.
-    (21, 3, True), (24, 3, True), (29, 5, True)])
+@pytest.mark.parametrize(
+    "seed, controllers, rebuild",
+    [
+        (21, 3, False),
+        (23, 3, False),
+        (24, 3, False),
+        (29, 5, False),
+        # The records get a history once all are new, and not before.
+        (21, 3, True),
+        (24, 3, True),
+        (29, 5, True),
+    ],
+)
 def test_rules_hold_while_the_version_before_is_replaced(
-        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, seed: int,
-        controllers: int, rebuild: bool) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+    seed: int,
+    controllers: int,
+    rebuild: bool,
+) -> None:
     monkeypatch.setitem(SETTINGS, "state", {**SETTINGS["state"], "next": LOWER})
     world = simulate(monkeypatch, lambda clock: mixed(clock, seed, controllers, rebuild))
     assert world.broken == []
     assert ("c/lineage" in world.state.keys) == rebuild
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
     assert world.refused == [] and len(world.accepted) == 16 + 4 * PIPELINES_A_DAY
-    waiting = {i: world.told.get(i) for i in world.accepted
-               if world.jobs[i]["shape"] != "daemon"
-               and world.told.get(i) not in ("done", "cancelled")}
+    waiting = {
+        i: world.told.get(i)
+        for i in world.accepted
+        if world.jobs[i]["shape"] != "daemon" and world.told.get(i) not in ("done", "cancelled")
+    }
     assert waiting == {}, "all work gets done once things are calm"
     assert any(".0" in k for k in world.moved), "something was moved"
 
@@ -198,15 +258,17 @@
         await curio.sleep(2.0)
         finite = [i for i in world.accepted if world.jobs[i]["shape"] != "daemon"]
         if len(world.accepted) + len(world.lost or ()) == JOBS_A_DAY and all(
-                world.told.get(i) in ("done", "cancelled") for i in finite):
+            world.told.get(i) in ("done", "cancelled") for i in finite
+        ):
             break
     if not world.broken:
         await curio.sleep(40.0)  # long enough for a cancelled task to be seen
     return world
 
 
-async def work(world: World, then: Callable[[int], Coroutine[Any, Any, None]] | None = None
-               ) -> None:
+async def work(
+    world: World, then: Callable[[int], Coroutine[Any, Any, None]] | None = None
+) -> None:
     """The day's jobs, one after another, and some of them cancelled; `then` after each."""
     aborted = []
     for number in range(JOBS_A_DAY):
@@ -230,19 +292,28 @@
     return await until_over(world)
 
 
-@pytest.mark.parametrize("seed, troubled, controllers", [
-    (1, False, 3), *((s, True, 3) for s in range(2, 8)), (8, True, 5), (9, True, 5)])
-def test_rules_hold(monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture,
-                    seed: int, troubled: bool, controllers: int) -> None:
+@pytest.mark.parametrize(
+    "seed, troubled, controllers",
+    [(1, False, 3), *((s, True, 3) for s in range(2, 8)), (8, True, 5), (9, True, 5)],
+)
+def test_rules_hold(
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+    seed: int,
+    troubled: bool,
+    controllers: int,
+) -> None:
     world = simulate(monkeypatch, lambda clock: day(clock, seed, troubled, controllers))
     assert world.broken == []
     # A request that can't be packed, or a routine that fails, is only logged.
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
     assert len(world.accepted) == JOBS_A_DAY
     assert world.launches > 0
-    waiting = {i: world.told.get(i) for i in world.accepted
-               if world.jobs[i]["shape"] != "daemon"
-               and world.told.get(i) not in ("done", "cancelled")}
+    waiting = {
+        i: world.told.get(i)
+        for i in world.accepted
+        if world.jobs[i]["shape"] != "daemon" and world.told.get(i) not in ("done", "cancelled")
+    }
     assert waiting == {}, "all work gets done once things are calm"
 
 
@@ -263,8 +334,9 @@
 
 async def held_launch_of_a_cancelled_job(clock: Clock) -> World:
     """A launch is on its way to the worker, for longer than a cancellation may take."""
-    world = await started(clock, 1, job(1, pieces=1, loaners=False),
-                          job(2, pieces=3, loaners=False))  # so that the machine stays
+    world = await started(
+        clock, 1, job(1, pieces=1, loaners=False), job(2, pieces=3, loaners=False)
+    )  # so that the machine stays
     world.hold_s = (45.0, 45.0)
     world.held.update(world.labels)
     while not any(k.startswith("run/j-000001/") for k in world.state.keys):
@@ -279,14 +351,16 @@
 
 async def launch_sent_twice(clock: Clock) -> World:
     """The second copy of a launch reaches the owner when the replica has moved."""
-    world = await started(clock, 2, job(1, pieces=1, shape="daemon", loaners=False),
-                          job(2, pieces=8, loaners=False))
+    world = await started(
+        clock, 2, job(1, pieces=1, shape="daemon", loaners=False), job(2, pieces=8, loaners=False)
+    )
     world.hold_s = (30.0, 30.0)
     world.doubled.add(peerwire.LAUNCH)
     key = ("j-000001/0", 1)
 
     def on() -> list[Any]:
         return [w for w in world.workers.values() if any(k[0] == key[0] for k in w.on())]
+
     while not on():
         await curio.sleep(0.1)
         for c in world.controllers.values():
@@ -319,6 +393,7 @@
         if len(puts.get("c/generation", {"members": ""})["members"]) == 3:
             assert answer[0] == 200 and commit(first[0])[0] == 409
         return answer
+
     world.state.commit = twice  # type: ignore[method-assign]
     for label in world.labels:
         await world.start(label)
@@ -336,6 +411,7 @@
 @pytest.mark.parametrize("controllers", [3, 5])
 def test_a_day_repeats(monkeypatch: pytest.MonkeyPatch, controllers: int) -> None:
     """The same seed gives the same day: a verdict that changes from run to run is none."""
+
     async def short(clock: Clock) -> World:
         world = World(clock, 12, controllers)
         await world.open()
@@ -345,6 +421,7 @@
             await curio.spawn(world.submit, job(number, **fields), run_s, daemon=True)
         await curio.sleep(40.0)
         return world
+
     found = set()
     kept = []  # so that the second day's objects lie elsewhere
     for _ in range(2):
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -34,8 +34,9 @@
 
 
 def made(number: int, *needs: int, **fields: Any) -> Job:
-    return msgspec.convert(job(number, prereqs=[f"j-{n:06d}" for n in needs] or None, **fields),
-                           Job)
+    return msgspec.convert(
+        job(number, prereqs=[f"j-{n:06d}" for n in needs] or None, **fields), Job
+    )
 
 
 def name(number: int) -> str:
@@ -44,26 +45,30 @@
 
 # -- the graph ---------------------------------------------------------------
 
+
 # Steps: (job, needs...) is accepted, "d3" job 3 is done, "c3" it is cancelled.
-@pytest.mark.parametrize("steps, waiting, doomed", [
-    ([(1,), (2, 1)], {2}, set()),
-    ([(1,), (2, 1), "d1"], set(), set()),
-    ([(1,), "d1", (2, 1)], set(), set()),
-    ([(2, 1), "d1"], set(), set()),                       # seen before what it needs
-    ([(2, 1), (1,), "d1"], set(), set()),
-    ([(1,), (2,), (3, 1, 2), "d1"], {3}, set()),
-    ([(1,), (2,), (3, 1, 2), "d1", "d2"], set(), set()),
-    ([(1,), (2, 1, 1), "d1"], set(), set()),              # named twice
-    ([(1,), (2, 1), "c1"], {2}, {2}),
-    ([(1,), "c1", (2, 1)], {2}, {2}),
-    ([(1,), (2, 1), (3, 2), (4, 3), "c1"], {2, 3, 4}, {2, 3, 4}),
-    ([(1,), (2, 1), (3, 1), (4, 2, 3), "c2"], {3, 4}, {4}),   # the other branch goes on
-    ([(1,), (2, 1), (3, 2), "c1", (4, 3)], {2, 3, 4}, {2, 3, 4}),
-    ([(1,), (3, 2), "c1", (2, 1)], {2, 3}, {2, 3}),       # the link between comes last
-    ([(1,), (2, 1), "c1", "c2"], set(), set()),
-    ([(1,), (2, 1), "c1", "d1"], {2}, {2}),               # final records never change
-    ([(1,), (2, 1), "c2"], set(), set()),                 # what it needs is left alone
-])
+@pytest.mark.parametrize(
+    "steps, waiting, doomed",
+    [
+        ([(1,), (2, 1)], {2}, set()),
+        ([(1,), (2, 1), "d1"], set(), set()),
+        ([(1,), "d1", (2, 1)], set(), set()),
+        ([(2, 1), "d1"], set(), set()),  # seen before what it needs
+        ([(2, 1), (1,), "d1"], set(), set()),
+        ([(1,), (2,), (3, 1, 2), "d1"], {3}, set()),
+        ([(1,), (2,), (3, 1, 2), "d1", "d2"], set(), set()),
+        ([(1,), (2, 1, 1), "d1"], set(), set()),  # named twice
+        ([(1,), (2, 1), "c1"], {2}, {2}),
+        ([(1,), "c1", (2, 1)], {2}, {2}),
+        ([(1,), (2, 1), (3, 2), (4, 3), "c1"], {2, 3, 4}, {2, 3, 4}),
+        ([(1,), (2, 1), (3, 1), (4, 2, 3), "c2"], {3, 4}, {4}),  # the other branch goes on
+        ([(1,), (2, 1), (3, 2), "c1", (4, 3)], {2, 3, 4}, {2, 3, 4}),
+        ([(1,), (3, 2), "c1", (2, 1)], {2, 3}, {2, 3}),  # the link between comes last
+        ([(1,), (2, 1), "c1", "c2"], set(), set()),
+        ([(1,), (2, 1), "c1", "d1"], {2}, {2}),  # final records never change
+        ([(1,), (2, 1), "c2"], set(), set()),  # what it needs is left alone
+    ],
+)
 def test_ready_and_doomed(steps: list[Any], waiting: set[int], doomed: set[int]) -> None:
     pipes = Pipelines(1.0, 0.0)
     for step in steps:
@@ -92,25 +97,43 @@
 LAST = {"rank": "high", "due_s": 100.0, "guess_s": 8.0, "image_gb": 1.0}
 
 
-@pytest.mark.parametrize("jobs, ends, found", [
-    # job: (rank, time left from when it was ready); a run of 8 s and a fetch of 1 s each
-    ([made(1), made(2, 1), made(3, 2, **LAST)], {}, {1: (2, 82.0), 2: (2, 91.0), 3: (2, 100.0)}),
-    ([made(3, 2, **LAST), made(2, 1), made(1)], {}, {1: (2, 82.0), 2: (2, 91.0), 3: (2, 100.0)}),
-    ([made(1), made(2, 1), made(3, 2, **LAST)], {1: 30.0}, {2: (2, 61.0), 3: (2, 100.0)}),
-    # One serves two: the more urgent counts, and when that one has gone the other.
-    ([made(1), made(2, 1, **LAST), made(3, 1, **{**LAST, "due_s": 40.0})], {},
-     {1: (2, 31.0), 2: (2, 100.0), 3: (2, 40.0)}),
-    ([made(1), made(2, 1, **LAST), made(3, 1, **{**LAST, "due_s": 40.0})], {3: 5.0},
-     {1: (2, 91.0), 2: (2, 100.0)}),
-    ([made(1), made(2, 1, **LAST)], {2: 5.0}, {1: (1, None)}),
-    # Its own deadline, or its class's time, may come first.
-    ([made(1, due_s=20.0), made(2, 1, **LAST)], {}, {1: (2, 20.0), 2: (2, 100.0)}),
-    ([made(1, jobclass="timed"), made(2, 1, **LAST)], {}, {1: (2, 50.0), 2: (2, 100.0)}),
-    # What asks for nothing changes nothing.
-    ([made(1, rank="production"), made(2, 1)], {}, {1: (3, None), 2: (1, None)}),
-])
-def test_urgency_reaches_back(jobs: list[Job], ends: dict[int, float],
-                              found: dict[int, tuple[int, float | None]]) -> None:
+@pytest.mark.parametrize(
+    "jobs, ends, found",
+    [
+        # job: (rank, time left from when it was ready); a run of 8 s and a fetch of 1 s each
+        (
+            [made(1), made(2, 1), made(3, 2, **LAST)],
+            {},
+            {1: (2, 82.0), 2: (2, 91.0), 3: (2, 100.0)},
+        ),
+        (
+            [made(3, 2, **LAST), made(2, 1), made(1)],
+            {},
+            {1: (2, 82.0), 2: (2, 91.0), 3: (2, 100.0)},
+        ),
+        ([made(1), made(2, 1), made(3, 2, **LAST)], {1: 30.0}, {2: (2, 61.0), 3: (2, 100.0)}),
+        # One serves two: the more urgent counts, and when that one has gone the other.
+        (
+            [made(1), made(2, 1, **LAST), made(3, 1, **{**LAST, "due_s": 40.0})],
+            {},
+            {1: (2, 31.0), 2: (2, 100.0), 3: (2, 40.0)},
+        ),
+        (
+            [made(1), made(2, 1, **LAST), made(3, 1, **{**LAST, "due_s": 40.0})],
+            {3: 5.0},
+            {1: (2, 91.0), 2: (2, 100.0)},
+        ),
+        ([made(1), made(2, 1, **LAST)], {2: 5.0}, {1: (1, None)}),
+        # Its own deadline, or its class's time, may come first.
+        ([made(1, due_s=20.0), made(2, 1, **LAST)], {}, {1: (2, 20.0), 2: (2, 100.0)}),
+        ([made(1, jobclass="timed"), made(2, 1, **LAST)], {}, {1: (2, 50.0), 2: (2, 100.0)}),
+        # What asks for nothing changes nothing.
+        ([made(1, rank="production"), made(2, 1)], {}, {1: (3, None), 2: (1, None)}),
+    ],
+)
+def test_urgency_reaches_back(
+    jobs: list[Job], ends: dict[int, float], found: dict[int, tuple[int, float | None]]
+) -> None:
     pipes = Pipelines(1.0, 0.0)
     for one in jobs:
         pipes.add(one, 0.0)
@@ -144,27 +167,46 @@
     return world
 
 
-@pytest.mark.parametrize("prereqs, status", [
-    (None, 201), ([], 201), (["j-000001"], 201), (["j-000001", "j-000001"], 201),
-    (["j-000002"], 201),                       # done
-    (["j-000003"], 201),                       # cancelled
-    (["j-000009"], 422),                       # never accepted
-    (["j-000001", "j-000009"], 422), (["j-000008", "j-000009"], 422),
-    (["j-000100"], 422),                       # itself
-    (["j-000004"], 422),                       # a service would never be done
-    (["elsewhere"], 400), ("j-000001", 400), ([1], 400), ([None], 400), ({}, 400),
-    ([f"j-{n:06d}" for n in range(1000)], 400),    # no record would hold it
-    ([f"j-{n:06d}" for n in range(1001)], 400),
-])
-def test_what_a_submission_may_name(monkeypatch: pytest.MonkeyPatch, prereqs: Any, status: int
-                                    ) -> None:
+@pytest.mark.parametrize(
+    "prereqs, status",
+    [
+        (None, 201),
+        ([], 201),
+        (["j-000001"], 201),
+        (["j-000001", "j-000001"], 201),
+        (["j-000002"], 201),  # done
+        (["j-000003"], 201),  # cancelled
+        (["j-000009"], 422),  # never accepted
+        (["j-000001", "j-000009"], 422),
+        (["j-000008", "j-000009"], 422),
+        (["j-000100"], 422),  # itself
+        (["j-000004"], 422),  # a service would never be done
+        (["elsewhere"], 400),
+        ("j-000001", 400),
+        ([1], 400),
+        ([None], 400),
+        ({}, 400),
+        ([f"j-{n:06d}" for n in range(1000)], 400),  # no record would hold it
+        ([f"j-{n:06d}" for n in range(1001)], 400),
+    ],
+)
+def test_what_a_submission_may_name(
+    monkeypatch: pytest.MonkeyPatch, prereqs: Any, status: int
+) -> None:
     async def main(clock: Clock) -> list[int]:
         world = await settled(clock)
         c = controller(world)
         for number, fields in ((1, {}), (2, {}), (3, {}), (4, {"shape": "daemon"})):
             await world.submit(job(number, **fields), 1e9)
-        world.state.commit({"when": [], "writes": [
-            {"remove": live_key(name(2))}, {"write": end_key(name(2)), "data": {"s": "done"}}]})
+        world.state.commit(
+            {
+                "when": [],
+                "writes": [
+                    {"remove": live_key(name(2))},
+                    {"write": end_key(name(2)), "data": {"s": "done"}},
+                ],
+            }
+        )
         await world.abort(name(3))
         await curio.sleep(0.5)
         body = msgspec.json.encode(job(100, prereqs=prereqs))
@@ -172,20 +214,29 @@
         for forget in (False, True):
             if forget:  # as after a restart, and before its watch has caught up
                 if status == 201:
-                    world.state.commit({"when": [], "writes": [
-                        {"remove": live_key(name(100))}, {"remove": end_key(name(100))}]})
+                    world.state.commit(
+                        {
+                            "when": [],
+                            "writes": [
+                                {"remove": live_key(name(100))},
+                                {"remove": end_key(name(100))},
+                            ],
+                        }
+                    )
                 for known in (c.live, c.ended, c.pipes.links, c.pipes.ends):
                     known.clear()
             found.append((await c.api.handle("POST", "/api/jobs", body))[0])
         # A repeated submission is not refused, whatever it says by now.
         found.append((await c.api.handle("POST", "/api/jobs", body))[0])
         return found
+
     again = 200 if status == 201 else status
     assert simulate(monkeypatch, main) == [status, status, again]
 
 
 def test_prereqs_are_refused_until_all_are_new(monkeypatch: pytest.MonkeyPatch) -> None:
     """The version in production would start the job at once."""
+
     async def main(clock: Clock) -> Any:
         world = World(clock, 1, 2)
         world.old.add("c1")
@@ -205,6 +256,7 @@
             assert [c.upgraded for c in world.controllers.values()] == [not old] * 2
         after = await world.controllers["c0"].api.handle("POST", "/api/jobs", body)
         return before[0], before[2], after[0]
+
     assert simulate(monkeypatch, main) == (503, [("Retry-After", "1")], 201)
 
 
@@ -212,9 +264,11 @@
 
 
 @pytest.mark.parametrize("scene", ["crash", "crash_all", "outage", "late"])
-def test_cancellation_reaches_all_that_need_the_job(monkeypatch: pytest.MonkeyPatch, scene: str
-                                                    ) -> None:
+def test_cancellation_reaches_all_that_need_the_job(
+    monkeypatch: pytest.MonkeyPatch, scene: str
+) -> None:
     """Whoever is home to them cancels them, from the records alone."""
+
     async def main(clock: Clock) -> World:
         world = await settled(clock, 3)
         await curio.spawn(world.watch_rules, daemon=True)
@@ -246,6 +300,7 @@
         ends = {k: v[0]["s"] for k, v in world.state.keys.items() if k.startswith("end/")}
         assert set(ends.values()) == {"cancelled"} and len(ends) == len(world.accepted)
         return world
+
     assert simulate(monkeypatch, main).broken == []
 
 
@@ -258,13 +313,21 @@
         monkeypatch.setattr(c.mirror, "_apply", lambda change: None)  # the watch tells nothing more
         await curio.sleep(1.0)
         c.dispatch.homes[name(1)].ended = "done"  # another home would have done it
-        world.state.commit({"when": [], "writes": [
-            {"remove": live_key(name(1))}, {"write": end_key(name(1)), "data": {"s": "done"}}]})
+        world.state.commit(
+            {
+                "when": [],
+                "writes": [
+                    {"remove": live_key(name(1))},
+                    {"write": end_key(name(1)), "data": {"s": "done"}},
+                ],
+            }
+        )
         world.results[name(1)] = {0}
         before = clock()
         while c.dispatch.homes[name(2)].blocked:
             await curio.sleep(0.5)
         return clock() - before
+
     assert simulate(monkeypatch, main) < 20.0
 
 
@@ -273,10 +336,10 @@
 # As the version before writes them, byte for byte.
 BEFORE = {
     "live": '{"j":{"id":"j-000001","jobclass":"batch","owner":"free","shape":"sweep",'
-            '"rank":"normal","pieces":200,"vcpus":2.0,"cards":0.0,"ram_gb":4.0,"bundle":"img-1",'
-            '"image_gb":1.0,"together":false,"scatter":false,"loaners":true,"guess_s":8.0,'
-            '"snapshot_every_s":0.0,"snapshot_s":0.0,"flavors":null,"site":null,"due_s":null,'
-            '"aimless":false}}',
+    '"rank":"normal","pieces":200,"vcpus":2.0,"cards":0.0,"ram_gb":4.0,"bundle":"img-1",'
+    '"image_gb":1.0,"together":false,"scatter":false,"loaners":true,"guess_s":8.0,'
+    '"snapshot_every_s":0.0,"snapshot_s":0.0,"flavors":null,"site":null,"due_s":null,'
+    '"aimless":false}}',
     "chunk": '{"a":[[131,4,"i-000001"],[199,5,"i-000002"]],"d":[[132,140],[150,150]],"n":5}',
     "done": '{"s":"done"}',
     "cancelled": '{"s":"cancelled","j":{"id":"j-000001"}}',
@@ -290,14 +353,17 @@
     assert chunk.assigned == {131: (4, "i-000001"), 199: (5, "i-000002")}
     assert json.dumps(chunk.value(), separators=(",", ":")) == BEFORE["chunk"]
     assert [ended(json.loads(BEFORE[k])) for k in ("done", "cancelled")] == [
-        ("done", None), ("cancelled", None)]
+        ("done", None),
+        ("cancelled", None),
+    ]
 
 
 def test_records_written_now_are_what_the_version_before_reads() -> None:
     """It takes these keys, whatever else there is, and no others."""
     value = live_value(made(1), 5.0)
-    needed = {k for k, v in json.loads(BEFORE["live"])["j"].items()
-              if v is not None and k != "aimless"}
+    needed = {
+        k for k, v in json.loads(BEFORE["live"])["j"].items() if v is not None and k != "aimless"
+    }
     assert needed <= set(value["j"]) and set(value) == {"j", "t"}
     assert end_value("done", 5.0) == {"s": "done", "t": 5.0}
     hj = HomeJob(made(1, pieces=200), 1, chunk_size(8.0), 0.0)
@@ -305,41 +371,91 @@
     assert hj.size == 131
 
 
-@pytest.mark.parametrize("raw, kind, values", [
-    ("c1a702010000000100000030" "000000026330" "0000000000000003" "01" "0000000000000007"
-     "00000001" "000000016a" "00000002" "4000000000000000" "00000000",
-     peerwire.PING, ("c0", 3, True, 7, [("j", 2, 2.0, "")])),
-    ("c1a702020000000100000017" "000000026330" "0000000000000003" "01" "0000000000000007",
-     peerwire.PONG, ("c0", 3, True, 7)),
-    ("c1a70203000000010000002b" "0000000000000003" "000000086a2d303030303031" "0000000000000002"
-     "00000001" "00000003692d31" "00000005",
-     peerwire.RESERVE, (3, "j-000001", 2, [("i-1", 5)])),
-    ("c1a702040000000100000006" "01" "00000001" "01", peerwire.RESERVED, (True, [(True,)])),
-    ("c1a702050000000100000029" "0000000000000003" "00000001" "00000003692d31"
-     "0000000a6a2d3030303030312f35" "0000000000000002",
-     peerwire.LAUNCH, (3, [("i-1", "j-000001/5", 2)])),
-    ("c1a702060000000100000032" "0000000000000003" "00000001" "00000003692d31"
-     "0000000a6a2d3030303030312f35" "0000000000000002" "3ff8000000000000" "00",
-     peerwire.STOP, (3, [("i-1", "j-000001/5", 2, 1.5, False)])),
-    ("c1a702080000000100000001" "01", peerwire.ACK, (True,)),
-    ("c1a70209000000010000000c" "0000000000000003" "00000000", peerwire.STATES, (3, [])),
-    ("c1a7020d0000000100000019" "000000086a2d303030303031" "0000000963616e63656c6c6564",
-     peerwire.ENDED, ("j-000001", "cancelled")),
-])
+@pytest.mark.parametrize(
+    "raw, kind, values",
+    [
+        (
+            "c1a702010000000100000030"
+            "000000026330"
+            "0000000000000003"
+            "01"
+            "0000000000000007"
+            "00000001"
+            "000000016a"
+            "00000002"
+            "4000000000000000"
+            "00000000",
+            peerwire.PING,
+            ("c0", 3, True, 7, [("j", 2, 2.0, "")]),
+        ),
+        (
+            "c1a7020200000001000000170000000263300000000000000003010000000000000007",
+            peerwire.PONG,
+            ("c0", 3, True, 7),
+        ),
+        (
+            "c1a70203000000010000002b"
+            "0000000000000003"
+            "000000086a2d303030303031"
+            "0000000000000002"
+            "00000001"
+            "00000003692d31"
+            "00000005",
+            peerwire.RESERVE,
+            (3, "j-000001", 2, [("i-1", 5)]),
+        ),
+        ("c1a702040000000100000006010000000101", peerwire.RESERVED, (True, [(True,)])),
+        (
+            "c1a702050000000100000029"
+            "0000000000000003"
+            "00000001"
+            "00000003692d31"
+            "0000000a6a2d3030303030312f35"
+            "0000000000000002",
+            peerwire.LAUNCH,
+            (3, [("i-1", "j-000001/5", 2)]),
+        ),
+        (
+            "c1a702060000000100000032"
+            "0000000000000003"
+            "00000001"
+            "00000003692d31"
+            "0000000a6a2d3030303030312f35"
+            "0000000000000002"
+            "3ff8000000000000"
+            "00",
+            peerwire.STOP,
+            (3, [("i-1", "j-000001/5", 2, 1.5, False)]),
+        ),
+        ("c1a70208000000010000000101", peerwire.ACK, (True,)),
+        ("c1a70209000000010000000c000000000000000300000000", peerwire.STATES, (3, [])),
+        (
+            "c1a7020d0000000100000019000000086a2d3030303030310000000963616e63656c6c6564",
+            peerwire.ENDED,
+            ("j-000001", "cancelled"),
+        ),
+    ],
+)
 def test_frames_are_those_of_the_version_before(raw: str, kind: int, values: Any) -> None:
     """It drops a connection that brings another version, kind, or bytes left over."""
     frame = bytes.fromhex(raw)
-    found, number, size = peerwire.decode_header(frame[:peerwire.HEADER.size])
-    body = frame[peerwire.HEADER.size:]
+    found, number, size = peerwire.decode_header(frame[: peerwire.HEADER.size])
+    body = frame[peerwire.HEADER.size :]
     assert (found, size) == (kind, len(body))
     assert peerwire.decode_body(kind, body) == values
     assert peerwire.encode(kind, number, values) == frame
 
 
-@pytest.mark.parametrize("key, found", [
-    ("run/j-000001/00003", ("j-000001", 0, 3)), ("run/j-000001/32.00003", ("j-000001", 32, 3)),
-    ("run/j-000001", None), ("run/j-000001/x", None), ("run/j-000001/x.3", None),
-])
+@pytest.mark.parametrize(
+    "key, found",
+    [
+        ("run/j-000001/00003", ("j-000001", 0, 3)),
+        ("run/j-000001/32.00003", ("j-000001", 32, 3)),
+        ("run/j-000001", None),
+        ("run/j-000001/x", None),
+        ("run/j-000001/x.3", None),
+    ],
+)
 def test_keys_of_chunks(key: str, found: tuple[str, int, int] | None) -> None:
     if found is None:
         with pytest.raises(ValueError):
@@ -378,14 +494,18 @@
 
 
 def tasks_of(hj: HomeJob) -> tuple[dict[int, tuple[int, str]], set[int], int]:
-    return ({n: (a, m) for n, a, m in hj.assignments()},
-            {n for c in hj.chunks.values() for n in c.done}, hj.attempt)
+    return (
+        {n: (a, m) for n, a, m in hj.assignments()},
+        {n for c in hj.chunks.values() for n in c.done},
+        hj.attempt,
+    )
 
 
 @pytest.mark.parametrize("value_kb, least_kb, ops", [(32.0, 2.0, 10), (8.0, 2.0, 5), (8.0, 1.0, 4)])
 @pytest.mark.parametrize("ends_after", [0, 1, 2, 3, 7, 12, 100])
-def test_a_move_that_ends_anywhere_goes_on(value_kb: float, least_kb: float, ops: int,
-                                           ends_after: int) -> None:
+def test_a_move_that_ends_anywhere_goes_on(
+    value_kb: float, least_kb: float, ops: int, ends_after: int
+) -> None:
     """Task for task, whatever has been written when its controller ends."""
     pieces, store = 1200, Store()
     hj = store.home(pieces, value_kb)
@@ -456,20 +576,32 @@
     assert (kept.team, kept.cpus, kept.tasks) == ("free", 2.0, 3)
 
 
-@pytest.mark.parametrize("coming, least, error", [
-    (None, (250.0, 100.0, 8.0, 16), ""), ({}, (250.0, 100.0, 8.0, 16), ""),
-    ({"value_kb": 2.0, "txn_ops": 5, "write_rps": 70.0}, (250.0, 70.0, 2.0, 5), ""),
-    ({"value_kb": 64.0, "rps": 300.0}, (250.0, 100.0, 8.0, 16), ""),
-    ({"else": 1}, (250.0, 100.0, 8.0, 16), ""),
-    ({"txn_ops": 3}, None, "txn_ops"), ({"value_kb": 0}, None, "value_kb"),
-    ({"write_rps": "many"}, None, "write_rps"), ([], None, "next"),
-])
+@pytest.mark.parametrize(
+    "coming, least, error",
+    [
+        (None, (250.0, 100.0, 8.0, 16), ""),
+        ({}, (250.0, 100.0, 8.0, 16), ""),
+        ({"value_kb": 2.0, "txn_ops": 5, "write_rps": 70.0}, (250.0, 70.0, 2.0, 5), ""),
+        ({"value_kb": 64.0, "rps": 300.0}, (250.0, 100.0, 8.0, 16), ""),
+        ({"else": 1}, (250.0, 100.0, 8.0, 16), ""),
+        ({"txn_ops": 3}, None, "txn_ops"),
+        ({"value_kb": 0}, None, "value_kb"),
+        ({"write_rps": "many"}, None, "write_rps"),
+        ([], None, "next"),
+    ],
+)
 def test_limits_to_come(coming: Any, least: Any, error: str) -> None:
     state = {**SETTINGS["state"], "next": coming}
-    raw = json.dumps({
-        "label": "c0", "bind": "127.0.0.1:1", "peer_bind": "127.0.0.1:2", "members": [],
-        "services": {"cloud": "cloud:1", "state": "state:1"},
-        "cluster": {"size": 1, **SETTINGS, "state": state}}).encode()
+    raw = json.dumps(
+        {
+            "label": "c0",
+            "bind": "127.0.0.1:1",
+            "peer_bind": "127.0.0.1:2",
+            "members": [],
+            "services": {"cloud": "cloud:1", "state": "state:1"},
+            "cluster": {"size": 1, **SETTINGS, "state": state},
+        }
+    ).encode()
     if error:
         with pytest.raises(ConfigError, match=error):
             parse(raw)
@@ -480,7 +612,8 @@
 
 @pytest.mark.parametrize("age, stops", [(0.0, 0), (15.0, 0), (60.0, 1)])
 def test_a_rank_from_others_stops_their_lower_ranks_only_in_need(
-        monkeypatch: pytest.MonkeyPatch, age: float, stops: int) -> None:
+    monkeypatch: pytest.MonkeyPatch, age: float, stops: int
+) -> None:
     """A tenth of all tasks on a saturated fleet were stopped for jobs with time to spare."""
     home = Home(monkeypatch)
     c = home.c
@@ -492,16 +625,20 @@
     assert c.placer._stops(last, 0.0, True) == 1
 
 
-@pytest.mark.parametrize("said, rev, upgraded", [
-    ({"c0": (2, 5), "c1": (2, 7)}, 8, True),
-    ({"c0": (2, 5), "c1": (2, 7)}, 7, False),  # may hold what the last one's
-    ({"c0": (2, 5), "c1": (2, 7)}, 6, False),  # predecessor has on its way
-    ({"c0": (2, 5)}, 9, False),                # silent, and perhaps old
-    ({"c0": (2, 5), "c1": (1, 6)}, 9, False),
-    ({"c0": (3, 5), "c1": (2, 7), "gone": (1, 8)}, 9, True),
-])
-def test_when_all_are_new(monkeypatch: pytest.MonkeyPatch, said: dict[str, tuple[int, int]],
-                          rev: int, upgraded: bool) -> None:
+@pytest.mark.parametrize(
+    "said, rev, upgraded",
+    [
+        ({"c0": (2, 5), "c1": (2, 7)}, 8, True),
+        ({"c0": (2, 5), "c1": (2, 7)}, 7, False),  # may hold what the last one's
+        ({"c0": (2, 5), "c1": (2, 7)}, 6, False),  # predecessor has on its way
+        ({"c0": (2, 5)}, 9, False),  # silent, and perhaps old
+        ({"c0": (2, 5), "c1": (1, 6)}, 9, False),
+        ({"c0": (3, 5), "c1": (2, 7), "gone": (1, 8)}, 9, True),
+    ],
+)
+def test_when_all_are_new(
+    monkeypatch: pytest.MonkeyPatch, said: dict[str, tuple[int, int]], rev: int, upgraded: bool
+) -> None:
     """Every controller of the settings, and a generation that began after they had said so."""
     c = Home(monkeypatch).c
     assert set(c.settings.labels) == {"c0", "c1"}
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -23,29 +23,51 @@
     return msgspec.convert(wire_job(number, **fields), Job)
 
 
-def room(name: str = "m1", kind: MachineType = PLAIN, zone: str = "north", spot: bool = False,
-         images: tuple[str, ...] = (), **fields: Any) -> Room:
-    found = Room(name, "", kind.name, zone, spot, True, kind.cpus, kind.gpus, kind.memory_gb, 0,
-                 images, 0.0, "c0")
+def room(
+    name: str = "m1",
+    kind: MachineType = PLAIN,
+    zone: str = "north",
+    spot: bool = False,
+    images: tuple[str, ...] = (),
+    **fields: Any,
+) -> Room:
+    found = Room(
+        name,
+        "",
+        kind.name,
+        zone,
+        spot,
+        True,
+        kind.cpus,
+        kind.gpus,
+        kind.memory_gb,
+        0,
+        images,
+        0.0,
+        "c0",
+    )
     for key, value in fields.items():
         setattr(found, key, value)
     return found
 
 
-@pytest.mark.parametrize("fields, where, placed", [
-    ({}, {}, 3),
-    ({"pieces": 9}, {}, 4),                                   # 8 CPUs hold four of two
-    ({"flavors": ["accel"]}, {}, 0),
-    ({"site": "south"}, {}, 0),
-    ({"loaners": False}, {"spot": True}, 0),
-    ({"ram_gb": 30.0}, {}, 2),                                # memory is short first
-    ({"cards": 1.0}, {}, 0),
-    ({}, {"open": False}, 0),
-    ({}, {"hold": "j-000002"}, 0),                            # kept for another job
-    ({}, {"hold": "j-000001"}, 3),
-    ({"pieces": 9, "shape": "ensemble"}, {}, 0),              # whole or not at all
-    ({"pieces": 4, "shape": "ensemble"}, {}, 4),
-])
+@pytest.mark.parametrize(
+    "fields, where, placed",
+    [
+        ({}, {}, 3),
+        ({"pieces": 9}, {}, 4),  # 8 CPUs hold four of two
+        ({"flavors": ["accel"]}, {}, 0),
+        ({"site": "south"}, {}, 0),
+        ({"loaners": False}, {"spot": True}, 0),
+        ({"ram_gb": 30.0}, {}, 2),  # memory is short first
+        ({"cards": 1.0}, {}, 0),
+        ({}, {"open": False}, 0),
+        ({}, {"hold": "j-000002"}, 0),  # kept for another job
+        ({}, {"hold": "j-000001"}, 3),
+        ({"pieces": 9, "shape": "ensemble"}, {}, 0),  # whole or not at all
+        ({"pieces": 4, "shape": "ensemble"}, {}, 4),
+    ],
+)
 def test_place(fields: dict[str, Any], where: dict[str, Any], placed: int) -> None:
     job = make(**fields)
     there = room(**where)
@@ -54,15 +76,18 @@
     assert there.cpus == before[0] - placed * job.cpus  # subtracted at once, and only then
 
 
-@pytest.mark.parametrize("fields, others, zones", [
-    ({"together": True}, ["south"], ["south"]),
-    ({"together": True}, [None], []),                        # may be anywhere: wait
-    ({"together": True}, [], ["north", "south"]),
-    ({"scatter": True, "pieces": 1}, [], ["north", "south"]),
-    ({"scatter": True, "pieces": 4}, ["north", "north"], ["south"]),
-    ({"scatter": True, "pieces": 5}, ["north", "north"], ["north", "south"]),
-    ({"scatter": True, "pieces": 2}, [None], []),            # counts against every zone
-])
+@pytest.mark.parametrize(
+    "fields, others, zones",
+    [
+        ({"together": True}, ["south"], ["south"]),
+        ({"together": True}, [None], []),  # may be anywhere: wait
+        ({"together": True}, [], ["north", "south"]),
+        ({"scatter": True, "pieces": 1}, [], ["north", "south"]),
+        ({"scatter": True, "pieces": 4}, ["north", "north"], ["south"]),
+        ({"scatter": True, "pieces": 5}, ["north", "north"], ["north", "south"]),
+        ({"scatter": True, "pieces": 2}, [None], []),  # counts against every zone
+    ],
+)
 def test_zones(fields: dict[str, Any], others: list[str | None], zones: list[str]) -> None:
     spread = Spread(make(**fields), others)
     assert [z for z in ("north", "south") if spread.allows(z)] == zones
@@ -79,8 +104,10 @@
 
 def test_controllers_with_equal_snapshots_do_not_herd() -> None:
     job = make(pieces=1)
-    first = {place(job, 1, Index(salt, [room(f"m{i}") for i in range(8)]),
-                   Spread(job, ()))[0].machine for salt in ("c0", "c1", "c2", "c3", "c4")}
+    first = {
+        place(job, 1, Index(salt, [room(f"m{i}") for i in range(8)]), Spread(job, ()))[0].machine
+        for salt in ("c0", "c1", "c2", "c3", "c4")
+    }
     assert len(first) > 1
 
 
@@ -103,8 +130,9 @@
 
 
 @pytest.mark.parametrize("images, machine", [((), "s1"), (("img-1",), "n1")])
-def test_a_gang_of_one_leaves_pairs_of_machines_together(images: tuple[str, ...], machine: str
-                                                         ) -> None:
+def test_a_gang_of_one_leaves_pairs_of_machines_together(
+    images: tuple[str, ...], machine: str
+) -> None:
     rooms = [room("n1", images=images), room("n2"), room("s1", zone="south")]
     job = make(pieces=1, shape="ensemble", together=True, vcpus=8.0)
     assert [r.machine for r in place(job, 1, Index("", rooms), Spread(job, ()))] == [machine]
@@ -117,8 +145,9 @@
 def test_what_would_be_late_if_lost_keeps_off_spot_machines(fragile: bool, first: str) -> None:
     job = make(pieces=5)
     rooms = [room("cheap", spot=True, images=("img-1",)), room("plain")]
-    chosen = [r.machine for r in place(job, 5, Index("", rooms), Spread(job, ()), None, False,
-                                       fragile)]
+    chosen = [
+        r.machine for r in place(job, 5, Index("", rooms), Spread(job, ()), None, False, fragile)
+    ]
     assert len(chosen) == 5 and chosen[0] == first  # preferred, not required
     rooms = [room("cheap", spot=True), room("plain")]
     for each in rooms:
@@ -127,10 +156,17 @@
     assert [r.machine for r, _ in found] == [first]
 
 
-@pytest.mark.parametrize("rank, victim, stopped", [
-    ("production", "normal", True), ("high", "normal", True), ("normal", "best_effort", True),
-    ("normal", "normal", False), ("best_effort", "normal", False), ("high", "production", False),
-])
+@pytest.mark.parametrize(
+    "rank, victim, stopped",
+    [
+        ("production", "normal", True),
+        ("high", "normal", True),
+        ("normal", "best_effort", True),
+        ("normal", "normal", False),
+        ("best_effort", "normal", False),
+        ("high", "production", False),
+    ],
+)
 def test_only_lower_ranks_are_preempted(rank: str, victim: str, stopped: bool) -> None:
     full = room()
     full.take(make(2, rank=victim), 4)
@@ -159,13 +195,16 @@
     assert shopping(KINDS, left, set(), 0.0, Policy([], KINDS), {}) == [("plain", "south", True)]
 
 
-@pytest.mark.parametrize("fields, refused, bought", [
-    ({}, set(), [("plain", "north", True)]),
-    ({"loaners": False}, set(), [("plain", "north", False)]),
-    ({"loaners": False, "site": "south"}, set(), [("plain", "south", False)]),
-    ({"site": "north"}, {("plain", "north", True)}, [("plain", "north", False)]),
-    ({"cards": 1.0, "loaners": False}, set(), [("accel", "north", False)] * 2),
-])
+@pytest.mark.parametrize(
+    "fields, refused, bought",
+    [
+        ({}, set(), [("plain", "north", True)]),
+        ({"loaners": False}, set(), [("plain", "north", False)]),
+        ({"loaners": False, "site": "south"}, set(), [("plain", "south", False)]),
+        ({"site": "north"}, {("plain", "north", True)}, [("plain", "north", False)]),
+        ({"cards": 1.0, "loaners": False}, set(), [("accel", "north", False)] * 2),
+    ],
+)
 def test_shopping(fields: dict[str, Any], refused: set[Any], bought: list[Any]) -> None:
     job = make(**fields)
     found = shopping(KINDS, [Need(job, 3)], refused, 0.0, Policy([], KINDS), {})
@@ -185,12 +224,12 @@
 def test_work_with_time_waits_for_room() -> None:
     early, late = Need(make(1), 3, 5.0), Need(make(2), 3, 80.0)
     assert pressing([early, late], {"batch": 90.0}, 64.0) == [late]
-    assert pressing([early], {}, 64.0) == [early]                    # nothing is said: at once
-    [there] = pressing([early], {"batch": 90.0}, 0.0)                 # nothing is there yet
-    assert there.job == early.job and there.tasks == 1               # three in a row are in time
+    assert pressing([early], {}, 64.0) == [early]  # nothing is said: at once
+    [there] = pressing([early], {"batch": 90.0}, 0.0)  # nothing is there yet
+    assert there.job == early.job and there.tasks == 1  # three in a row are in time
     near = Need(make(3), 3, 70.0)
-    assert pressing([near], {"batch": 90.0}, 64.0) == [near]         # too near for cheap ones
-    assert pressing([near], {"batch": 90.0}, 64.0, 1.0, 1.0) == []   # but not late yet
+    assert pressing([near], {"batch": 90.0}, 64.0) == [near]  # too near for cheap ones
+    assert pressing([near], {"batch": 90.0}, 64.0, 1.0, 1.0) == []  # but not late yet
 
 
 def test_spare_room_is_what_arrives_while_a_machine_boots() -> None:
