--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -22,10 +22,14 @@
 
 ROOT = Path(__file__).parent.parent
 GOOD: dict[str, Any] = {
-    "label": "c0", "location": ZONES[0], "bind": "127.0.0.1:8080", "peer_bind": "127.0.0.1:8081",
+    "label": "c0",
+    "location": ZONES[0],
+    "bind": "127.0.0.1:8080",
+    "peer_bind": "127.0.0.1:8081",
     "members": [{"label": "c1", "location": ZONES[0], "address": "127.0.0.1:9"}],
     "services": {"cloud": "127.0.0.1:2", "state": "127.0.0.1:3"},
-    "cluster": {"size": 2, "unknown": 1, **SETTINGS}, "future": True,
+    "cluster": {"size": 2, "unknown": 1, **SETTINGS},
+    "future": True,
 }
 
 
@@ -46,36 +50,57 @@
     assert parse(json.dumps(GOOD).encode()).labels == ["c0", "c1"]
 
 
-@pytest.mark.parametrize("path, value, named", [
-    ("label", None, "label"), ("label", "", "label"), ("bind", "nowhere", "bind"),
-    ("peer_bind", "1.2.3.4:99999", "peer_bind"), ("services.state", "x", "services.state"),
-    ("members.0.address", ":", "members[0].address"), ("members.0.label", "c0", "members"),
-    ("cluster.size", 3, "cluster.size"), ("cluster.workers.lease_s", 0, "lease_s"),
-    ("cluster.workers.lease_s", "ten", "lease_s"), ("cluster.workers.cancel_s", 9, "cancel_s"),
-    ("cluster.state.txn_ops", 1, "txn_ops"), ("cluster.cloud", None, "cloud"),
-    ("cluster.teams", [{"name": "t"}, {"name": "t"}], "teams"),
-    ("cluster.teams", [{"name": "t", "gpus": 5, "gpus_max": 4}], "teams"),
-])
+@pytest.mark.parametrize(
+    "path, value, named",
+    [
+        ("label", None, "label"),
+        ("label", "", "label"),
+        ("bind", "nowhere", "bind"),
+        ("peer_bind", "1.2.3.4:99999", "peer_bind"),
+        ("services.state", "x", "services.state"),
+        ("members.0.address", ":", "members[0].address"),
+        ("members.0.label", "c0", "members"),
+        ("cluster.size", 3, "cluster.size"),
+        ("cluster.workers.lease_s", 0, "lease_s"),
+        ("cluster.workers.lease_s", "ten", "lease_s"),
+        ("cluster.workers.cancel_s", 9, "cancel_s"),
+        ("cluster.state.txn_ops", 1, "txn_ops"),
+        ("cluster.cloud", None, "cloud"),
+        ("cluster.teams", [{"name": "t"}, {"name": "t"}], "teams"),
+        ("cluster.teams", [{"name": "t", "gpus": 5, "gpus_max": 4}], "teams"),
+    ],
+)
 def test_bad_settings_name_the_field(path: str, value: Any, named: str) -> None:
     with pytest.raises(ConfigError, match=named.replace("[", r"\[")):
         parse(changed(path, value))
 
 
 def run(*args: str, **env: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "clayport", *args], cwd=ROOT, env=env,
-                          capture_output=True, text=True, check=False, timeout=60)
-
-
-@pytest.mark.parametrize("content, args, level, code, text", [
-    (GOOD, ["--check"], "info", 0, "valid"),
-    (GOOD, ["--check"], "loud", 2, "error, info, debug"),
-    ("{", ["--check"], "info", 2, "not JSON"),
-    ({}, ["--check"], "info", 2, "label"),
-    (None, ["--check"], "info", 2, "No such file"),
-    (GOOD, ["--version"], "info", 0, __version__),
-])
-def test_command_line(tmp_path: Path, content: Any, args: list[str], level: str, code: int,
-                      text: str) -> None:
+    return subprocess.run(
+        [sys.executable, "-m", "clayport", *args],
+        cwd=ROOT,
+        env=env,
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60,
+    )
+
+
+@pytest.mark.parametrize(
+    "content, args, level, code, text",
+    [
+        (GOOD, ["--check"], "info", 0, "valid"),
+        (GOOD, ["--check"], "loud", 2, "error, info, debug"),
+        ("{", ["--check"], "info", 2, "not JSON"),
+        ({}, ["--check"], "info", 2, "label"),
+        (None, ["--check"], "info", 2, "No such file"),
+        (GOOD, ["--version"], "info", 0, __version__),
+    ],
+)
+def test_command_line(
+    tmp_path: Path, content: Any, args: list[str], level: str, code: int, text: str
+) -> None:
     path = tmp_path / "settings.json"
     if content is not None:
         path.write_text(content if isinstance(content, str) else json.dumps(content))
@@ -85,13 +110,16 @@
     assert len(found.stderr.splitlines()) <= 1
 
 
-@pytest.mark.parametrize("text, code, named", [
-    ('refresh { start_s: 5 least_s: 1 most_s: 30 }', 0, "valid"),
-    ('refresh { start_s: 50 most_s: 30 }', 2, "start_s"),
-    ('refresh { start_s: -1 }', 2, "start_s"),
-    ('refresh { unheard_of: 1 }', 2, "unheard_of"),
-    ('refresh {', 2, "operator"),
-])
+@pytest.mark.parametrize(
+    "text, code, named",
+    [
+        ("refresh { start_s: 5 least_s: 1 most_s: 30 }", 0, "valid"),
+        ("refresh { start_s: 50 most_s: 30 }", 2, "start_s"),
+        ("refresh { start_s: -1 }", 2, "start_s"),
+        ("refresh { unheard_of: 1 }", 2, "unheard_of"),
+        ("refresh {", 2, "operator"),
+    ],
+)
 def test_operator_file(tmp_path: Path, text: str, code: int, named: str) -> None:
     settings, operator = tmp_path / "settings.json", tmp_path / "operator.txtpb"
     settings.write_text(json.dumps(GOOD))
@@ -117,6 +145,7 @@
             client, _ = await listener.accept()
             server.open[await curio.spawn(server._connection, client, daemon=True)] = False
             await curio.sleep(10)
+
     task = await curio.spawn(accept, daemon=True)
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     await sock.connect(("127.0.0.1", port))
@@ -133,14 +162,18 @@
     return out
 
 
-@pytest.mark.parametrize("raw, status", [
-    (b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n", b"200"),
-    (b"PUT /up HTTP/1.1\r\nHost: a\r\n\r\n", b"405"),
-    (b"nonsense\r\n\r\n", b"400"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000, b"413"),
-    (b"GET /" + b"a" * 20000, b"431"),
-    (b"GET /up HTTP/1.1\r\nHos", b""),          # half a request: dropped after its time
-], ids=["get", "put", "nonsense", "large body", "large head", "half"])
+@pytest.mark.parametrize(
+    "raw, status",
+    [
+        (b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n", b"200"),
+        (b"PUT /up HTTP/1.1\r\nHost: a\r\n\r\n", b"405"),
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70000, b"413"),
+        (b"GET /" + b"a" * 20000, b"431"),
+        (b"GET /up HTTP/1.1\r\nHos", b""),  # half a request: dropped after its time
+    ],
+    ids=["get", "put", "nonsense", "large body", "large head", "half"],
+)
 def test_server(raw: bytes, status: bytes) -> None:
     answer = curio.run(exchange, raw, 1)
     assert answer.partition(b" ")[2][:3] == status
@@ -148,6 +181,7 @@
 
 def test_oldest_idle_user_goes_first() -> None:
     """Workers' connections are kept when users take all sockets."""
+
     async def main() -> list[bool]:
         server = http.Server(echo, 3, 5.0, 1.0, "/v1/report")
         tasks = [await curio.spawn(curio.sleep, 60, daemon=True) for _ in range(3)]
@@ -155,6 +189,7 @@
             server.open[task] = idle
         await server._make_room()
         return [t in server.open for t in tasks]
+
     assert curio.run(main) == [True, False, True]
 
 
@@ -166,6 +201,7 @@
     import msgspec
 
     from clayport.model import MachineType
+
     c.types = msgspec.convert(TYPES, list[MachineType])
     state = State(World(lambda: 0.0, 1))  # type: ignore[arg-type]
 
@@ -173,6 +209,7 @@
         async def request(self, method: str, path: str, body: bytes | None, _: float) -> Any:
             status, answer = state.handle(method, path, json.loads(body) if body else None, 0.0)
             return status, json.dumps(answer).encode()
+
     c.store.client = Client()  # type: ignore[assignment]
     c.store.requests.rate = c.store.changes.rate = 1e9
     return c.api, c
@@ -182,30 +219,65 @@
     return {k: v for k, v in job(1).items() if k != field}
 
 
-@pytest.mark.parametrize("body, status", [
-    (job(1), 201), ({**job(1), "extra": 1}, 201), (without("flavors"), 201),
-    ("not json", 400), ([1], 400), (without("vcpus"), 400),
-    *(({**job(1), **change}, 400) for change in (
-        {"id": "j 1"}, {"id": "x-1"}, {"id": 7}, {"pieces": 0}, {"pieces": 100_001},
-        {"pieces": 1.5}, {"pieces": True}, {"shape": "heap"}, {"rank": "urgent"},
-        {"vcpus": -1.0}, {"vcpus": "2"}, {"ram_gb": 1e999}, {"guess_s": None},
-        {"together": "yes"}, {"flavors": "plain"}, {"due_s": -5.0}, {"owner": ""})),
-    ({**job(1), "owner": "nobody"}, 422), ({**job(1), "vcpus": 64.0}, 422),
-    ({**job(1), "flavors": ["none"]}, 422), ({**job(1), "site": "west"}, 422),
-    ({**job(1), "owner": "tight", "cards": 2.0, "shape": "ensemble"}, 422),
-])
+@pytest.mark.parametrize(
+    "body, status",
+    [
+        (job(1), 201),
+        ({**job(1), "extra": 1}, 201),
+        (without("flavors"), 201),
+        ("not json", 400),
+        ([1], 400),
+        (without("vcpus"), 400),
+        *(
+            ({**job(1), **change}, 400)
+            for change in (
+                {"id": "j 1"},
+                {"id": "x-1"},
+                {"id": 7},
+                {"pieces": 0},
+                {"pieces": 100_001},
+                {"pieces": 1.5},
+                {"pieces": True},
+                {"shape": "heap"},
+                {"rank": "urgent"},
+                {"vcpus": -1.0},
+                {"vcpus": "2"},
+                {"ram_gb": 1e999},
+                {"guess_s": None},
+                {"together": "yes"},
+                {"flavors": "plain"},
+                {"due_s": -5.0},
+                {"owner": ""},
+            )
+        ),
+        ({**job(1), "owner": "nobody"}, 422),
+        ({**job(1), "vcpus": 64.0}, 422),
+        ({**job(1), "flavors": ["none"]}, 422),
+        ({**job(1), "site": "west"}, 422),
+        ({**job(1), "owner": "tight", "cards": 2.0, "shape": "ensemble"}, 422),
+    ],
+)
 def test_submissions(body: Any, status: int) -> None:
     handler, _ = api()
     raw = body.encode() if isinstance(body, str) else json.dumps(body).encode()
     assert curio.run(handler.handle, "POST", "/api/jobs", raw)[0] == status
 
 
-@pytest.mark.parametrize("method, path, status", [
-    ("GET", "/api/jobs/j-000009", 404), ("GET", "/api/jobs/../x", 404), ("PUT", "/api/jobs", 405),
-    ("POST", "/api/jobs/j-000009/abort", 404), ("GET", "/api/jobs/j-1/abort", 405),
-    ("POST", "/up", 405), ("GET", "/up", 503), ("GET", "/v1/report", 405), ("GET", "/", 404),
-    ("POST", "/v1/report", 400),
-])
+@pytest.mark.parametrize(
+    "method, path, status",
+    [
+        ("GET", "/api/jobs/j-000009", 404),
+        ("GET", "/api/jobs/../x", 404),
+        ("PUT", "/api/jobs", 405),
+        ("POST", "/api/jobs/j-000009/abort", 404),
+        ("GET", "/api/jobs/j-1/abort", 405),
+        ("POST", "/up", 405),
+        ("GET", "/up", 503),
+        ("GET", "/v1/report", 405),
+        ("GET", "/", 404),
+        ("POST", "/v1/report", 400),
+    ],
+)
 def test_paths(method: str, path: str, status: int) -> None:
     handler, _ = api()
     assert curio.run(handler.handle, method, path, b"[]")[0] == status
@@ -217,21 +289,25 @@
         raw = json.dumps(job(1)).encode()
         heard = []
         for peer in c.peers.values():
+
             async def call(kind: int, values: Any, _: Any = None, label: str = peer.label) -> Any:
                 heard.append((label, kind, values))
                 return (True,)
+
             peer.call = call  # type: ignore[method-assign]
 
         async def ask(method: str, path: str, body: bytes = b"") -> tuple[int, str]:
             status, answer, _ = await handler.handle(method, path, body)
             return status, json.loads(answer).get("status", "")
+
         assert await ask("POST", "/api/jobs", raw) == (201, "queued")
         assert await ask("POST", "/api/jobs", raw) == (200, "queued")
         assert await ask("GET", "/api/jobs/j-000001") == (200, "queued")
         assert await ask("POST", "/api/jobs/j-000001/abort") == (200, "cancelled")
         # No user is told before all who may renew a lease have acknowledged it.
-        assert sorted(heard) == [(label, peerwire.ENDED, ("j-000001", "cancelled"))
-                                 for label in sorted(c.peers)]
+        assert sorted(heard) == [
+            (label, peerwire.ENDED, ("j-000001", "cancelled")) for label in sorted(c.peers)
+        ]
         assert await ask("POST", "/api/jobs/j-000001/abort") == (200, "cancelled")
         assert await ask("GET", "/api/jobs/j-000001") == (200, "cancelled")
         assert len(heard) == len(c.peers)
@@ -240,6 +316,7 @@
         # Never 422 for what was accepted, whatever the catalogue says now.
         c.types = c.types[:0]
         assert (await ask("POST", "/api/jobs", raw))[0] in (200, 503)
+
     curio.run(main)
 
 
@@ -249,10 +326,11 @@
 
         async def down(*_: Any) -> Any:
             return 503, b"{}"
+
         c.store.client.request = down  # type: ignore[method-assign]
-        status, _, headers = await handler.handle("POST", "/api/jobs",
-                                                  json.dumps(job(1)).encode())
+        status, _, headers = await handler.handle("POST", "/api/jobs", json.dumps(job(1)).encode())
         assert status == 503 and dict(headers)["Retry-After"] == "1"
+
     curio.run(main)
 
 
@@ -260,35 +338,52 @@
     """Peers act under a newer generation that it can't see: kept workers would be
     silent to their new owners, who would have them returned."""
     from clayport.membership import Generation
+
     handler, c = api()
     c.begin(Generation(3, {"c0": c.incarnation}, 7))
     c.serving, c.state_known = True, True
-    report = {"host": "m1", "address": "m1:1", "flavor": "plain", "site": "north",
-              "loaners": False, "tenure": 1, "counter": 1, "epoch": 0, "reclaim_in_s": None,
-              "pieces": []}
+    report = {
+        "host": "m1",
+        "address": "m1:1",
+        "flavor": "plain",
+        "site": "north",
+        "loaners": False,
+        "tenure": 1,
+        "counter": 1,
+        "epoch": 0,
+        "reclaim_in_s": None,
+        "pieces": [],
+    }
 
     def ask() -> int:
         report["counter"] += 1
         return c.fleet_report_status(json.dumps(report).encode())
+
     c.fleet_report_status = lambda raw: curio.run(  # type: ignore[attr-defined]
-        handler.handle, "POST", "/v1/report", raw)[0]
+        handler.handle, "POST", "/v1/report", raw
+    )[0]
     now = time.monotonic()
-    assert ask() == 503                     # the records have never been read here
+    assert ask() == 503  # the records have never been read here
     for peer in c.peers.values():
         c.horizon.promised(peer.label, "a", now - 50, now - 50)
     c.horizon.read(now)
     assert ask() == 200
     peer = c.peers["c1"]
     peer.heard, peer.generation, peer.state_ok = now, 4, True
-    assert ask() == 200                     # we have the state service: our watch will tell
+    assert ask() == 200  # we have the state service: our watch will tell
     c.store.last_bad, c.store.last_ok = now + 1, now - 100
     assert ask() == 421
     # That nobody is heard to have it says nothing: the leases are kept as long as it is known
     # what users were told of cancellations, up to a moment that leaves them time to run out.
     peer.state_ok = False
-    for read, promised, status in ((now, -1e9, 200), (now - 23, -1e9, 200),
-                                   (now - 26, -1e9, 503), (now - 26, now - 40, 503),
-                                   (now - 26, now - 30, 200), (now - 60, now, 503)):
+    for read, promised, status in (
+        (now, -1e9, 200),
+        (now - 23, -1e9, 200),
+        (now - 26, -1e9, 503),
+        (now - 26, now - 40, 503),
+        (now - 26, now - 30, 200),
+        (now - 60, now, 503),
+    ):
         c.horizon.state_at = read
         for label in c.peers:
             c.horizon.until[label] = -1e9
@@ -299,13 +394,25 @@
 def test_a_late_report_does_not_bring_a_returned_machine_back() -> None:
     """It was open for work again until its silence was noticed."""
     from clayport.membership import Generation
+
     handler, c = api()
     c.begin(Generation(3, {"c0": c.incarnation}, 7))
     c.serving, c.state_known = True, True
     c.horizon.read(time.monotonic())
-    raw = json.dumps({"host": "m1", "address": "m1:1", "flavor": "plain", "site": "north",
-                      "loaners": False, "tenure": 1, "counter": 1, "epoch": 0,
-                      "reclaim_in_s": None, "pieces": []}).encode()
+    raw = json.dumps(
+        {
+            "host": "m1",
+            "address": "m1:1",
+            "flavor": "plain",
+            "site": "north",
+            "loaners": False,
+            "tenure": 1,
+            "counter": 1,
+            "epoch": 0,
+            "reclaim_in_s": None,
+            "pieces": [],
+        }
+    ).encode()
     assert curio.run(handler.handle, "POST", "/v1/report", raw)[0] == 200
     assert "m1" in c.owner.machines
     c.gone(["m1"])
@@ -321,8 +428,10 @@
             if "/end/" in path:
                 return 200, b'{"key":"end/j-000001","data":[1],"key_rev":3}'
             return 404, b'{"store_rev":3}'
+
         c.store.client.request = odd  # type: ignore[method-assign]
         assert (await handler.handle("GET", "/api/jobs/j-000001", b""))[0] == 503
+
     curio.run(main)
 
 
@@ -332,4 +441,5 @@
         raw = json.dumps(job(1, pieces=100_000)).encode()
         assert (await handler.handle("POST", "/api/jobs", raw))[0] == 201
         assert (await handler.handle("GET", "/api/jobs/j-000001", b""))[0] == 200
+
     curio.run(main)
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -31,9 +31,13 @@
 
     def __init__(self) -> None:
         self.homes: dict[str, HomeJob] = {}
-        self.line = Line(lambda: self.homes, {"batch": (90.0, 150.0), "web": (60.0,)},
-                         {"web": 20.0},
-                         Shares({"batch": 45.0, "web": 20.0}, 100.0), {"due": (1.0, 2.0)})
+        self.line = Line(
+            lambda: self.homes,
+            {"batch": (90.0, 150.0), "web": (60.0,)},
+            {"web": 20.0},
+            Shares({"batch": 45.0, "web": 20.0}, 100.0),
+            {"due": (1.0, 2.0)},
+        )
 
     def add(self, job: Job, since: float = 0.0, rev: int = 1) -> HomeJob:
         hj = self.homes[job.id] = HomeJob(job, rev, 50, since)
@@ -42,24 +46,38 @@
 
     def order(self, now: float) -> list[str]:
         self.line.catch_up(now)
-        return [name for group in self.line.groups.values()
-                for lane in group.lanes.values() for name in lane]
-
-
-@pytest.mark.parametrize("fields, now, started, band", [
-    ({}, 0.0, False, IN_TIME), ({}, 78.0, False, IN_TIME), ({}, 78.1, False, LATE),
-    ({}, 138.1, False, LATE + STEP), ({"due_s": 30.0}, 22.0, False, IN_TIME),
-    ({"due_s": 30.0}, 22.1, False, LATE), ({"due_s": 30.0}, 900.0, False, LATE),
-    ({"due_s": 30.0, "jobclass": "due"}, 52.0, False, LATE),
-    ({"due_s": 30.0, "jobclass": "due"}, 52.1, False, LATE + STEP),
-    ({"jobclass": "web"}, 19.9, False, IN_TIME), ({"jobclass": "web"}, 20.1, False, STARTS_LATE),
-    ({"jobclass": "web"}, 5.0, True, IN_TIME),
-    ({"jobclass": "web", "shape": "ensemble"}, 5.0, True, STARTS_LATE),
-    ({"jobclass": "web"}, 48.1, False, LATE),
-    ({"jobclass": "other"}, 900.0, False, IN_TIME),
-    ({"jobclass": "web", "shape": "daemon", "guess_s": 0.0}, 30.0, False, IN_TIME)])
-def test_bands_change_at_their_instants(fields: dict[str, Any], now: float, started: bool,
-                                        band: float) -> None:
+        return [
+            name
+            for group in self.line.groups.values()
+            for lane in group.lanes.values()
+            for name in lane
+        ]
+
+
+@pytest.mark.parametrize(
+    "fields, now, started, band",
+    [
+        ({}, 0.0, False, IN_TIME),
+        ({}, 78.0, False, IN_TIME),
+        ({}, 78.1, False, LATE),
+        ({}, 138.1, False, LATE + STEP),
+        ({"due_s": 30.0}, 22.0, False, IN_TIME),
+        ({"due_s": 30.0}, 22.1, False, LATE),
+        ({"due_s": 30.0}, 900.0, False, LATE),
+        ({"due_s": 30.0, "jobclass": "due"}, 52.0, False, LATE),
+        ({"due_s": 30.0, "jobclass": "due"}, 52.1, False, LATE + STEP),
+        ({"jobclass": "web"}, 19.9, False, IN_TIME),
+        ({"jobclass": "web"}, 20.1, False, STARTS_LATE),
+        ({"jobclass": "web"}, 5.0, True, IN_TIME),
+        ({"jobclass": "web", "shape": "ensemble"}, 5.0, True, STARTS_LATE),
+        ({"jobclass": "web"}, 48.1, False, LATE),
+        ({"jobclass": "other"}, 900.0, False, IN_TIME),
+        ({"jobclass": "web", "shape": "daemon", "guess_s": 0.0}, 30.0, False, IN_TIME),
+    ],
+)
+def test_bands_change_at_their_instants(
+    fields: dict[str, Any], now: float, started: bool, band: float
+) -> None:
     """Nothing is looked at for it: what is due is known beforehand."""
     waiting = Waiting()
     hj = waiting.add(made(1, **fields))
@@ -91,10 +109,19 @@
     assert waiting.order(76.5)[-1] == "j-000005"
 
 
-@pytest.mark.parametrize("happens, waits, fresh", [
-    ("nothing", True, False), ("starts", False, False), ("ended", False, False),
-    ("blocked", False, False), ("rests", False, False), ("gone", False, False),
-    ("a task is lost", True, True), ("a task is done", True, False)])
+@pytest.mark.parametrize(
+    "happens, waits, fresh",
+    [
+        ("nothing", True, False),
+        ("starts", False, False),
+        ("ended", False, False),
+        ("blocked", False, False),
+        ("rests", False, False),
+        ("gone", False, False),
+        ("a task is lost", True, True),
+        ("a task is done", True, False),
+    ],
+)
 def test_what_happens_to_a_job_shows_in_the_line(happens: str, waits: bool, fresh: bool) -> None:
     """A group is looked at again only when somebody has come or waits for more."""
     waiting = Waiting()
@@ -145,9 +172,17 @@
     for number in range(400):
         now += rng.uniform(0.0, 2.0)
         if rng.random() < 0.5 or not waiting.homes:
-            waiting.add(made(number, jobclass=rng.choice(("batch", "web", "other")),
-                             pieces=rng.randint(1, 9), vcpus=rng.choice((1.0, 2.0)),
-                             rank=rng.choice(("normal", "best_effort"))), now, number)
+            waiting.add(
+                made(
+                    number,
+                    jobclass=rng.choice(("batch", "web", "other")),
+                    pieces=rng.randint(1, 9),
+                    vcpus=rng.choice((1.0, 2.0)),
+                    rank=rng.choice(("normal", "best_effort")),
+                ),
+                now,
+                number,
+            )
         else:
             hj = waiting.homes[rng.choice(sorted(waiting.homes))]
             what = rng.random()
@@ -165,21 +200,27 @@
                 del waiting.homes[hj.job.id]
             waiting.line.touch(hj.job.id)
         found = waiting.order(now)
-        true = {n for n, hj in waiting.homes.items()
-                if hj.pending > 0 and not hj.starts and hj.not_before <= now}
+        true = {
+            n
+            for n, hj in waiting.homes.items()
+            if hj.pending > 0 and not hj.starts and hj.not_before <= now
+        }
         assert len(found) == len(set(found)) and set(found) == true
         for name, mark in waiting.line.marks.items():
             assert mark.band == waiting.line.standing(waiting.homes[name], now)[0]
             assert mark.group is waiting.line.groups[waiting.homes[name].group]
-        running = sum(a.waiting for (kind, _, _), a in waiting.line.shares.accounts.items()
-                      if kind == "class")
-        assert running == pytest.approx(sum(hj.pending * hj.job.cpus
-                                            for hj in waiting.homes.values()))
+        running = sum(
+            a.waiting for (kind, _, _), a in waiting.line.shares.accounts.items() if kind == "class"
+        )
+        assert running == pytest.approx(
+            sum(hj.pending * hj.job.cpus for hj in waiting.homes.values())
+        )
 
 
 @pytest.mark.parametrize("jobs", [50, 500])
-def test_a_later_pass_looks_at_no_more_jobs_the_more_wait(monkeypatch: pytest.MonkeyPatch,
-                                                          jobs: int) -> None:
+def test_a_later_pass_looks_at_no_more_jobs_the_more_wait(
+    monkeypatch: pytest.MonkeyPatch, jobs: int
+) -> None:
     """It took ten times as long for ten times as many, though nothing had happened."""
     home = Home(monkeypatch)
     busy = made(9999, pieces=9, rank="production")
@@ -190,11 +231,13 @@
     home.look()
     looked = []
     place_ = home.c.placer.line._place
-    monkeypatch.setattr(home.c.placer.line, "_place",
-                        lambda *args: looked.append(args[0]) or place_(*args))
+    monkeypatch.setattr(
+        home.c.placer.line, "_place", lambda *args: looked.append(args[0]) or place_(*args)
+    )
     standing = home.c.placer.line.standing
-    monkeypatch.setattr(home.c.placer.line, "standing",
-                        lambda *args: looked.append("") or standing(*args))
+    monkeypatch.setattr(
+        home.c.placer.line, "standing", lambda *args: looked.append("") or standing(*args)
+    )
     home.report("m1", "north", "plain", f"{busy.id}/0", f"{busy.id}/1")
     home.c.placer._pass(home.now)
     assert len(looked) == 0
@@ -206,17 +249,30 @@
 # -- shares ------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("age, running, missing", [
-    (10.0, 0, 0.0),     # it has not waited long
-    (22.5, 0, 8.0),     # half way: half of a third
-    (45.0, 0, 16.0),    # as long as it can bear: a third of all that runs
-    (45.0, 2, 32 / 3), (45.0, 5, 8 / 3), (45.0, 6, 0.0), (45.0, 9, 0.0)])
-def test_the_share_grows_with_the_wait_and_ends_with_it(age: float, running: int, missing: float
-                                                        ) -> None:
+@pytest.mark.parametrize(
+    "age, running, missing",
+    [
+        (10.0, 0, 0.0),  # it has not waited long
+        (22.5, 0, 8.0),  # half way: half of a third
+        (45.0, 0, 16.0),  # as long as it can bear: a third of all that runs
+        (45.0, 2, 32 / 3),
+        (45.0, 5, 8 / 3),
+        (45.0, 6, 0.0),
+        (45.0, 9, 0.0),
+    ],
+)
+def test_the_share_grows_with_the_wait_and_ends_with_it(
+    age: float, running: int, missing: float
+) -> None:
     shares = Shares({"low": 45.0, "flood": 45.0}, 100.0)
     shares.note("f", made(1, jobclass="flood"), 24, 0, 0.0)
-    shares.note("l", made(2, jobclass="low", rank="best_effort", vcpus=4.0, guess_s=100.0),
-                running, 20, 100.0 - age)
+    shares.note(
+        "l",
+        made(2, jobclass="low", rank="best_effort", vcpus=4.0, guess_s=100.0),
+        running,
+        20,
+        100.0 - age,
+    )
     owed = shares.owed(100.0).get(("class", False, "low"))
     found = 0.0 if owed is None else owed.missing
     assert found == pytest.approx(missing)
@@ -233,16 +289,19 @@
     assert shares.accounts == {} and shares.rows == {}
 
 
-@pytest.mark.parametrize("tasks, guess_s, most", [
-    (1, 1.0, 1.0), (4, 90.0, 11.2), (400, 90.0, 16.0)])
-def test_no_more_is_owed_than_lets_enough_of_its_work_be_run(tasks: int, guess_s: float,
-                                                             most: float) -> None:
+@pytest.mark.parametrize(
+    "tasks, guess_s, most", [(1, 1.0, 1.0), (4, 90.0, 11.2), (400, 90.0, 16.0)]
+)
+def test_no_more_is_owed_than_lets_enough_of_its_work_be_run(
+    tasks: int, guess_s: float, most: float
+) -> None:
     """A class with little work, and nobody's aim, took a third of a flooded fleet from work
     with deadlines."""
     shares = Shares({"low": 45.0, "flood": 45.0}, 100.0)
     shares.note("f", made(1, jobclass="flood"), 24, 0, 0.0)
-    shares.note("l", made(2, jobclass="low", vcpus=2.0, pieces=tasks, guess_s=guess_s), 0, tasks,
-                0.0)
+    shares.note(
+        "l", made(2, jobclass="low", vcpus=2.0, pieces=tasks, guess_s=guess_s), 0, tasks, 0.0
+    )
     assert 0 < shares.owed(50.0)["class", False, "low"].floor <= most + 1e-6
 
 
@@ -265,14 +324,18 @@
     return home, flood
 
 
-@pytest.mark.parametrize("rank, waited, free, served", [
-    ("best_effort", 1.0, 4, False),    # nobody is owed anything yet
-    ("best_effort", 40.0, 4, True),    # it has waited: before the higher rank
-    ("best_effort", 40.0, 2, False),   # ... but nobody is stopped for it
-    ("normal", 40.0, 4, True)])
+@pytest.mark.parametrize(
+    "rank, waited, free, served",
+    [
+        ("best_effort", 1.0, 4, False),  # nobody is owed anything yet
+        ("best_effort", 40.0, 4, True),  # it has waited: before the higher rank
+        ("best_effort", 40.0, 2, False),  # ... but nobody is stopped for it
+        ("normal", 40.0, 4, True),
+    ],
+)
 def test_who_has_waited_gets_a_turn_of_what_comes_free(
-        monkeypatch: pytest.MonkeyPatch, rank: str, waited: float, free: int, served: bool
-        ) -> None:
+    monkeypatch: pytest.MonkeyPatch, rank: str, waited: float, free: int, served: bool
+) -> None:
     """In a flood of a higher rank the lowest had nothing until it was over."""
     home, flood = flooded(monkeypatch)
     low = home.wait(made(2, jobclass="low", rank=rank, pieces=4, vcpus=free and 4.0, guess_s=5.0))
@@ -287,8 +350,7 @@
 def test_what_was_given_is_not_stopped_for_the_flood(monkeypatch: pytest.MonkeyPatch) -> None:
     """Else each turn would be taken away as soon as it was had."""
     home, flood = flooded(monkeypatch)
-    low = home.wait(made(2, jobclass="low", rank="best_effort", pieces=8, vcpus=4.0,
-                         guess_s=50.0))
+    low = home.wait(made(2, jobclass="low", rank="best_effort", pieces=8, vcpus=4.0, guess_s=50.0))
     chunk = Chunk()
     chunk.assigned = {0: (1, "m0"), 1: (1, "m0")}
     low.load({0: chunk})
@@ -303,19 +365,32 @@
     assert home.c.owner.machines["m0"].kills
 
 
-@pytest.mark.parametrize("share, free, cpus, types, placed", [
-    (0.0, 4.0, 2.0, None, 2), (1.0, 4.0, 2.0, None, 0), (1.0, 6.0, 2.0, None, 1),
-    (1.0, 2.0, 2.0, None, 0),
-    (1.0, 4.0, 4.0, None, 1),            # as wide as what it is kept for
-    (1.0, 4.0, 2.0, {"accel"}, 2)])      # which would not fit there at all
+@pytest.mark.parametrize(
+    "share, free, cpus, types, placed",
+    [
+        (0.0, 4.0, 2.0, None, 2),
+        (1.0, 4.0, 2.0, None, 0),
+        (1.0, 6.0, 2.0, None, 1),
+        (1.0, 2.0, 2.0, None, 0),
+        (1.0, 4.0, 4.0, None, 1),  # as wide as what it is kept for
+        (1.0, 4.0, 2.0, {"accel"}, 2),
+    ],
+)  # which would not fit there at all
 def test_small_work_leaves_what_a_wide_job_waits_for(
-        share: float, free: float, cpus: float, types: set[str] | None, placed: int) -> None:
+    share: float, free: float, cpus: float, types: set[str] | None, placed: int
+) -> None:
     """Each hole of two CPUs was filled at once, and one of four never came. But machines
     that the wide one can't use are nobody's to keep: half of a fleet stood idle for gangs."""
     room = Room("m1", "", "plain", "north", False, True, free, 0.0, 64.0, 0, (), 1e9, "c0")
     job = made(1, vcpus=cpus, pieces=2)
-    found = place(job, 2, Index("c0", [room]), Spread(job, ()), Policy((), ()),
-                  kept=Kept(made(2, vcpus=4.0), share, types and frozenset(types)))
+    found = place(
+        job,
+        2,
+        Index("c0", [room]),
+        Spread(job, ()),
+        Policy((), ()),
+        kept=Kept(made(2, vcpus=4.0), share, types and frozenset(types)),
+    )
     assert len(found) == placed
 
 
--- a/tests/test_real_restarts.py
+++ b/tests/test_real_restarts.py
@@ -49,8 +49,9 @@
         while not self.stopped.is_set():
             await curio.sleep(0.05)
 
-    async def _state(self, method: str, path: str, body: bytes
-                     ) -> tuple[int, bytes, list[tuple[str, str]]]:
+    async def _state(
+        self, method: str, path: str, body: bytes
+    ) -> tuple[int, bytes, list[tuple[str, str]]]:
         now = time.monotonic()
         if path.startswith("/changes"):
             args = dict(p.split("=", 1) for p in path.partition("?")[2].split("&"))
@@ -65,10 +66,12 @@
         status, answer = self.state.handle(method, path, json.loads(body) if body else None, now)
         return status, json.dumps(answer).encode(), []
 
-    async def _cloud(self, method: str, path: str, body: bytes
-                     ) -> tuple[int, bytes, list[tuple[str, str]]]:
-        status, answer = self.world.cloud(method, path.partition("?")[0],
-                                          json.loads(body) if body else None)
+    async def _cloud(
+        self, method: str, path: str, body: bytes
+    ) -> tuple[int, bytes, list[tuple[str, str]]]:
+        status, answer = self.world.cloud(
+            method, path.partition("?")[0], json.loads(body) if body else None
+        )
         return status, json.dumps(answer).encode(), []
 
 
@@ -102,9 +105,13 @@
     there = StandIns()
     there.thread.start()
     cluster = {**GOOD["cluster"], "size": 1}
-    settings = {**GOOD, "members": [], "cluster": cluster,
-                **{name: f"127.0.0.1:{port}" for name, port in ports.items()},
-                "services": {n: f"127.0.0.1:{p}" for n, p in there.ports.items()}}
+    settings = {
+        **GOOD,
+        "members": [],
+        "cluster": cluster,
+        **{name: f"127.0.0.1:{port}" for name, port in ports.items()},
+        "services": {n: f"127.0.0.1:{p}" for n, p in there.ports.items()},
+    }
     path = folder / "settings.json"
     path.write_text(json.dumps(settings), encoding="utf-8")
     took, opened = [], []
@@ -112,9 +119,12 @@
     try:
         for _ in range(starts):
             begun = time.monotonic()
-            process = subprocess.Popen([sys.executable, "-m", "clayport", "--config", str(path)],
-                                       cwd=ROOT, stderr=subprocess.DEVNULL,
-                                       env={**os.environ, "LOG_LEVEL": "error"})
+            process = subprocess.Popen(
+                [sys.executable, "-m", "clayport", "--config", str(path)],
+                cwd=ROOT,
+                stderr=subprocess.DEVNULL,
+                env={**os.environ, "LOG_LEVEL": "error"},
+            )
             took.append(until_up(ports["bind"], process) - begun)
             for port in ports.values():
                 sock = socket.create_connection(("127.0.0.1", port), timeout=PATIENCE_S)
@@ -156,14 +166,16 @@
         sock = await task.join()
         await sock.close()
         return waited, True
+
     assert curio.run(main) == (True, True)
 
 
 def imports() -> float:
     """Seconds of a start that go into imports alone."""
     begun = time.monotonic()
-    subprocess.run([sys.executable, "-c", "import clayport.cli, clayport.server"], cwd=ROOT,
-                   check=True)
+    subprocess.run(
+        [sys.executable, "-c", "import clayport.cli, clayport.server"], cwd=ROOT, check=True
+    )
     return time.monotonic() - begun
 
 
@@ -171,9 +183,11 @@
     with tempfile.TemporaryDirectory() as folder:
         took = restarts(Path(folder))
     bare = [imports() for _ in range(5)]
-    print(f"{len(took)} starts on the same ports: first 200 after {min(took):.2f} to "
-          f"{max(took):.2f} s, median {statistics.median(took):.2f} s; imports "
-          f"{statistics.median(bare):.2f} s of it")
+    print(
+        f"{len(took)} starts on the same ports: first 200 after {min(took):.2f} to "
+        f"{max(took):.2f} s, median {statistics.median(took):.2f} s; imports "
+        f"{statistics.median(bare):.2f} s of it"
+    )
     return 0
 
 
--- a/tests/test_rebuild.py
+++ b/tests/test_rebuild.py
@@ -31,8 +31,16 @@
             await world.start(label)
 
 
-async def losing_day(clock: Clock, seed: int, loss: Loss, outage_s: float, ends: bool,
-                     controllers: int = 3, times: int = 1, disks: Path | None = None) -> World:
+async def losing_day(
+    clock: Clock,
+    seed: int,
+    loss: Loss,
+    outage_s: float,
+    ends: bool,
+    controllers: int = 3,
+    times: int = 1,
+    disks: Path | None = None,
+) -> World:
     world = World(clock, seed, controllers, rebuild=True)
     if disks is not None:
         world.disks = {label: str(disks / label) for label in world.labels[:2]}
@@ -43,6 +51,7 @@
     async def then(number: int) -> None:
         if number in at:
             await curio.spawn(lose, world, loss, outage_s, ends, daemon=True)
+
     await work(world, then)
     return await until_over(world)
 
@@ -56,22 +65,36 @@
 
 
 def left(world: World) -> dict[str, Any]:
-    return {i: world.told.get(i) for i in world.accepted
-            if world.jobs[i]["shape"] != "daemon"
-            and world.told.get(i) not in ("done", "cancelled")}
+    return {
+        i: world.told.get(i)
+        for i in world.accepted
+        if world.jobs[i]["shape"] != "daemon" and world.told.get(i) not in ("done", "cancelled")
+    }
 
 
 LOSSES: list[tuple[str, Loss]] = [
-    ("0.1 s", back(0.1)), ("0.5 s", back(0.5)), ("5 s", back(5.0)), ("all", back(1e6)),
-    ("end/", prefix("end/")), ("run/", prefix("run/")), ("quota/", prefix("quota/")),
-    ("generation", prefix("c/generation")), ("c/", prefix("c/")), ("nothing", prefix("-"))]
+    ("0.1 s", back(0.1)),
+    ("0.5 s", back(0.5)),
+    ("5 s", back(5.0)),
+    ("all", back(1e6)),
+    ("end/", prefix("end/")),
+    ("run/", prefix("run/")),
+    ("quota/", prefix("quota/")),
+    ("generation", prefix("c/generation")),
+    ("c/", prefix("c/")),
+    ("nothing", prefix("-")),
+]
 
 
 @pytest.mark.parametrize("seed, outage_s", [(1, 3.0), (2, 3.0), (3, 0.0)])
 @pytest.mark.parametrize("loss", [loss for _, loss in LOSSES], ids=[name for name, _ in LOSSES])
 def test_controllers_that_live_on_put_the_records_together(
-        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, loss: Loss, seed: int,
-        outage_s: float) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+    loss: Loss,
+    seed: int,
+    outage_s: float,
+) -> None:
     world = simulate(monkeypatch, lambda clock: losing_day(clock, seed, loss, outage_s, False))
     assert world.broken == []
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
@@ -156,12 +179,17 @@
     world.cut.difference_update(gone)
 
 
-SCENES: list[Scene] = [one_ends, who_rebuilds_ends, lost_again_meanwhile, one_cut_off,
-                       commits_on_their_way, machines_cut_off]
+SCENES: list[Scene] = [
+    one_ends,
+    who_rebuilds_ends,
+    lost_again_meanwhile,
+    one_cut_off,
+    commits_on_their_way,
+    machines_cut_off,
+]
 
 
-async def scene_day(clock: Clock, seed: int, scene: Scene, loss: Loss, controllers: int
-                    ) -> World:
+async def scene_day(clock: Clock, seed: int, scene: Scene, loss: Loss, controllers: int) -> World:
     world = World(clock, seed, controllers, rebuild=True)
     world.state.past = []
     await world.open()
@@ -184,8 +212,13 @@
 @pytest.mark.parametrize("loss", [loss for _, loss in SOME], ids=[name for name, _ in SOME])
 @pytest.mark.parametrize("scene", SCENES)
 def test_a_loss_seldom_comes_alone(
-        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, scene: Scene,
-        loss: Loss, seed: int, controllers: int) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+    scene: Scene,
+    loss: Loss,
+    seed: int,
+    controllers: int,
+) -> None:
     world = simulate(monkeypatch, lambda clock: scene_day(clock, seed, scene, loss, controllers))
     assert world.broken == []
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
@@ -195,8 +228,8 @@
 @pytest.mark.parametrize("seed", [1])
 @pytest.mark.parametrize("loss", [loss for _, loss in LOSSES], ids=[name for name, _ in LOSSES])
 def test_with_nobody_left_who_knows_nothing_runs_twice(
-        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, loss: Loss, seed: int
-        ) -> None:
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, loss: Loss, seed: int
+) -> None:
     """All controllers end as well, and nothing else remembers: jobs may be lost, or told of
     as they were before. What runs is found on its machines all the same."""
     world = simulate(monkeypatch, lambda clock: losing_day(clock, seed, loss, 3.0, True))
@@ -208,16 +241,23 @@
 @pytest.mark.parametrize("seed", [1, 2])
 @pytest.mark.parametrize("loss", [loss for _, loss in LOSSES], ids=[name for name, _ in LOSSES])
 def test_with_all_ended_a_disk_remembers(
-        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, tmp_path: Path,
-        loss: Loss, seed: int) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+    tmp_path: Path,
+    loss: Loss,
+    seed: int,
+) -> None:
     """Two of three controllers keep snapshots; all end while the state service loses records.
     What was synced comes back, and no rule is broken: here nothing is lost at all."""
+
     async def in_line(call: Callable[..., Any], *args: Any) -> Any:
         return call(*args)
+
     monkeypatch.setattr(curio, "run_in_thread", in_line)
     monkeypatch.setattr(os, "fsync", lambda _: None)
-    world = simulate(monkeypatch, lambda clock: losing_day(
-        clock, seed, loss, 3.0, True, disks=tmp_path))
+    world = simulate(
+        monkeypatch, lambda clock: losing_day(clock, seed, loss, 3.0, True, disks=tmp_path)
+    )
     assert world.broken == [] and world.lost == set()
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
     assert len(world.accepted) == JOBS_A_DAY and left(world) == {}
@@ -254,9 +294,9 @@
     return answers, world
 
 
-@pytest.mark.parametrize("second_copy, expected", [
-    (True, [503, 200, 200]), (False, [201, 404])])
+@pytest.mark.parametrize("second_copy, expected", [(True, [503, 200, 200]), (False, [201, 404])])
 def test_with_a_second_copy_nothing_is_told_that_one_alone_knows(
-        monkeypatch: pytest.MonkeyPatch, second_copy: bool, expected: list[int]) -> None:
+    monkeypatch: pytest.MonkeyPatch, second_copy: bool, expected: list[int]
+) -> None:
     answers, world = simulate(monkeypatch, lambda clock: told_by_one_alone(clock, second_copy))
     assert answers == expected and world.broken == []
--- a/tests/test_refresh.py
+++ b/tests/test_refresh.py
@@ -5,16 +5,19 @@
 from clayport.refresh import Asc
 
 
-@pytest.mark.parametrize("placed, declined, expected", [
-    (100, 0, 11.0),      # nothing declined: grows 1.1 times
-    (0, 0, 11.0),        # no attempts: ratio 0
-    (94, 6, 5.0),        # above 5 %: halves
-    (95, 5, 10.0),       # exactly 5 %: left alone
-    (96, 4, 10.0),       # between the thresholds: left alone
-    (97, 3, 10.0),       # exactly 3 %: left alone
-    (98, 2, 11.0),       # below 3 %: grows
-    (4, 1, 10.0),        # one refusal of five attempts: too few to judge
-])
+@pytest.mark.parametrize(
+    "placed, declined, expected",
+    [
+        (100, 0, 11.0),  # nothing declined: grows 1.1 times
+        (0, 0, 11.0),  # no attempts: ratio 0
+        (94, 6, 5.0),  # above 5 %: halves
+        (95, 5, 10.0),  # exactly 5 %: left alone
+        (96, 4, 10.0),  # between the thresholds: left alone
+        (97, 3, 10.0),  # exactly 3 %: left alone
+        (98, 2, 11.0),  # below 3 %: grows
+        (4, 1, 10.0),  # one refusal of five attempts: too few to judge
+    ],
+)
 def test_step(placed: int, declined: int, expected: float) -> None:
     asc = Asc(10.0, 1.0, 60.0)
     asc.count(placed, declined)
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -80,8 +80,13 @@
     world.held.clear()
 
 
-SCENES: list[Scene] = [one_twenty_times, all_three_times_in_four_seconds, as_soon_as_it_serves,
-                       in_an_outage, with_all_that_is_on_its_way]
+SCENES: list[Scene] = [
+    one_twenty_times,
+    all_three_times_in_four_seconds,
+    as_soon_as_it_serves,
+    in_an_outage,
+    with_all_that_is_on_its_way,
+]
 
 
 async def day(clock: Clock, scene: Scene, seed: int, controllers: int) -> World:
@@ -101,17 +106,23 @@
 @pytest.mark.parametrize("scene", SCENES)
 @pytest.mark.parametrize("seed, controllers", [(31, 3), (32, 5)])
 def test_rules_hold_when_controllers_are_back_at_once(
-        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, scene: Scene,
-        seed: int, controllers: int) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+    scene: Scene,
+    seed: int,
+    controllers: int,
+) -> None:
     world = simulate(monkeypatch, lambda clock: day(clock, scene, seed, controllers))
     assert world.broken == []
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
     assert len(world.accepted) == JOBS_A_DAY and world.launches > 0
-    assert {i: world.told.get(i) for i in world.accepted if world.jobs[i]["shape"] != "daemon"
-            and world.told.get(i) not in ("done", "cancelled")} == {}
+    assert {
+        i: world.told.get(i)
+        for i in world.accepted
+        if world.jobs[i]["shape"] != "daemon" and world.told.get(i) not in ("done", "cancelled")
+    } == {}
     # Nothing is kept of a start beyond the controller's own two records.
-    assert len([k for k in world.state.keys
-                if k.startswith("c/node/")]) <= controllers
+    assert len([k for k in world.state.keys if k.startswith("c/node/")]) <= controllers
     assert len([k for k in world.state.keys if k.startswith("c/version/")]) == controllers
     assert all(c.serving for c in world.controllers.values())
 
@@ -132,21 +143,32 @@
     return cost, sorted(world.controllers["c0"].generation.members)
 
 
-@pytest.mark.parametrize("scene, most", [
-    (one_twenty_times, 8), (as_soon_as_it_serves, 16), (all_three_times_in_four_seconds, 12)])
+@pytest.mark.parametrize(
+    "scene, most",
+    [(one_twenty_times, 8), (as_soon_as_it_serves, 16), (all_three_times_in_four_seconds, 12)],
+)
 def test_one_that_ends_over_and_over_costs_a_bounded_number_of_generations(
-        monkeypatch: pytest.MonkeyPatch, scene: Scene, most: int) -> None:
+    monkeypatch: pytest.MonkeyPatch, scene: Scene, most: int
+) -> None:
     """All the others announced a generation and loaded their jobs for each of its ends."""
     cost, members = simulate(monkeypatch, lambda clock: generations(clock, scene))
     assert 1 <= cost <= most
     assert members == ["c0", "c1", "c2"]  # it is back, once it stays
 
 
-@pytest.mark.parametrize("ends, now, left_out", [
-    ([0.0], 0.0, 0.0), ([0.0, 1.0], 1.0, 0.0), ([0.0, 1.0, 2.0], 2.0, 2.0),
-    ([0.0, 1.0, 2.0], 4.1, 0.0), ([0.0, 1.0, 2.0, 3.0], 3.0, 4.0),
-    ([0.0, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0], 6.0, 32.0), ([float(n) for n in range(30)], 29.0, 40.0),
-    ([0.0, 50.0, 100.0, 150.0], 150.0, 0.0)])
+@pytest.mark.parametrize(
+    "ends, now, left_out",
+    [
+        ([0.0], 0.0, 0.0),
+        ([0.0, 1.0], 1.0, 0.0),
+        ([0.0, 1.0, 2.0], 2.0, 2.0),
+        ([0.0, 1.0, 2.0], 4.1, 0.0),
+        ([0.0, 1.0, 2.0, 3.0], 3.0, 4.0),
+        ([0.0, 1.0, 2.0, 3.0, 4.0, 5.0, 6.0], 6.0, 32.0),
+        ([float(n) for n in range(30)], 29.0, 40.0),
+        ([0.0, 50.0, 100.0, 150.0], 150.0, 0.0),
+    ],
+)
 def test_pauses_grow_with_the_ends_of_late(ends: list[float], now: float, left_out: float) -> None:
     flaps = Flaps(40.0, 2.0, 40.0)
     members = {"a": "a0", "b": "b0"}
@@ -162,13 +184,18 @@
     assert flaps.admitted({}, {"b": "b9"}, now) == {"b": "b9"}
 
 
-@pytest.mark.parametrize("present, proposes", [
-    ({"a": "a0", "b": "b0", "c": "c1"}, {"a": True, "b": True, "c": False}),
-    ({"a": "a1", "b": "b0", "c": "c1"}, {"a": False, "b": True, "c": False}),
-    ({"a": "a1", "b": "b1", "c": "c1"}, {"a": True, "b": True, "c": True}),
-    ({"c": "c1"}, {"c": True})])
+@pytest.mark.parametrize(
+    "present, proposes",
+    [
+        ({"a": "a0", "b": "b0", "c": "c1"}, {"a": True, "b": True, "c": False}),
+        ({"a": "a1", "b": "b0", "c": "c1"}, {"a": False, "b": True, "c": False}),
+        ({"a": "a1", "b": "b1", "c": "c1"}, {"a": True, "b": True, "c": True}),
+        ({"c": "c1"}, {"c": True}),
+    ],
+)
 def test_who_has_just_begun_leaves_the_proposal_to_the_members(
-        present: dict[str, str], proposes: dict[str, bool]) -> None:
+    present: dict[str, str], proposes: dict[str, bool]
+) -> None:
     """It doesn't know who has ended how often; and all that begin together are taken in by
     one generation instead of one for each."""
     members = {"a": "a0", "b": "b0", "c": "c0"}
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -27,8 +27,12 @@
     home.c.live[busy.id] = (busy, 1)
     owner = home.c.owner
     for n in range(MACHINES):
-        home.report(f"m{n}", rng.choice(("north", "south")), "plain",
-                    *(f"{busy.id}/{4 * n + k}" for k in range(4)))
+        home.report(
+            f"m{n}",
+            rng.choice(("north", "south")),
+            "plain",
+            *(f"{busy.id}/{4 * n + k}" for k in range(4)),
+        )
     home.c.serving = True
     whole = home.c.picture.table(0, [])
     assert whole[2] and len(whole[4]) == MACHINES
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -23,8 +23,17 @@
 
 
 def header(rev: int = 50, **fields: Any) -> Header:
-    return Header(**{"kind": "base", "labels": LABELS, "history": "ab", "number": 1, "rev": rev,
-                     "at": 0.0, **fields})
+    return Header(
+        **{
+            "kind": "base",
+            "labels": LABELS,
+            "history": "ab",
+            "number": 1,
+            "rev": rev,
+            "at": 0.0,
+            **fields,
+        }
+    )
 
 
 def base(directory: Path, **fields: Any) -> Path:
@@ -34,8 +43,9 @@
 def log_of(directory: Path, count: int = 6) -> Path:
     log = Log(directory, header(kind="log"))
     for n in range(count):
-        log.append([Row(f"end/j-{n:06d}", {"s": "done"}, 51 + n),
-                    Row(f"c/live/j-{n:06d}", None, 51 + n)])
+        log.append(
+            [Row(f"end/j-{n:06d}", {"s": "done"}, 51 + n), Row(f"c/live/j-{n:06d}", None, 51 + n)]
+        )
     log.close()
     return log.path
 
@@ -62,7 +72,7 @@
     path = base(tmp_path)
     whole = path.read_bytes()
     for at in range(len(whole)):
-        path.write_bytes(whole[:at] + bytes([whole[at] ^ 0x10]) + whole[at + 1:])
+        path.write_bytes(whole[:at] + bytes([whole[at] ^ 0x10]) + whole[at + 1 :])
         with pytest.raises(SnapshotError, match=path.name):
             read_base(path)
 
@@ -81,10 +91,12 @@
     assert revs == sorted(revs) and set(revs) == set(range(50, 57))
 
 
-@pytest.mark.parametrize("fields, why", [
-    ({"labels": ["x"]}, "another deployment"), ({"kind": "log"}, "not a base")])
+@pytest.mark.parametrize(
+    "fields, why", [({"labels": ["x"]}, "another deployment"), ({"kind": "log"}, "not a base")]
+)
 def test_what_is_not_ours_is_refused_and_what_is_older_is_used(
-        tmp_path: Path, fields: dict[str, Any], why: str) -> None:
+    tmp_path: Path, fields: dict[str, Any], why: str
+) -> None:
     base(tmp_path)
     wrong = write_base(tmp_path, header(rev=99, **fields), files.rows_of(RECORDS))
     if "kind" in fields:
@@ -109,7 +121,8 @@
 
 @pytest.mark.parametrize("call", ["fsync", "replace"])
 def test_a_process_that_ends_at_any_call_leaves_the_one_before(
-        monkeypatch: pytest.MonkeyPatch, tmp_path: Path, call: str) -> None:
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, call: str
+) -> None:
     """Nothing takes a base's name, or the place of the one before, until it is whole."""
     base(tmp_path)
     real, left = getattr(os, call), 0
@@ -120,6 +133,7 @@
         if left < 0:
             raise Ended
         return real(*args)
+
     monkeypatch.setattr(os, call, ends)
     for allowed in range(8):
         left = allowed
@@ -144,8 +158,9 @@
     return next(iter(world.controllers.values())).settings
 
 
-async def restored(clock: Clock, directory: Path, monkeypatch: pytest.MonkeyPatch,
-                   lines: list[str]) -> World:
+async def restored(
+    clock: Clock, directory: Path, monkeypatch: pytest.MonkeyPatch, lines: list[str]
+) -> World:
     """A snapshot is taken by hand; everything ends, and the state service has nothing left."""
     world = World(clock, 5, rebuild=True)
     world.state.past = []
@@ -160,6 +175,7 @@
         made = StateStore("state", 1, 250.0, 100.0, 2.0, 3)
         made.client = world.client("operator", "state")
         return made
+
     monkeypatch.setattr(commands, "store_of", store)
     monkeypatch.setattr("builtins.print", lambda *a, **_: lines.append(" ".join(map(str, a))))
     assert await commands._take(its, directory) == 0
@@ -176,8 +192,11 @@
     end = clock() + 200.0
     while clock() < end and not world.broken:
         await curio.sleep(2.0)
-        if all(world.told.get(i) == "done" for i in world.accepted
-               if world.jobs[i]["shape"] != "daemon"):
+        if all(
+            world.told.get(i) == "done"
+            for i in world.accepted
+            if world.jobs[i]["shape"] != "daemon"
+        ):
             break
     return world
 
@@ -186,24 +205,32 @@
     lines: list[str] = []
     world = simulate(monkeypatch, lambda clock: restored(clock, tmp_path, monkeypatch, lines))
     assert world.broken == [] and len(world.accepted) == 8
-    assert all(world.told.get(i) == "done" for i in world.accepted
-               if world.jobs[i]["shape"] != "daemon")
+    assert all(
+        world.told.get(i) == "done" for i in world.accepted if world.jobs[i]["shape"] != "daemon"
+    )
     assert any("nothing written" in line for line in lines)
 
 
-@pytest.mark.parametrize("words, status, says", [
-    (["verify", "{dir}"], 0, "good"), (["show", "{dir}"], 0, "live 40"),
-    (["verify", "{dir}/none"], 2, "no such directory"),
-    (["show", "{dir}/none"], 2, "no such directory")])
-def test_people_are_told(tmp_path: Path, capsys: pytest.CaptureFixture[str], words: list[str],
-                         status: int, says: str) -> None:
+@pytest.mark.parametrize(
+    "words, status, says",
+    [
+        (["verify", "{dir}"], 0, "good"),
+        (["show", "{dir}"], 0, "live 40"),
+        (["verify", "{dir}/none"], 2, "no such directory"),
+        (["show", "{dir}/none"], 2, "no such directory"),
+    ],
+)
+def test_people_are_told(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], words: list[str], status: int, says: str
+) -> None:
     base(tmp_path)
     assert main(["snapshot", *(w.format(dir=tmp_path) for w in words)]) == status
     assert says in "".join(capsys.readouterr())
 
 
 def test_what_is_damaged_is_named_and_the_next_is_shown(
-        tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
     base(tmp_path)
     worse = base(tmp_path, rev=60)
     worse.write_bytes(worse.read_bytes()[:-3])
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -24,20 +24,39 @@
     def __init__(self) -> None:
         self.events: list[tuple[Any, ...]] = []
         self.over: set[str] = set()  # jobs that are known to be cancelled
-        self.owner = Owner(lambda j: JOB if j == JOB.id else None, self.over.__contains__,
-                           lambda j, e: self.events.append(e), 5.0, 3.0)
+        self.owner = Owner(
+            lambda j: JOB if j == JOB.id else None,
+            self.over.__contains__,
+            lambda j, e: self.events.append(e),
+            5.0,
+            3.0,
+        )
         self.owner.types = {t.name: t for t in msgspec.convert(TYPES, list[MachineType])}
         self.owner.begin(Generation(3, {"c0": "x"}, 7), "c0")
         self.seq = 0
 
-    def report(self, *tasks: tuple[tuple[str, int], str, str], token: int | None = None,
-               session: int = 1, seq: int | None = None, notice: float | None = None) -> bool:
+    def report(
+        self,
+        *tasks: tuple[tuple[str, int], str, str],
+        token: int | None = None,
+        session: int = 1,
+        seq: int | None = None,
+        notice: float | None = None,
+    ) -> bool:
         self.seq += 1
         known = self.owner.machines.get("m1")
-        report = Report("m1", "m1:1", "plain", "north", False, session,
-                        self.seq if seq is None else seq,
-                        (known.token if known else 0) if token is None else token,
-                        [Piece(k[0], k[1], s, w) for k, s, w in tasks], notice)
+        report = Report(
+            "m1",
+            "m1:1",
+            "plain",
+            "north",
+            False,
+            session,
+            self.seq if seq is None else seq,
+            (known.token if known else 0) if token is None else token,
+            [Piece(k[0], k[1], s, w) for k, s, w in tasks],
+            notice,
+        )
         return self.owner.take_report(report, float(self.seq), True) is not None
 
     @property
@@ -55,32 +74,35 @@
 RUN = (KEY, "running", "")
 
 
-@pytest.mark.parametrize("steps, gone", [
-    # launched, answered, and absent from a later report
-    (["launch", "send", "answer", "report"], True),
-    # the answer is out: absence says nothing, the command may still run
-    (["launch", "send", "report"], False),
-    # no answer: only a report under the raised token settles it
-    (["launch", "send", "lost", "old_report"], False),
-    # ... and then it is ordered again, not given up
-    (["launch", "send", "lost", "report"], False),
-    # adopted from a record: a report under an earlier token proves nothing
-    (["adopt", "old_report"], False),
-    (["adopt", "report"], True),
-    (["adopt", "running", "report"], True),
-    (["adopt", "running"], False),
-    # reserved only and adopted: never sent
-    (["reserve", "adopt", "report"], True),
-    # a late report (lower counter) is dropped
-    (["adopt", "running", "late_report"], False),
-    # a higher session: the lease ran out there
-    (["adopt", "running", "session"], True),
-    # killed before it was sent: settled at once
-    (["launch", "kill"], True),
-    # killed while the launch is unanswered: not before the fence
-    (["launch", "send", "lost", "kill", "old_report"], False),
-    (["launch", "send", "lost", "kill", "report"], True),
-])
+@pytest.mark.parametrize(
+    "steps, gone",
+    [
+        # launched, answered, and absent from a later report
+        (["launch", "send", "answer", "report"], True),
+        # the answer is out: absence says nothing, the command may still run
+        (["launch", "send", "report"], False),
+        # no answer: only a report under the raised token settles it
+        (["launch", "send", "lost", "old_report"], False),
+        # ... and then it is ordered again, not given up
+        (["launch", "send", "lost", "report"], False),
+        # adopted from a record: a report under an earlier token proves nothing
+        (["adopt", "old_report"], False),
+        (["adopt", "report"], True),
+        (["adopt", "running", "report"], True),
+        (["adopt", "running"], False),
+        # reserved only and adopted: never sent
+        (["reserve", "adopt", "report"], True),
+        # a late report (lower counter) is dropped
+        (["adopt", "running", "late_report"], False),
+        # a higher session: the lease ran out there
+        (["adopt", "running", "session"], True),
+        # killed before it was sent: settled at once
+        (["launch", "kill"], True),
+        # killed while the launch is unanswered: not before the fence
+        (["launch", "send", "lost", "kill", "old_report"], False),
+        (["launch", "send", "lost", "kill", "report"], True),
+    ],
+)
 def test_gone(steps: list[str], gone: bool) -> None:
     b = Bench()
     b.report()
@@ -199,8 +221,9 @@
 def test_preemption_saves_where_there_is_time() -> None:
     for grace, expected in ((10.0, 4.0), (1.0, 0.0)):
         b = Bench()
-        low = msgspec.convert(wire_job(1, pieces=9, rank="best_effort", snapshot_every_s=15.0,
-                                       snapshot_s=4.0), Job)
+        low = msgspec.convert(
+            wire_job(1, pieces=9, rank="best_effort", snapshot_every_s=15.0, snapshot_s=4.0), Job
+        )
         b.owner.job_of = lambda _, low=low: low
         b.report()
         b.report(*(((f"j-000001/{n}", 1), "running", "") for n in range(4)))
@@ -220,8 +243,10 @@
     assert len(b.machine.kills) == stopped
 
 
-@pytest.mark.parametrize("steps, told", [
-    (["adopt"], True), (["reserve", "launch"], True), (["reserve"], False), ([], False)])
+@pytest.mark.parametrize(
+    "steps, told",
+    [(["adopt"], True), (["reserve", "launch"], True), (["reserve"], False), ([], False)],
+)
 def test_homes_hear_of_a_returned_machine(steps: list[str], told: bool) -> None:
     """A home that took over after the return was announced waited for ever."""
     b = Bench()
@@ -240,29 +265,36 @@
 # -- generations ---------------------------------------------------------
 
 
-@pytest.mark.parametrize("members, present, proposed", [
-    ({}, {"a": "1"}, {"a": "1"}),
-    ({"a": "1"}, {"a": "1"}, None),
-    ({"a": "1"}, {"a": "2"}, {"a": "2"}),          # restarted: it has forgotten its counters
-    ({"a": "1", "b": "1"}, {"b": "1"}, {"b": "1"}),
-    ({"a": "1"}, {}, None),                        # nobody is left to act
-])
-def test_successor(members: dict[str, str], present: dict[str, str],
-                   proposed: dict[str, str] | None) -> None:
+@pytest.mark.parametrize(
+    "members, present, proposed",
+    [
+        ({}, {"a": "1"}, {"a": "1"}),
+        ({"a": "1"}, {"a": "1"}, None),
+        ({"a": "1"}, {"a": "2"}, {"a": "2"}),  # restarted: it has forgotten its counters
+        ({"a": "1", "b": "1"}, {"b": "1"}, {"b": "1"}),
+        ({"a": "1"}, {}, None),  # nobody is left to act
+    ],
+)
+def test_successor(
+    members: dict[str, str], present: dict[str, str], proposed: dict[str, str] | None
+) -> None:
     current = Generation(4, members, 9)
     found = successor(current, present)
     assert (found.members if found else None) == proposed
     assert found is None or found.base_token > current.base_token
 
 
-@pytest.mark.parametrize("me, present, heard, leave", [
-    ("a", ["a"], [], False),                       # alone
-    ("a", ["a", "b", "c"], [], True),              # both live on without us
-    ("a", ["a", "b", "c"], ["b"], False),
-    ("a", ["a", "b"], [], False),                  # of two the first in order stays
-    ("b", ["a", "b"], [], True),
-    ("b", ["a", "b"], ["a"], False),
-])
+@pytest.mark.parametrize(
+    "me, present, heard, leave",
+    [
+        ("a", ["a"], [], False),  # alone
+        ("a", ["a", "b", "c"], [], True),  # both live on without us
+        ("a", ["a", "b", "c"], ["b"], False),
+        ("a", ["a", "b"], [], False),  # of two the first in order stays
+        ("b", ["a", "b"], [], True),
+        ("b", ["a", "b"], ["a"], False),
+    ],
+)
 def test_should_leave(me: str, present: list[str], heard: list[str], leave: bool) -> None:
     assert should_leave(100.0, me, {p: 99.0 for p in heard}, present, 5.0) == leave
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -25,20 +25,47 @@
 SETTINGS: dict[str, Any] = {
     "zones": ZONES,
     "teams": [{"name": "free"}, {"name": "tight", "gpus": 1.0, "gpus_max": 4.0}],
-    "objectives": [{"kind": "wait", "class": "web", "within_s": 2.0, "share": 0.9},
-                   {"kind": "finished", "class": "batch", "within_s": 90.0, "share": 0.9}],
-    "workers": {"report_s": 1.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 4.0,
-                "cancel_s": 35.0},
+    "objectives": [
+        {"kind": "wait", "class": "web", "within_s": 2.0, "share": 0.9},
+        {"kind": "finished", "class": "batch", "within_s": 90.0, "share": 0.9},
+    ],
+    "workers": {
+        "report_s": 1.0,
+        "lease_s": 10.0,
+        "gang_wait_s": 30.0,
+        "gang_peer_s": 4.0,
+        "cancel_s": 35.0,
+    },
     "state": {"rps": 250.0, "write_rps": 100.0, "value_kb": 8.0, "txn_ops": 16},
     "cloud": {"rps": 4.0, "list_lag_s": 3.0},
     "machine_limits": {"core_share": 0.5, "mem_mb": 146.0, "max_sockets": 500},
     "clock_error_ms": 25.0,
 }
 TYPES = [
-    {"label": "plain", "vcpus": 8, "cards": 0, "ram_gb": 64, "local_gb": 60,
-     "pull_gb_per_s": 1.0, "rate": 0.4, "spot_price": 0.1, "boot_s": 8, "sites": ZONES},
-    {"label": "accel", "vcpus": 16, "cards": 2, "ram_gb": 128, "local_gb": 60,
-     "pull_gb_per_s": 1.0, "rate": 4.0, "spot_price": 1.5, "boot_s": 8, "sites": ZONES},
+    {
+        "label": "plain",
+        "vcpus": 8,
+        "cards": 0,
+        "ram_gb": 64,
+        "local_gb": 60,
+        "pull_gb_per_s": 1.0,
+        "rate": 0.4,
+        "spot_price": 0.1,
+        "boot_s": 8,
+        "sites": ZONES,
+    },
+    {
+        "label": "accel",
+        "vcpus": 16,
+        "cards": 2,
+        "ram_gb": 128,
+        "local_gb": 60,
+        "pull_gb_per_s": 1.0,
+        "rate": 4.0,
+        "spot_price": 1.5,
+        "boot_s": 8,
+        "sites": ZONES,
+    },
 ]
 
 
@@ -130,8 +157,9 @@
         _, self.rev, keys, length = self.past[-1]
         self.keys = dict(keys)
         del self.log[length:]
-        self.leases = {i: v for i, v in self.leases.items()
-                       if any(k[2] == i for k in self.keys.values())}
+        self.leases = {
+            i: v for i, v in self.leases.items() if any(k[2] == i for k in self.keys.values())
+        }
         return before - self.rev
 
     def lose_keys(self, prefix: str) -> int:
@@ -150,8 +178,11 @@
             self.log.append({"write": key, "data": value, "key_rev": rev})
 
     def changes(self, prefix: str, since: int) -> list[dict[str, Any]]:
-        return [c for c in self.log if c["key_rev"] > since
-                and (c.get("write") or c.get("remove", "")).startswith(prefix)]
+        return [
+            c
+            for c in self.log
+            if c["key_rev"] > since and (c.get("write") or c.get("remove", "")).startswith(prefix)
+        ]
 
     def expire(self, now: float) -> None:
         if now < self.down_until:
@@ -179,11 +210,17 @@
         where, _, query = path.partition("?")
         args = dict(p.split("=", 1) for p in query.split("&")) if query else {}
         if where == "/keys":
-            keys = sorted(k for k in self.keys if k.startswith(args["prefix"])
-                          and k > args.get("since", ""))
-            return 200, {"pairs": [{"key": k, "data": self.keys[k][0], "key_rev": self.keys[k][1]}
-                                   for k in keys[:1000]],
-                         "more": len(keys) > 1000, "store_rev": self.rev}
+            keys = sorted(
+                k for k in self.keys if k.startswith(args["prefix"]) and k > args.get("since", "")
+            )
+            return 200, {
+                "pairs": [
+                    {"key": k, "data": self.keys[k][0], "key_rev": self.keys[k][1]}
+                    for k in keys[:1000]
+                ],
+                "more": len(keys) > 1000,
+                "store_rev": self.rev,
+            }
         if where.startswith("/keys/"):
             key = where[6:]
             if key not in self.keys:
@@ -208,8 +245,7 @@
     def commit(self, body: Any) -> tuple[int, Any]:
         writes = body.get("writes", [])
         most = self.limits["txn_ops"]
-        if len(writes) > most or len(body["when"]) > 4 * most \
-                or len(json.dumps(body)) > 64 * 1024:
+        if len(writes) > most or len(body["when"]) > 4 * most or len(json.dumps(body)) > 64 * 1024:
             self.world.refused.append(f"transaction of {len(writes)} {body}")
             return 400, {"error": "too large"}
         for write in writes:
@@ -218,8 +254,9 @@
             if len(json.dumps(write.get("data"))) > self.limits["value_kb"] * 1024:
                 self.world.refused.append(f"value of {write}")
                 return 400, {"error": "too large"}
-        failed = [c["key"] for c in body["when"]
-                  if self.keys.get(c["key"], (None, 0))[1] != c["key_rev"]]
+        failed = [
+            c["key"] for c in body["when"] if self.keys.get(c["key"], (None, 0))[1] != c["key_rev"]
+        ]
         if failed:
             return 409, {"failed": failed, "store_rev": self.rev}
         if writes:
@@ -272,9 +309,18 @@
             if t.state == "exited":
                 piece.update(cause=t.why, stored=t.saved)
             pieces.append(piece)
-        return {"host": self.name, "address": self.address, "flavor": self.kind,
-                "site": self.zone, "loaners": self.spot, "tenure": self.session,
-                "counter": self.seq, "epoch": self.token, "reclaim_in_s": None, "pieces": pieces}
+        return {
+            "host": self.name,
+            "address": self.address,
+            "flavor": self.kind,
+            "site": self.zone,
+            "loaners": self.spot,
+            "tenure": self.session,
+            "counter": self.seq,
+            "epoch": self.token,
+            "reclaim_in_s": None,
+            "pieces": pieces,
+        }
 
     def execute(self, orders: list[dict[str, Any]]) -> None:
         now = self.world.clock()
@@ -293,13 +339,17 @@
         job_id = key[0].split("/")[0]
         job = self.world.jobs[job_id]
         task = self.tasks[key] = Task("pulling", now)
-        used = [self.world.jobs[k[0].split("/")[0]] for k, t in self.tasks.items()
-                if t.state != "exited" and k != key]
+        used = [
+            self.world.jobs[k[0].split("/")[0]]
+            for k, t in self.tasks.items()
+            if t.state != "exited" and k != key
+        ]
         kind = next(t for t in TYPES if t["label"] == self.kind)
         if any(k[0] == key[0] and t.state != "exited" for k, t in self.tasks.items() if k != key):
             task.state, task.why = "exited", "busy"
-        elif any(sum(j[f] for j in used) + job[f] > kind[f] + 1e-6
-                 for f in ("vcpus", "cards", "ram_gb")):
+        elif any(
+            sum(j[f] for j in used) + job[f] > kind[f] + 1e-6 for f in ("vcpus", "cards", "ram_gb")
+        ):
             task.state, task.why = "exited", "no_room"
         else:
             task.until = now + 1.5
@@ -343,8 +393,9 @@
         self.world.left(self, key)
         whole = self.world.jobs[job_id]
         # Gangs complete together: if one task is done, all are.
-        self.world.results[job_id].update(range(whole["pieces"]) if whole["shape"] == "ensemble"
-                                          else [int(number)])
+        self.world.results[job_id].update(
+            range(whole["pieces"]) if whole["shape"] == "ensemble" else [int(number)]
+        )
         task.state, task.why = "exited", "done"
 
     async def run(self) -> None:
@@ -373,8 +424,11 @@
                     self.token = answer["epoch"]
                     self.answered = max(self.answered, now)
                     self.execute(answer["orders"])
-            elif status == 421 and answer.get("upstream") in w.labels \
-                    and answer["upstream"] != target:
+            elif (
+                status == 421
+                and answer.get("upstream") in w.labels
+                and answer["upstream"] != target
+            ):
                 target, due = answer["upstream"], w.clock()
             else:
                 target = w.labels[(w.labels.index(target) + 1) % len(w.labels)]
@@ -406,8 +460,9 @@
 class World:
     """Everything outside the controllers, and the Rules."""
 
-    def __init__(self, clock: Clock, seed: int, controllers: int = 3, rebuild: bool = False
-                 ) -> None:
+    def __init__(
+        self, clock: Clock, seed: int, controllers: int = 3, rebuild: bool = False
+    ) -> None:
         self.rebuild = rebuild  # whether controllers rebuild what the state service loses
         self.second_copy = False  # whether 201 waits until a second place has the record
         self.disks: dict[str, str] = {}  # controllers that have one, and where
@@ -465,8 +520,14 @@
         for other in self.workers.values():
             if other is not worker and any(k[0] == task for k in other.on()):
                 self.broken.append(f"ran_twice {task} on {worker.name} and {other.name}")
-        if worker.spot and not job["loaners"] or job["flavors"] and worker.kind not in \
-                job["flavors"] or job["site"] and job["site"] != worker.zone:
+        if (
+            worker.spot
+            and not job["loaners"]
+            or job["flavors"]
+            and worker.kind not in job["flavors"]
+            or job["site"]
+            and job["site"] != worker.zone
+        ):
             self.broken.append(f"wrong_place {task} on {worker.name}")
         zones = {}
         for other in self.workers.values():
@@ -478,8 +539,12 @@
         if job["scatter"] and zones[worker.zone] > (job["pieces"] + 1) // 2:
             self.broken.append(f"wrong_place {task}: scattered {zones}")
         if job["owner"] == "tight":
-            used = sum(self.jobs[k[0].split("/")[0]]["cards"] for o in self.workers.values()
-                       for k in o.on() if self.jobs[k[0].split("/")[0]]["owner"] == "tight")
+            used = sum(
+                self.jobs[k[0].split("/")[0]]["cards"]
+                for o in self.workers.values()
+                for k in o.on()
+                if self.jobs[k[0].split("/")[0]]["owner"] == "tight"
+            )
             if used > 4.0 + 1e-6:
                 self.broken.append(f"quota {used} with {task}")
 
@@ -493,13 +558,21 @@
             return
         for other in self.workers.values():
             for k, t in other.tasks.items():
-                if k != key and k[1] == key[1] and k[0].split("/")[0] == job_id \
-                        and t.state == "running":
+                if (
+                    k != key
+                    and k[1] == key[1]
+                    and k[0].split("/")[0] == job_id
+                    and t.state == "running"
+                ):
                     t.state, t.why = "exited", "mates_gone"
 
     def gang(self, job_id: str, attempt: int, now: float) -> None:
-        members = [(w, k, t) for w in self.workers.values() for k, t in w.tasks.items()
-                   if k[1] == attempt and k[0].split("/")[0] == job_id and t.state == "waiting"]
+        members = [
+            (w, k, t)
+            for w in self.workers.values()
+            for k, t in w.tasks.items()
+            if k[1] == attempt and k[0].split("/")[0] == job_id and t.state == "waiting"
+        ]
         if len(members) == self.jobs[job_id]["pieces"]:
             for _, _, task in members:
                 task.state, task.until = "running", now + self.run_s[job_id]
@@ -511,8 +584,11 @@
         while todo:
             for need in self.jobs[todo.pop()].get("prereqs") or ():
                 since = self.cancelled.get(need)
-                if since is not None and status in ("queued", "running") and self.clock() - max(
-                        since, self.accepted_at.get(job_id, math.inf)) > 35.0:
+                if (
+                    since is not None
+                    and status in ("queued", "running")
+                    and self.clock() - max(since, self.accepted_at.get(job_id, math.inf)) > 35.0
+                ):
                     self.broken.append(f"orphaned {job_id} needs {need}: {status}")
                 todo.append(need)
 
@@ -529,18 +605,21 @@
     # -- the network -----------------------------------------------------
 
     def reaches(self, source: str, target: str) -> bool:
-        return source not in self.cut and target not in self.cut \
+        return (
+            source not in self.cut
+            and target not in self.cut
             and f"{source}>{target}" not in self.cut
+        )
 
-    async def _exchange(self, source: str, target: str, serve: Callable[[], Any],
-                        timeout_s: float, hold: bool) -> Any:
+    async def _exchange(
+        self, source: str, target: str, serve: Callable[[], Any], timeout_s: float, hold: bool
+    ) -> Any:
         """One request: it may be lost, executed without an answer, or held and executed
         long after the sender has given up."""
         delay = self.rng.uniform(0.001, 0.01)
         if target == "state" and self.slow_s:
             await curio.sleep(self.rng.uniform(0.0, self.slow_s))
-        if target == "state" and hold and self.late_writes \
-                and self.rng.random() < self.late_writes:
+        if target == "state" and hold and self.late_writes and self.rng.random() < self.late_writes:
             await curio.spawn(self._later(serve, (2.0, 12.0)), daemon=True)
             await curio.sleep(timeout_s)
             raise http.NoAnswer("carried out late")
@@ -569,8 +648,9 @@
         await curio.sleep(delay)
         return answer
 
-    async def _later(self, serve: Callable[[], Any],
-                     within_s: tuple[float, float] | None = None) -> None:
+    async def _later(
+        self, serve: Callable[[], Any], within_s: tuple[float, float] | None = None
+    ) -> None:
         await curio.sleep(self.rng.uniform(*(within_s or self.hold_s)))
         try:
             answer = serve()
@@ -579,19 +659,23 @@
         except http.NoAnswer:
             pass
 
-    async def deliver(self, source: str, label: str, method: str, path: str, body: bytes,
-                      timeout_s: float) -> tuple[int, bytes]:
+    async def deliver(
+        self, source: str, label: str, method: str, path: str, body: bytes, timeout_s: float
+    ) -> tuple[int, bytes]:
         """A worker's or user's request to a controller."""
+
         async def serve() -> tuple[int, bytes]:
             controller = self.controllers.get(label)
             if controller is None:
                 raise http.NotSent("refused")
             status, raw, _ = await controller.api.handle(method, path, body)
             return status, raw
+
         try:
             async with curio.timeout_after(timeout_s):
                 answer: tuple[int, bytes] = await self._exchange(
-                    source, label, serve, timeout_s, path == "/v1/report")
+                    source, label, serve, timeout_s, path == "/v1/report"
+                )
                 return answer
         except curio.TaskTimeout:
             raise http.NoAnswer("slow") from None
@@ -600,8 +684,9 @@
         """A copy of a report arrives late, at any controller; nobody hears the answer."""
         await curio.sleep(self.rng.uniform(2.0, 2 * SETTINGS["workers"]["lease_s"]))
         try:
-            await self.deliver(source, self.rng.choice(self.labels), "POST", "/v1/report", body,
-                               4.0)
+            await self.deliver(
+                source, self.rng.choice(self.labels), "POST", "/v1/report", body, 4.0
+            )
         except http.NoAnswer:
             pass
 
@@ -612,8 +697,9 @@
             def __init__(self, *_: Any, **__: Any) -> None:
                 pass
 
-            async def request(self, method: str, path: str, body: bytes | None,
-                              timeout_s: float) -> tuple[int, bytes]:
+            async def request(
+                self, method: str, path: str, body: bytes | None, timeout_s: float
+            ) -> tuple[int, bytes]:
                 value = json.loads(body) if body else None
                 if host == "state" and path.startswith("/changes"):
                     return await world.watch(source, path)
@@ -631,15 +717,18 @@
                     if worker is None or not worker.alive():
                         raise http.NoAnswer("dead")
                     return world.later_if_hung(worker, method, path, value)
+
                 try:
                     status, answer = await world._exchange(
-                        source, host, serve, timeout_s, method == "POST" and path != "/leases")
+                        source, host, serve, timeout_s, method == "POST" and path != "/leases"
+                    )
                 except http.NoAnswer:
                     raise
                 return status, json.dumps(answer).encode()
 
             async def close(self) -> None:
                 pass
+
         return Client()
 
     def later_if_hung(self, worker: Worker, method: str, path: str, value: Any) -> Any:
@@ -676,17 +765,30 @@
                 if count == 0:
                     return 503, {"error": "no capacity"}
                 self.rentals[body["rental"]] = [
-                    self.boot(body["flavor"], body["site"], body["loaners"]) for _ in range(count)]
+                    self.boot(body["flavor"], body["site"], body["loaners"]) for _ in range(count)
+                ]
             return 200, {"hosts": self.rentals[body["rental"]]}
         if path == "/hosts/return":
             for name in body["hosts"]:
                 if name in self.workers:
                     self.kill(self.workers[name])
             return 200, {}
-        return 200, {"hosts": [
-            {"id": w.name, "address": w.address, "flavor": w.kind, "site": w.zone,
-             "loaners": w.spot, "status": "running" if now >= w.up_at else "starting",
-             "held_s": 1.0} for w in self.workers.values() if not w.gone], "more": False}
+        return 200, {
+            "hosts": [
+                {
+                    "id": w.name,
+                    "address": w.address,
+                    "flavor": w.kind,
+                    "site": w.zone,
+                    "loaners": w.spot,
+                    "status": "running" if now >= w.up_at else "starting",
+                    "held_s": 1.0,
+                }
+                for w in self.workers.values()
+                if not w.gone
+            ],
+            "more": False,
+        }
 
     def boot(self, kind: str, zone: str, spot: bool) -> str:
         self.machine_number += 1
@@ -705,17 +807,27 @@
 
     async def start(self, label: str) -> None:
         settings = {
-            "label": label, "location": ZONES[0], "bind": "127.0.0.1:1", "peer_bind": "127.0.0.1:2",
-            "members": [{"label": other, "location": ZONES[0], "address": "127.0.0.1:3"}
-                        for other in self.labels if other != label],
+            "label": label,
+            "location": ZONES[0],
+            "bind": "127.0.0.1:1",
+            "peer_bind": "127.0.0.1:2",
+            "members": [
+                {"label": other, "location": ZONES[0], "address": "127.0.0.1:3"}
+                for other in self.labels
+                if other != label
+            ],
             "services": {"cloud": "cloud:1", "state": "state:1"},
             "cluster": {"size": len(self.labels), **SETTINGS},
         }
         # Given at the start: pauses before asking again are drawn from what it seeds. (They
         # were drawn from the process's own, and one run in forty had another verdict.)
-        c = Controller(parse(json.dumps(settings).encode()), f"{label}-{self.rng.random()}",
-                       self.rebuild and label not in self.old, self.disks.get(label, ""),
-                       self.second_copy)
+        c = Controller(
+            parse(json.dumps(settings).encode()),
+            f"{label}-{self.rng.random()}",
+            self.rebuild and label not in self.old,
+            self.disks.get(label, ""),
+            self.second_copy,
+        )
         c.store.client = c.store.watcher = c.store.recorder = self.client(label, "state")
         c.cloud.client = self.client(label, "cloud")
         c.fleet.client = lambda address: self.client(label, address.split(":")[0])  # type: ignore
@@ -726,11 +838,17 @@
         def checked(job_id: str, event: Any) -> None:
             """Nothing is said to be gone that is on its machine."""
             worker, key = self.workers.get(event[0]), event[1:3]
-            if event[3] == GONE and worker is not None and key in worker.tasks \
-                    and worker.tasks[key].state != "exited" and c.generation.number == max(
-                        x.generation.number for x in self.controllers.values()):
+            if (
+                event[3] == GONE
+                and worker is not None
+                and key in worker.tasks
+                and worker.tasks[key].state != "exited"
+                and c.generation.number
+                == max(x.generation.number for x in self.controllers.values())
+            ):
                 self.broken.append(f"gone_too_early {event}")
             emit(job_id, event)
+
         c.owner.emit = checked
         if label in self.old:
             c.mirror.count_versions = lambda: None  # type: ignore[method-assign]
@@ -740,8 +858,8 @@
     def _link(self, label: str, peer: peers.Peer) -> None:
         async def call(kind: int, values: tuple[Any, ...], timeout_s: float | None = None) -> Any:
             frame = peerwire.encode(kind, 1, values)
-            kind, _, _ = peerwire.decode_header(frame[:peerwire.HEADER.size])
-            body = peerwire.decode_body(kind, frame[peerwire.HEADER.size:])
+            kind, _, _ = peerwire.decode_header(frame[: peerwire.HEADER.size])
+            body = peerwire.decode_body(kind, frame[peerwire.HEADER.size :])
 
             async def serve() -> Any:
                 other = self.controllers.get(peer.label)
@@ -749,17 +867,19 @@
                     raise http.NotSent("refused")
                 reply, answer = await other.answer(kind, body)
                 raw = peerwire.encode(reply, 1, answer)
-                return peerwire.decode_body(reply, raw[peerwire.HEADER.size:])
+                return peerwire.decode_body(reply, raw[peerwire.HEADER.size :])
+
             try:
                 async with curio.timeout_after(timeout_s or 1.0):
                     answer = await self._exchange(label, peer.label, serve, timeout_s or 1.0, True)
-                if peerwire.decode_header(frame[:peerwire.HEADER.size])[0] in self.doubled:
+                if peerwire.decode_header(frame[: peerwire.HEADER.size])[0] in self.doubled:
                     # Sent twice, since the first was long without an answer.
                     await curio.spawn(self._later(serve), daemon=True)
             except (http.NoAnswer, curio.TaskTimeout) as exc:
                 raise peers.PeerError(str(exc)) from None
             peer.heard = self.clock()
             return answer
+
         peer.call = call  # type: ignore[method-assign]
 
     async def _run(self, c: Controller) -> None:
@@ -787,6 +907,7 @@
         # Routines of its own that are still under way must not act any more.
         async def dead(*_: Any, **__: Any) -> Any:
             await curio.sleep(10**6)
+
         for client in (c.store.client, c.cloud.client):
             client.request = dead  # type: ignore[method-assign]
         c.fleet.client = lambda _: None  # type: ignore[method-assign,assignment]
@@ -795,11 +916,13 @@
 
     # -- users -----------------------------------------------------------
 
-    async def user(self, label: str, method: str, path: str, value: Any = None
-                   ) -> tuple[int, dict[str, Any]]:
+    async def user(
+        self, label: str, method: str, path: str, value: Any = None
+    ) -> tuple[int, dict[str, Any]]:
         try:
-            status, raw = await self.deliver("users", label, method, path,
-                                             msgspec.json.encode(value), 5.0)
+            status, raw = await self.deliver(
+                "users", label, method, path, msgspec.json.encode(value), 5.0
+            )
             return status, json.loads(raw)
         except http.NoAnswer:
             return 0, {}
@@ -822,8 +945,9 @@
     async def abort(self, job_id: str, label: str = "") -> None:
         """Ask until it is cancelled or done, of any controller or of one."""
         while True:
-            status, answer = await self.user(label or self.rng.choice(self.labels), "POST",
-                                             f"/api/jobs/{job_id}/abort")
+            status, answer = await self.user(
+                label or self.rng.choice(self.labels), "POST", f"/api/jobs/{job_id}/abort"
+            )
             if status == 200:
                 if answer["status"] == "cancelled":
                     self.cancelled.setdefault(job_id, self.clock())
@@ -848,15 +972,17 @@
             for job_id in self.rng.sample(sorted(self.accepted), min(4, len(self.accepted))):
                 # An answer may be as old as its question, not older.
                 told = self.told.get(job_id)
-                status, answer = await self.user(self.rng.choice(self.labels), "GET",
-                                                 f"/api/jobs/{job_id}")
+                status, answer = await self.user(
+                    self.rng.choice(self.labels), "GET", f"/api/jobs/{job_id}"
+                )
                 if status == 404 and self.lost is not None:
                     self.lost.add(job_id)
                     self.accepted.discard(job_id)
                 elif status == 404:
                     self.broken.append(f"forgotten {job_id}")
-                elif status == 200 and (told == self.told.get(job_id)
-                                        or answer["status"] in ("done", "cancelled")):
+                elif status == 200 and (
+                    told == self.told.get(job_id) or answer["status"] in ("done", "cancelled")
+                ):
                     self.orphaned(job_id, answer["status"])
                     self.note(job_id, answer["status"])
             status, _ = await self.user(self.rng.choice(self.labels), "GET", "/api/jobs/j-999999")
@@ -879,8 +1005,26 @@
 
 def job(number: int, **fields: Any) -> dict[str, Any]:
     """A valid submission, changed by `fields` (wire names)."""
-    return {"id": f"j-{number:06d}", "jobclass": "batch", "owner": "free", "shape": "sweep",
-            "rank": "normal", "pieces": 3, "vcpus": 2.0, "cards": 0.0, "ram_gb": 4.0,
-            "bundle": "img-1", "image_gb": 1.0, "flavors": None, "site": None, "together": False,
-            "scatter": False, "loaners": True, "guess_s": 8.0, "snapshot_every_s": 0.0,
-            "snapshot_s": 0.0, "due_s": None, **fields}
+    return {
+        "id": f"j-{number:06d}",
+        "jobclass": "batch",
+        "owner": "free",
+        "shape": "sweep",
+        "rank": "normal",
+        "pieces": 3,
+        "vcpus": 2.0,
+        "cards": 0.0,
+        "ram_gb": 4.0,
+        "bundle": "img-1",
+        "image_gb": 1.0,
+        "flavors": None,
+        "site": None,
+        "together": False,
+        "scatter": False,
+        "loaners": True,
+        "guess_s": 8.0,
+        "snapshot_every_s": 0.0,
+        "snapshot_s": 0.0,
+        "due_s": None,
+        **fields,
+    }
