--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,6 +23,7 @@
 
 def pytest_configure(config: pytest.Config) -> None:
     config.stash[KEY] = Ledger()
+    config.pluginmanager.register(Reports(config.stash[KEY]))
 
 
 KEY = pytest.StashKey[Ledger]()
@@ -36,13 +37,31 @@
         return
     # A set-up or a tear-down that fails isn't the fault that is known.
     if report.when == "call":
-        ledger.outcomes[item.nodeid] = report.outcome
+        report.known_red_outcome = report.outcome
         if report.failed:
             report.outcome = "skipped"
             report.wasxfail = ledger.listed[item.nodeid].cause
 
 
+class Reports:
+    """Collects the outcomes of listed tests where all reports arrive.
+
+    With pytest-xdist that is the controlling process, not the worker that ran the test.
+    """
+
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
+
+    def pytest_runtest_logreport(self, report: Any) -> None:
+        """Note what a listed test came to."""
+        outcome = getattr(report, "known_red_outcome", None)
+        if outcome is not None:
+            self.ledger.outcomes[report.nodeid] = outcome
+
+
 def pytest_sessionfinish(session: pytest.Session, exitstatus: int) -> None:
+    if hasattr(session.config, "workerinput"):
+        return  # a worker of pytest-xdist has seen only its own part
     ledger = session.config.stash[KEY]
     whole = (
         not session.config.option.collectonly
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -23,24 +23,28 @@
 GREEN = "tests/test_some.py::test_green | none | 7\n"
 
 
+ROWS = [
+    (RED, 0, "known red: tests/test_some.py::test_red: failed; two is not one (7)"),
+    ("", 1, "1 failed"),
+    (RED + GREEN, 1, "test_green: passed; its line is to be removed"),
+    (RED + "tests/test_some.py::test_none | gone | 7\n", 1, "test_none: there is no such test"),
+    (RED + "tests/test_some.py::test_other\n", 1, "line 2: not 'test | cause | issue'"),
+    (RED + RED, 1, "listed twice"),
+    (
+        RED + "".join(f"tests/a.py::test_{n} | gone | 7\n" for n in range(3)),
+        1,
+        "4 tests are listed, 3 at most",
+    ),
+]
+
+
 @pytest.mark.parametrize(
-    "listed, code, said",
-    [
-        (RED, 0, "known red: tests/test_some.py::test_red: failed; two is not one (7)"),
-        ("", 1, "1 failed"),
-        (RED + GREEN, 1, "test_green: passed; its line is to be removed"),
-        (RED + "tests/test_some.py::test_none | gone | 7\n", 1, "test_none: there is no such test"),
-        (RED + "tests/test_some.py::test_other\n", 1, "line 2: not 'test | cause | issue'"),
-        (RED + RED, 1, "listed twice"),
-        (
-            RED + "".join(f"tests/a.py::test_{n} | gone | 7\n" for n in range(3)),
-            1,
-            "4 tests are listed, 3 at most",
-        ),
-    ],
+    "processes, listed, code, said",
+    # With several processes a worker of pytest-xdist runs the test, and another process judges.
+    [(0, *row) for row in ROWS] + [(2, *row) for row in ROWS[:4]],
 )
 def test_ci_passes_over_what_is_listed(
-    pytester: pytest.Pytester, listed: str, code: int, said: str
+    pytester: pytest.Pytester, processes: int, listed: str, code: int, said: str
 ) -> None:
     here = Path(__file__).parent
     tests = pytester.mkdir("tests")
@@ -50,7 +54,7 @@
     (tests / "test_some.py").write_text(TESTS)
     (pytester.path / "KNOWN-RED.txt").write_text(listed)
     pytester.makeini("[pytest]\ntestpaths = tests")
-    result = pytester.runpytest_subprocess()
+    result = pytester.runpytest_subprocess("-n", str(processes))
     assert result.ret == code
     assert said in result.stdout.str()
 
--- a/tests/test_real_restarts.py
+++ b/tests/test_real_restarts.py
@@ -21,12 +21,15 @@
 from typing import Any
 
 import curio
+import pytest
 
 from clayport import http as ours
 
 from .test_program import GOOD
 from .world import State, World
 
+# Ports that were free a moment ago are used: by one process of the run at a time.
+LOOPBACK = pytest.mark.xdist_group("loopback")
 ROOT = Path(__file__).parent.parent
 STARTS = 10
 PATIENCE_S = 60.0  # until something that doesn't happen is an error
@@ -146,10 +149,12 @@
     return took
 
 
+@LOOPBACK
 def test_it_listens_again_each_time(tmp_path: Path) -> None:
     assert len(restarts(tmp_path)) == STARTS
 
 
+@LOOPBACK
 def test_an_address_that_is_still_held_is_waited_for() -> None:
     """It ended at once, and its users saw one end more."""
     from clayport.listen import listener
