Rename: HTTP heads, admission control, flap damping, stall detection

Cause: heads, Door, Flaps, awake/woke and raised are names of our own for what the field has names for.

No event of the logs and no decision is changed.

--- a/clayport/api.py
+++ b/clayport/api.py
@@ -11,7 +11,7 @@
 
 from . import peerwire
 from .jobs import can_ever_run, end_key, end_value, ended, fitted, live_key, live_value
-from .limits import Deadline, Door
+from .limits import AdmissionControl, Deadline
 from .model import SERVICE, Job, fits
 from .peers import PeerError
 from .statestore import CANCEL_S, URGENT_S, Conflict, Lookups, Txn, Unavailable, Unknown
@@ -38,7 +38,7 @@
         self.core = core
         self.lookups = Lookups(core.store, 4 * core.settings.cluster.state.txn_ops, POLL_S / 3)
         # What can't be written while its user waits is refused before anything is asked.
-        self.door = Door(IN_TIME * SUBMIT_S, RETRY_MOST_S)
+        self.admission = AdmissionControl(IN_TIME * SUBMIT_S, RETRY_MOST_S)
 
     async def handle(self, method: str, path: str, body: bytes) -> tuple[int, bytes, Headers]:
         after_s = 1
@@ -166,7 +166,7 @@
             job = core.judged(msgspec.json.decode(body, type=Job))
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
             return 400, {"error": str(exc)}
-        if not core.awake(time.monotonic()):
+        if not core.stalls.check(time.monotonic()):
             # It may have waited since before we stood still, and its user have left.
             raise Unavailable("just awake")
         deadline = Deadline.within(time.monotonic(), IN_TIME * SUBMIT_S)
@@ -242,7 +242,7 @@
     def _admit(self, ahead_s: float) -> None:
         """Unavailable, with when to come back, if what waits for the state service can't be
         worked off in time."""
-        after_s = self.door.ask(self.core.store.backlog(ahead_s))
+        after_s = self.admission.retry_after_s(self.core.store.backlog(ahead_s))
         if after_s:
             raise Unavailable("too much is waiting", after_s)
 
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -399,7 +399,7 @@
         while True:
             await curio.sleep(core.settings.cluster.workers.report_s)
             now = time.monotonic()
-            if not core.awake(now) or not core.serving:
+            if not core.stalls.check(now) or not core.serving:
                 continue
             core.owner.expire(now)
             if core.away or core.state_lost(now):
--- a/clayport/heartbeats.py
+++ b/clayport/heartbeats.py
@@ -28,7 +28,7 @@
         """Exchange heartbeats with one peer, four in the time of a controller's lease."""
         core = self.core
         while True:
-            core.awake(time.monotonic())
+            core.stalls.check(time.monotonic())
             try:
                 await self._exchange(peer)
             except PeerError as exc:
@@ -61,7 +61,7 @@
         core = self.core
         away = (
             core.state_known
-            and core.awake(now)
+            and core.stalls.check(now)
             and should_leave(
                 now,
                 core.label,
--- a/clayport/http.py
+++ b/clayport/http.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 over curio and h11: a server with a socket budget and a pooled client.
 
-Both read and write heads through `heads`, which remembers what h11 says of them.
+Both read and write heads through `http_heads`, which remembers what h11 says of them.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 import h11
 from curio import socket
 
-from . import heads
+from . import http_heads
 from .listen import listener
 
 log = logging.getLogger("clayport.http")
@@ -36,8 +36,8 @@
 async def _head(data: bytearray, more: Callable[[], Awaitable[bytes]]) -> bytes | None:
     """The next message's head, taken out of `data`, which `more` fills; None if the other
     side is finished before that, or h11 has to look at what has come."""
-    while (head := heads.split(data)) is None:
-        received = b"" if heads.strange(data) else await more()
+    while (head := http_heads.take_head(data)) is None:
+        received = b"" if http_heads.needs_h11(data) else await more()
         if not received:
             return None
         data.extend(received)
@@ -114,7 +114,7 @@
                 if me in self.open:
                     self.open[me] = not kept
                 head = await _head(data, lambda: self._more(client, me, bool(data)))
-                asked = heads.asked(head) if head is not None else None
+                asked = http_heads.parse_request_head(head) if head is not None else None
                 if head is None or asked is None or asked.length > MAX_BODY:
                     if head or data:
                         await self._by_h11(client, me, (head or b"") + data)
@@ -129,7 +129,9 @@
                 del data[: asked.length]
                 kept = asked.path.startswith(self.kept_path)
                 status, payload, extra = await self.handler(asked.method, asked.path, body)
-                await client.sendall(heads.answer(status, len(payload), tuple(extra)) + payload)
+                await client.sendall(
+                    http_heads.response_head(status, len(payload), tuple(extra)) + payload
+                )
         except OSError:
             pass
         finally:
@@ -152,7 +154,7 @@
 
     async def _by_h11(self, client: Any, me: curio.Task, data: bytes) -> None:
         """Serve what is left of a connection, of which `data` has come."""
-        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=heads.HEAD_BYTES)
+        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=http_heads.MAX_HEAD_BYTES)
         kept = False
         try:
             conn.receive_data(data)
@@ -204,7 +206,7 @@
     def _response(conn: h11.Connection, status: int, payload: bytes, extra: Headers) -> bytes:
         return _wire(
             conn,
-            heads.response(status, len(payload), tuple(extra)),
+            http_heads.response_event(status, len(payload), tuple(extra)),
             h11.Data(data=payload),
             h11.EndOfMessage(),
         )
@@ -268,10 +270,10 @@
     ) -> tuple[int, bytes, bool]:
         """The answer, and whether the connection may be used again."""
         length = None if body is None else len(body)
-        await sock.sendall(heads.ask(method, path, self.name, length) + (body or b""))
+        await sock.sendall(http_heads.request_head(method, path, self.name, length) + (body or b""))
         data = bytearray()
         head = await _head(data, lambda: sock.recv(65536))
-        answered = heads.answered(head) if head is not None else None
+        answered = http_heads.parse_response_head(head) if head is not None else None
         if answered is None:
             return await self._by_h11(sock, method, path, body, (head or b"") + data)
         while len(data) < answered.length:
@@ -288,7 +290,7 @@
         conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=65536)
         _wire(
             conn,
-            heads.request(method, path, self.name, None if body is None else len(body)),
+            http_heads.request_event(method, path, self.name, None if body is None else len(body)),
             *([h11.Data(data=body)] if body else []),
             h11.EndOfMessage(),
         )
--- a/clayport/limits/door.py
+++ b/clayport/limits/admission.py
@@ -1,11 +1,11 @@
-"""What is not taken on, and when to come back. Pure: no I/O, no clock."""
+"""Admission control: what is refused at once, and when to retry. Pure: no I/O, no clock."""
 
 from __future__ import annotations
 
 import math
 
 
-class Door:
+class AdmissionControl:
     """Refuses at once what couldn't be served in time, by the cost of what waits.
 
     Bounded sockets alone let in requests that then wait in line until their users have
@@ -15,11 +15,11 @@
     def __init__(self, patience_s: float, most_s: float) -> None:
         self.patience_s, self.most_s = patience_s, most_s
 
-    def ask(self, backlog_s: float) -> int:
-        """0: come in; otherwise the whole seconds after which to come back.
+    def retry_after_s(self, backlog_s: float) -> int:
+        """0: admitted; otherwise the whole seconds after which to retry.
 
         By then what waits now is worked off down to half of what is let in, so that not
-        all who were refused meet again at a door that has just opened.
+        all who were refused are refused again together.
         """
         if backlog_s <= self.patience_s:
             return 0
--- a/clayport/membership.py
+++ b/clayport/membership.py
@@ -75,8 +75,8 @@
 NOBODY = Generation(0, {}, 0)
 
 
-class Flaps:
-    """Which controllers end over and over, and until when the next generation does without.
+class FlapDamping:
+    """Flap damping: which controllers restart too often, and until when they are left out.
 
     Each end costs all the others a generation: they announce it to their workers and read
     their jobs anew. One that ends every few seconds would keep them at it. So after a few
@@ -92,8 +92,8 @@
         self.ends: dict[str, list[float]] = {}
         self.until: dict[str, float] = {}
 
-    def see(self, present: Mapping[str, str], now: float) -> list[str]:
-        """Take note of who is there; whoever is left out from now on."""
+    def observe(self, present: Mapping[str, str], now: float) -> list[str]:
+        """Record who is present; return who is left out from now on."""
         found = []
         for label, incarnation in present.items():
             before = self.seen.get(label)
--- a/clayport/membership_duties.py
+++ b/clayport/membership_duties.py
@@ -9,7 +9,7 @@
 import curio
 
 from .jobs import GENERATION_KEY
-from .membership import Flaps, Generation, may_propose, successor
+from .membership import FlapDamping, Generation, may_propose, successor
 from .mirror import NODE_PREFIX, VERSION_PREFIX
 from .statestore import LEASE_S, Conflict, NoLease, Txn, Unavailable, Unknown
 
@@ -25,7 +25,7 @@
     def __init__(self, core: Controller) -> None:
         self.core = core
         workers = core.settings.cluster.workers
-        self.flaps = Flaps(4 * workers.lease_s, workers.report_s, 4 * workers.lease_s)
+        self.flap_damping = FlapDamping(4 * workers.lease_s, workers.report_s, 4 * workers.lease_s)
 
     async def keep_lease(self) -> None:
         """Hold our key in the state service while we can serve."""
@@ -98,7 +98,7 @@
         core = self.core
         while True:
             await core.wait("members", core.ttl_s / 2)
-            if not core.state_known or not core.awake(time.monotonic()):
+            if not core.state_known or not core.stalls.check(time.monotonic()):
                 continue
             if self._proposal() is None:
                 continue
@@ -117,10 +117,12 @@
     def _proposal(self) -> Generation | None:
         """The next generation, if there is to be one and it is ours to propose."""
         core, now = self.core, time.monotonic()
-        for label in self.flaps.see(core.nodes, now):
-            log.info("event=left-out label=%s seconds=%.1f", label, self.flaps.until[label] - now)
+        for label in self.flap_damping.observe(core.nodes, now):
+            log.info(
+                "event=left-out label=%s seconds=%.1f", label, self.flap_damping.until[label] - now
+            )
         if not may_propose(core.label, core.generation.members, core.nodes):
             return None
         return successor(
-            core.generation, self.flaps.admitted(core.generation.members, core.nodes, now)
+            core.generation, self.flap_damping.admitted(core.generation.members, core.nodes, now)
         )
--- a/clayport/mirror.py
+++ b/clayport/mirror.py
@@ -129,11 +129,11 @@
 
     async def _scan(self) -> int:
         core = self.core
-        woke = core.woke
+        stalls = core.stalls.count
         asked_at = time.monotonic()
         entries, rev = await core.store.scan("c/")
-        core.confirmed = woke
-        core.rescan = woke != core.woke
+        core.stalls.confirmed_count = stalls
+        core.rescan = stalls != core.stalls.count
         keys = {e.key for e in entries}
         if core.recovery is not None and not core.recovery.history.complete("c/", keys):
             core.rescan = True
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -74,7 +74,7 @@
             if not core.serving or core.generation.provisioner != core.label or not core.types:
                 continue
             now = time.monotonic()
-            if not core.awake(now) or core.away or core.state_lost(now):
+            if not core.stalls.check(now) or core.away or core.state_lost(now):
                 # Possibly evicted, or just awake after standing still: a return sent now may be
                 # held in the network and destroy, minutes later, machines that work.
                 continue
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -36,6 +36,7 @@
 from .provisioning import LINE, Arrivals, remaining, slack
 from .renting import Provisioner
 from .routines import Routines
+from .stalls import StallDetector
 from .statestore import StateStore
 from .takeover import Takeover
 from .workers import Owner
@@ -156,11 +157,7 @@
         self.promises = Promises(self.peers, lease_s, self.started)
         self.horizon = Horizon(self.peers, lease_s)
         self.promising = False  # every controller understands promises
-        # When this process was last seen running, and whether it has learnt since it last
-        # stood still that it is still a member.
-        self.beat_at = self.started
-        self.woke = 0
-        self.confirmed = 0
+        self.stalls = StallDetector(self, self.started)
 
     def _set_parts(self) -> None:
         """The parts that decide and act; each knows this controller."""
@@ -263,33 +260,6 @@
         if self.owner.room_rev != self.picture.own_rev:
             self.signal("place")
 
-    # -- standing still --------------------------------------------------
-
-    async def keep_awake(self) -> None:
-        """Notice that this process stood still while the clocks ran on."""
-        while True:
-            self.awake(time.monotonic())
-            await curio.sleep(self.settings.cluster.workers.report_s / 4)
-
-    def awake(self, now: float) -> bool:
-        """Whether what was last seen is as old as the clock says, for all that is judged
-        by elapsed time. Not after standing still: everybody then looks silent or late, and
-        the others may have gone on without us."""
-        gap = now - self.beat_at - self.settings.cluster.workers.report_s / 4
-        self.beat_at = now
-        if gap > 1.5 * self.settings.cluster.workers.report_s:
-            log.info("event=stood-still seconds=%.1f", gap)
-            self.woke += 1
-            self.rescan = True
-            # Not known to answer until it has; a lease may have ended meanwhile.
-            self.store.last_bad = now
-            for peer in self.peers.values():
-                peer.heard += gap
-            self.owner.stood_still(gap)
-            self.provisioner.began_at = now
-            self.signal("lease")
-        return self.confirmed == self.woke
-
     # -- standing --------------------------------------------------------
 
     @property
@@ -464,7 +434,7 @@
         return (
             *((recovery.run,) if recovery is not None else ()),
             *((recovery.recorder.run,) if recovery is not None and recovery.recorder else ()),
-            self.keep_awake,
+            self.stalls.detect_stalls,
             self.mirror.follow,
             self.membership.keep_lease,
             self.membership.keep_members,
--- /dev/null
+++ b/clayport/stalls.py
@@ -0,0 +1,65 @@
+"""Stall detection: this process stood still while the clocks ran on."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING
+
+import curio
+
+if TYPE_CHECKING:
+    from .server import Controller
+
+log = logging.getLogger("clayport.stalls")
+
+# The pause between two checks, and the gap that counts as a stall, in report intervals.
+CHECK_INTERVALS = 0.25
+STALL_INTERVALS = 1.5
+
+
+class StallDetector:
+    """Notices stalls, and whether membership has been confirmed since the last one.
+
+    After a stall everybody looks silent or late, and the others may have gone on without
+    this process; so nothing is judged by elapsed time before the records have been read again.
+
+    Attributes:
+        count: Stalls so far.
+        confirmed_count: The value of `count` when the records were last asked for, and read.
+    """
+
+    def __init__(self, core: Controller, now: float) -> None:
+        self.core = core
+        self.last_run = now
+        self.count = 0
+        self.confirmed_count = 0
+
+    async def detect_stalls(self) -> None:
+        """Check a few times in each report interval."""
+        while True:
+            self.check(time.monotonic())
+            await curio.sleep(CHECK_INTERVALS * self.core.settings.cluster.workers.report_s)
+
+    def check(self, now: float) -> bool:
+        """Whether what was last seen is as old as the clock says, as far as is known."""
+        report_s = self.core.settings.cluster.workers.report_s
+        gap_s = now - self.last_run - CHECK_INTERVALS * report_s
+        self.last_run = now
+        if gap_s > STALL_INTERVALS * report_s:
+            self._note_stall(gap_s, now)
+        return self.confirmed_count == self.count
+
+    def _note_stall(self, gap_s: float, now: float) -> None:
+        """Move what is judged by elapsed time by the gap, and look at the records again."""
+        core = self.core
+        log.info("event=stood-still seconds=%.1f", gap_s)
+        self.count += 1
+        core.rescan = True
+        # Not known to answer until it has; a lease may have ended meanwhile.
+        core.store.last_bad = now
+        for peer in core.peers.values():
+            peer.heard += gap_s
+        core.owner.stood_still(gap_s)
+        core.provisioner.began_at = now
+        core.signal("lease")
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -270,9 +270,9 @@
         c.nodes[label] = label
         if label in c.peers:
             c.peers[label].heard = home.now
-    assert c.awake(home.now)
+    assert c.stalls.check(home.now)
     home.now += still_s + 0.2
-    known = c.awake(home.now)
+    known = c.stalls.check(home.now)
     assert known == (still_s == 0.0)
     assert c.rescan and (still_s == 0.0 or not c.store.ok)
     assert home.now - c.owner.machines["m1"].heard < c.fleet.silent_s
@@ -280,8 +280,8 @@
     assert not should_leave(home.now, c.label, heard, heard, 1.5 * c.ttl_s)
     if not known:
         # What it last saw counts again once it has learnt whether it is still a member.
-        c.confirmed = c.woke
-        assert c.awake(home.now)
+        c.stalls.confirmed_count = c.stalls.count
+        assert c.stalls.check(home.now)
 
 
 def test_what_waited_while_we_stood_still_is_not_taken(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -292,7 +292,7 @@
     for still_s in (0.0, 8.0, 0.0):
         home.now += still_s
         found.append(curio.run(home.c.api.handle, "POST", "/api/jobs", body)[0])
-        home.c.confirmed = home.c.woke
+        home.c.stalls.confirmed_count = home.c.stalls.count
     assert found == [200, 503, 200]
 
 
--- a/tests/test_heads.py
+++ b/tests/test_http_heads.py
@@ -9,7 +9,7 @@
 import curio
 import pytest
 
-from clayport import heads
+from clayport import http_heads
 from clayport.http import MAX_BODY, Client, Server
 
 
@@ -175,8 +175,8 @@
 
 def test_strangers_take_no_memory() -> None:
     """Heads of any length and number are remembered up to a bound."""
-    for number in range(heads.HEADS_MOST + 10):
-        heads.asked(head(f"GET /api/jobs/j-{number:06d} HTTP/1.1"))
-    assert heads.asked.cache_info().currsize == heads.HEADS_MOST
-    long = head("GET / HTTP/1.1", "X: " + "x" * 2 * heads.KEPT_BYTES)
-    assert heads.split(bytearray(long)) is None
+    for number in range(http_heads.MAX_CACHED_HEADS + 10):
+        http_heads.parse_request_head(head(f"GET /api/jobs/j-{number:06d} HTTP/1.1"))
+    assert http_heads.parse_request_head.cache_info().currsize == http_heads.MAX_CACHED_HEADS
+    long = head("GET / HTTP/1.1", "X: " + "x" * 2 * http_heads.MAX_CACHED_BYTES)
+    assert http_heads.take_head(bytearray(long)) is None
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,4 +1,4 @@
-"""When to ask again, how much at once, and what is refused at the door."""
+"""When to ask again, how much at once, and what is not admitted."""
 
 from __future__ import annotations
 
@@ -9,9 +9,9 @@
 import pytest
 
 from clayport.limits import (
+    AdmissionControl,
     Budget,
     Deadline,
-    Door,
     Gate,
     GateClosedError,
     Inflight,
@@ -123,8 +123,8 @@
 
 
 @pytest.mark.parametrize("backlog, answer", [(0.0, 0), (3.5, 0), (3.6, 2), (10.0, 9), (500.0, 30)])
-def test_the_door_says_when_to_come_back(backlog: float, answer: int) -> None:
-    assert Door(3.5, 30.0).ask(backlog) == answer
+def test_admission_control_says_when_to_retry(backlog: float, answer: int) -> None:
+    assert AdmissionControl(3.5, 30.0).retry_after_s(backlog) == answer
 
 
 def test_a_gate_keeps_to_its_bound_and_lets_the_urgent_ahead(monkeypatch: Any) -> None:
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -9,7 +9,7 @@
 import curio
 import pytest
 
-from clayport.membership import Flaps, Generation, may_propose, successor
+from clayport.membership import FlapDamping, Generation, may_propose, successor
 
 from .test_model import JOBS, JOBS_A_DAY, held, until_over
 from .world import Clock, World, job, simulate
@@ -170,18 +170,18 @@
     ],
 )
 def test_pauses_grow_with_the_ends_of_late(ends: list[float], now: float, left_out: float) -> None:
-    flaps = Flaps(40.0, 2.0, 40.0)
+    damping = FlapDamping(40.0, 2.0, 40.0)
     members = {"a": "a0", "b": "b0"}
-    flaps.see(members, -1.0)
+    damping.observe(members, -1.0)
     for number, at in enumerate(ends):
-        flaps.see({"a": "a0", "b": f"b{number + 1}"}, at)
+        damping.observe({"a": "a0", "b": f"b{number + 1}"}, at)
     present = {"a": "a0", "b": f"b{len(ends)}"}
-    assert ("b" in flaps.admitted(members, present, now)) == (left_out == 0.0)
-    assert "b" in flaps.admitted(members, present, now + left_out)
-    assert "b" not in flaps.admitted(members, present, now + left_out - 0.1) or not left_out
+    assert ("b" in damping.admitted(members, present, now)) == (left_out == 0.0)
+    assert "b" in damping.admitted(members, present, now + left_out)
+    assert "b" not in damping.admitted(members, present, now + left_out - 0.1) or not left_out
     # One that is a member is never put out for it, and nobody is left alone for it.
-    assert "b" in flaps.admitted({"b": f"b{len(ends)}"}, present, now)
-    assert flaps.admitted({}, {"b": "b9"}, now) == {"b": "b9"}
+    assert "b" in damping.admitted({"b": f"b{len(ends)}"}, present, now)
+    assert damping.admitted({}, {"b": "b9"}, now) == {"b": "b9"}
 
 
 @pytest.mark.parametrize(
