A job's id is held to its whole form; one path for whoever refuses a job

Cause: the pattern of an id ended in $, which lets a line feed through: a submission of "j-77\n" was answered 201, also among the prereqs. Questions were held to another form (letters and dashes up to 40).

Change: requests are held to valid_id, whole. Records are read as before, since the first versions let such an id through, and a job that was accepted before is answered 200: all refusals look at the records first, in _refuse, which stood four times.

Weighed: flavors, site and due_s that are left out stay accepted. The protocol says 400 where a field is missing, and its first list says for every message that a field which may be null may also be left out: such a field isn't missing. Whoever relies on that would lose a job for good by a 400, and nobody can rely on the contrary. The three are the only fields for which null is a value (test for each field).

On a scratch copy the rows of ids and prereqs fail with the pattern as before, those of earlier records with records held to the new form (2 rows) and without the look in _refuse (5 rows).

--- a/clayport/api.py
+++ b/clayport/api.py
@@ -10,9 +10,17 @@
 import msgspec
 
 from . import peerwire
-from .jobs import can_ever_run, end_key, end_value, ended, fitted, live_key, live_value
+from .jobs import (
+    can_ever_run,
+    end_key,
+    end_value,
+    ended,
+    fitted,
+    live_key,
+    live_value,
+)
 from .limits import AdmissionControl, Deadline
-from .model import SERVICE, Job, fits
+from .model import SERVICE, Job, fits, valid_id
 from .peers import PeerError
 from .statestore import CANCEL_S, URGENT_S, Conflict, Lookups, Txn, Unavailable, Unknown
 
@@ -78,10 +86,6 @@
                 return await self._abort(job) if method == "POST" else (405, {})
         return 404, {"error": "no such path"}
 
-    @staticmethod
-    def _valid(job: str) -> bool:
-        return 0 < len(job) <= 40 and job.isascii() and job.replace("-", "").isalnum()
-
     async def _known(self, job: str, deadline: Deadline) -> str | None:
         """The job's state as the state service holds it now, or None.
 
@@ -94,6 +98,11 @@
         live = core.live.get(job)
         if live is not None and live[1] and await self.lookups.unchanged(live_key(job), live[1]):
             return "live"
+        if not valid_id(job):
+            # An id that the first versions let through can't stand in a path.
+            if live is not None:
+                raise Unavailable("the record is just changing")
+            return None
         entry = await core.store.get(live_key(job), deadline)
         if entry is not None:
             await self._guard({live_key(job): entry.rev}, deadline)
@@ -152,7 +161,7 @@
         }
 
     async def _poll(self, job: str) -> tuple[int, dict[str, Any]]:
-        if not self._valid(job):
+        if not valid_id(job):
             return 404, {"error": "no such job"}
         deadline = Deadline.within(time.monotonic(), IN_TIME * POLL_S)
         status = await self._known(job, deadline)
@@ -170,16 +179,15 @@
             # It may have waited since before we stood still, and its user have left.
             raise Unavailable("just awake")
         deadline = Deadline.within(time.monotonic(), IN_TIME * SUBMIT_S)
+        if not all(valid_id(name) for name in (job.id, *(job.prereqs or ()))):
+            return await self._refuse(job, 400, "not in the form of a job's id", deadline)
         submitted = time.time()
         value = live_value(job, submitted)
         if (
             len(msgspec.json.encode(value))
             > core.settings.cluster.state.least().value_kb * 1024 - END_BYTES
         ):
-            known = await self._known(job.id, deadline)
-            if known is not None:  # accepted while more was allowed
-                return 200, await self._answer(job.id, known, deadline)
-            return 400, {"error": "description too large"}
+            return await self._refuse(job, 400, "description too large", deadline)
         limit = core.limits.get(job.team)
         if not core.types and job.id not in core.ended:
             return 503, {"error": "machine types not known yet"}
@@ -188,11 +196,7 @@
             or not any(fits(job, t) for t in core.types)
             or not can_ever_run(job, limit)
         ):
-            # Never for a job that was accepted before, whatever has changed since.
-            known = await self._known(job.id, deadline)
-            if known is None:
-                return 422, {"error": "can never run"}
-            return 200, await self._answer(job.id, known, deadline)
+            return await self._refuse(job, 422, "can never run", deadline)
         if job.id in core.ended:
             return 200, await self._answer(job.id, core.ended[job.id], deadline)
         if job.id in core.live:
@@ -203,10 +207,7 @@
         if job.prereqs:
             wrong = await self._unsuitable(job.prereqs, deadline)
             if wrong:
-                known = await self._known(job.id, deadline)
-                if known is not None:
-                    return 200, await self._answer(job.id, known, deadline)
-                return 422, {"error": wrong}
+                return await self._refuse(job, 422, wrong, deadline)
             if not core.upgraded:
                 # The version in production would start it at once.
                 raise Unavailable("not all controllers can take prereqs yet")
@@ -239,6 +240,16 @@
             await core.recovery.second(rev, deadline)
         return 201, {"id": job.id, "status": "queued"}
 
+    async def _refuse(
+        self, job: Job, status: int, cause: str, deadline: Deadline
+    ) -> tuple[int, dict[str, Any]]:
+        """The answer to a job that isn't accepted; but one that was accepted before never is
+        refused, whatever has changed since."""
+        known = await self._known(job.id, deadline)
+        if known is None:
+            return status, {"error": cause}
+        return 200, await self._answer(job.id, known, deadline)
+
     def _admit(self, ahead_s: float) -> None:
         """Unavailable, with when to come back, if what waits for the state service can't be
         worked off in time."""
@@ -287,7 +298,7 @@
 
     async def _abort(self, job: str) -> tuple[int, dict[str, Any]]:
         core = self.core
-        if not self._valid(job):
+        if not valid_id(job):
             return 404, {"error": "no such job"}
         deadline = Deadline.within(time.monotonic(), IN_TIME * SUBMIT_S)
         attempt = core.store.begin(deadline)
--- a/clayport/model.py
+++ b/clayport/model.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -13,7 +14,10 @@
 PREREQS_MOST = 1000
 Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+# What records may hold: the first versions let a line feed through at the end of an id.
+# Requests are held to `valid_id`.
 JobId = Annotated[str, msgspec.Meta(pattern=r"^j-[0-9]{1,30}$")]
+VALID_ID = re.compile(r"j-[0-9]{1,30}")
 Prereqs = Annotated[list[JobId], msgspec.Meta(max_length=PREREQS_MOST)]
 
 ARRAY, GANG, SERVICE = "sweep", "ensemble", "daemon"
@@ -65,6 +69,7 @@
     estimate_s: Amount
     checkpoint_s: Amount
     save_s: Amount
+    # What may be null may also be left out, in requests as in records.
     types: Annotated[list[Text], msgspec.Meta(max_length=64)] | None = None
     zone: Text | None = None
     deadline_s: Amount | None = None
@@ -185,6 +190,11 @@
     age_s: float = 0.0
 
 
+def valid_id(name: str) -> bool:
+    """Whether a name is in the form that the protocol gives to job ids."""
+    return VALID_ID.fullmatch(name) is not None
+
+
 def task_id(job: str, number: int) -> str:
     return f"{job}/{number}"
 
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,169 @@
+"""Requests by their fields, types and names: what is taken, and what is refused with what."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import curio
+import pytest
+
+from clayport.jobs import live_key
+
+from .test_program import api
+from .world import job
+
+RAW = json.dumps(job(1))
+DEEP = "[" * 40_000 + "]" * 40_000
+
+
+def submit(handler: Any, raw: bytes) -> int:
+    return int(curio.run(handler.handle, "POST", "/api/jobs", raw)[0])
+
+
+@pytest.mark.parametrize("field", sorted(job(1)))
+def test_a_field_may_be_left_out_only_where_it_may_be_null(field: str) -> None:
+    """The protocol's first list says so for every message. (Fails with a default for any other
+    field, or with none for one of these three.)"""
+    handler, _ = api()
+    null = {**job(1), field: None}
+    missing = {k: v for k, v in job(1).items() if k != field}
+    answers = [submit(handler, json.dumps(value).encode()) for value in (null, missing)]
+    assert answers == ([201, 200] if field in ("flavors", "site", "due_s") else [400, 400])
+
+
+@pytest.mark.parametrize(
+    "field, values, status",
+    [
+        # The form of an id, whole: `$` in a pattern lets a line feed through.
+        ("id", ["j-77\n", "j-77 ", " j-77", "j-77\r", "J-77", "j-", "j-٣", "j-7/1", ""], 400),
+        ("prereqs", [["j-77\n"], ["j-1", "77"], "j-1", [7], [None], {}], 400),
+        ("prereqs", [None, []], 201),
+        # Counts are integers, amounts decimal numbers, and neither is true, text or a list.
+        ("pieces", [0, -1, 100_001, 3.0, 1e2, "3", True, 2**70, [3]], 400),
+        *((f, [True, "2", -0.5, [2]], 400) for f in ("vcpus", "cards", "ram_gb", "image_gb")),
+        *((f, [True, "2", -0.5, [2]], 400) for f in ("guess_s", "snapshot_every_s", "snapshot_s")),
+        ("due_s", [True, "2", -0.5, [2]], 400),
+        ("due_s", [0, 0.0, 60], 201),
+        *((f, [0, "true", 1.0, []], 400) for f in ("together", "scatter", "loaners")),
+        *((f, ["", 7, ["x"], "x" * 201], 400) for f in ("jobclass", "owner", "bundle")),
+        ("shape", ["", "Sweep", "sweep ", 0], 400),
+        ("rank", ["", "Normal", "urgent", 1], 400),
+        ("flavors", ["plain", "", [None], [""], [7], {"plain": 1}], 400),
+        ("flavors", [[], ["none"], ["Plain"]], 422),
+        ("flavors", [["plain", "none"], ["plain", "plain"]], 201),
+        ("site", ["", 7, ["north"]], 400),
+        ("site", ["North", "west"], 422),
+        ("owner", ["nobody", "free "], 422),
+    ],
+)
+def test_values(field: str, values: list[Any], status: int) -> None:
+    for value in values:
+        handler, _ = api()
+        raw = json.dumps({**job(1), field: value}).encode()
+        assert submit(handler, raw) == status, value
+
+
+@pytest.mark.parametrize(
+    "raw, status",
+    [
+        ("", 400),
+        ("null", 400),
+        ("[]", 400),
+        ('"j-000001"', 400),
+        ("{}", 400),
+        (RAW + RAW, 400),
+        (RAW[:-1], 400),
+        (RAW[:-1] + ",}", 400),
+        ("\ufeff" + RAW, 400),
+        (" \r\n" + RAW + "\n", 201),
+        (RAW.replace("2.0", "NaN"), 400),
+        (RAW.replace("2.0", "Infinity"), 400),
+        (RAW.replace("2.0", "1e999"), 400),
+        (RAW.replace("2.0", "02.0"), 400),
+        (RAW.replace("2.0", "2"), 201),
+        (RAW.replace("img-1", "\\ud800"), 400),
+        (RAW[:-1] + ', "extra": ' + DEEP + "}", 400),
+        (RAW.encode("utf-16"), 400),
+        (RAW.encode().replace(b"img-1", b"img-\xff"), 400),
+    ],
+)
+def test_bodies(raw: str | bytes, status: int) -> None:
+    handler, _ = api()
+    assert submit(handler, raw if isinstance(raw, bytes) else raw.encode()) == status
+
+
+@pytest.mark.parametrize(
+    "record, status",
+    [
+        # Records leave defaults out; the first versions let a line feed through.
+        ({}, 200),
+        ({"id": "j-77\n"}, 200),
+        ({"prereqs": ["j-77\n"]}, 200),
+        # What no machine is there for, or no team, any more.
+        ({"flavors": ["none"]}, 200),
+        ({"owner": "nobody"}, 200),
+        ({"shape": "ensemble", "scatter": True, "site": "north"}, 200),
+    ],
+)
+def test_what_was_accepted_before_is_never_refused(record: dict[str, Any], status: int) -> None:
+    """(Fails where `Job` reads records as strictly as requests are held to, and without the
+    look at the records in `_refuse`.)"""
+    handler, c = api()
+    value = {**job(1), **record}
+    stored = {k: v for k, v in value.items() if v is not None}
+
+    async def main() -> int:
+        key = live_key(value["id"])
+        txn = {"when": [], "writes": [{"write": key, "data": {"j": stored, "t": 1.0}}]}
+        await c.store.client.request("POST", "/commit", json.dumps(txn).encode(), 1.0)
+        c.mirror._put(key, {"j": stored, "t": 1.0}, 2)
+        assert value["id"] in c.live
+        return int((await handler.handle("POST", "/api/jobs", json.dumps(value).encode()))[0])
+
+    assert curio.run(main) == status
+
+
+@pytest.mark.parametrize(
+    "path, status",
+    [
+        ("j-000001", 200),
+        ("j-000001?x=j-2", 200),
+        ("j-000002", 404),
+        ("J-000001", 404),
+        ("j-000001%0A", 404),
+        ("j-000001%20", 404),
+        ("j-000001%2Fabort", 404),
+        ("j-000001/", 200),
+        ("j-000001/0", 404),
+        ("%ff", 404),
+        ("%", 404),
+        ("", 404),
+        ("..%2Fj-000001", 404),
+        ("000001", 404),
+        ("j-" + "1" * 31, 404),
+    ],
+)
+def test_names_in_paths(path: str, status: int) -> None:
+    handler, _ = api()
+    assert submit(handler, RAW.encode()) == 201
+    assert curio.run(handler.handle, "GET", "/api/jobs/" + path, b"")[0] == status
+
+
+@pytest.mark.parametrize(
+    "fields, status",
+    [
+        # A limit of 0 is none, as in the settings: this team has 4 GPUs and no limit of CPUs.
+        ({"owner": "free", "cards": 2.0, "shape": "ensemble", "pieces": 40}, 201),
+        ({"owner": "tight", "shape": "daemon", "pieces": 1000}, 201),
+        ({"owner": "tight", "cards": 2.0, "shape": "sweep", "pieces": 1000}, 201),  # one task
+        ({"owner": "tight", "cards": 2.0, "shape": "ensemble", "pieces": 2}, 201),
+        ({"owner": "tight", "cards": 2.0, "shape": "ensemble", "pieces": 3}, 422),
+        ({"owner": "tight", "cards": 1.0, "shape": "daemon", "pieces": 4}, 201),
+        ({"owner": "tight", "cards": 1.0, "shape": "daemon", "pieces": 5}, 422),
+        ({"owner": "tight", "cards": 0.1, "shape": "daemon", "pieces": 40}, 201),
+    ],
+)
+def test_a_job_within_its_teams_limit(fields: dict[str, Any], status: int) -> None:
+    handler, _ = api()
+    assert submit(handler, json.dumps(job(1, **fields)).encode()) == status
