What users send under the name of a field of ours is ignored

Cause: aimless, which controllers set, stood in the struct that submissions are read into. A user's field of that name and of another type was answered 400; the protocol has unknown fields ignored.

Change: Description holds what users send, Job adds to it what controllers say. Records stay as they are.

Checked: ruff, mypy, test_requests.py and test_program.py pass; the new row fails (400) where submissions are read into Job.

--- a/clayport/api.py
+++ b/clayport/api.py
@@ -20,7 +20,7 @@
     live_value,
 )
 from .limits import AdmissionControl, Deadline
-from .model import SERVICE, Job, fits, valid_id
+from .model import SERVICE, Description, Job, fits, valid_id
 from .peers import PeerError
 from .statestore import CANCEL_S, URGENT_S, Conflict, Lookups, Txn, Unavailable, Unknown
 
@@ -172,7 +172,7 @@
     async def _submit(self, body: bytes) -> tuple[int, dict[str, Any]]:
         core = self.core
         try:
-            job = core.judged(msgspec.json.decode(body, type=Job))
+            job = core.judged(msgspec.json.decode(body, type=Description))
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
             return 400, {"error": str(exc)}
         if not core.stalls.check(time.monotonic()):
--- a/clayport/model.py
+++ b/clayport/model.py
@@ -25,7 +25,7 @@
 MAX_TASKS = 100_000
 
 
-class Job(
+class Description(
     msgspec.Struct,
     frozen=True,
     omit_defaults=True,
@@ -75,8 +75,13 @@
     deadline_s: Amount | None = None
     # Jobs that have to be done before any task of this one starts.
     prereqs: Prereqs | None = None
-    # Nobody has said when it is to be started or finished: set by the controllers from the
-    # objectives, whatever the user sends.
+
+
+class Job(Description, frozen=True):
+    """A job's description, and what the controllers say of it beside."""
+
+    # Nobody has said when it is to be started or finished (`Controller.judged`). Users have
+    # no such field: whatever they send under this name is ignored.
     aimless: bool = False
 
     @property
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -27,7 +27,7 @@
 from .membership import NOBODY, Generation
 from .membership_duties import MembershipDuties
 from .mirror import PROMISES, Mirror
-from .model import SERVICE, Job, MachineType, chunk_size
+from .model import SERVICE, Description, Job, MachineType, chunk_size
 from .peer_requests import PeerRequests
 from .picture import Picture
 from .pipelines import Pipelines
@@ -227,11 +227,10 @@
         """A pause around `base_s`: controllers must not come back in step."""
         return base_s * self.rng.uniform(0.5, 1.5)
 
-    def judged(self, job: Job) -> Job:
+    def judged(self, description: Description) -> Job:
         """The job, with whether anybody has said when it is to be started or finished."""
-        return msgspec.structs.replace(
-            job, aimless=job.deadline_s is None and job.job_class not in self.aimed
-        )
+        aimless = description.deadline_s is None and description.job_class not in self.aimed
+        return Job(**{**msgspec.structs.asdict(description), "aimless": aimless})
 
     def patient(self, job: Job, age_s: float) -> bool:
         """Whether the job can wait for a machine that isn't dear.
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -55,6 +55,9 @@
         ("site", ["", 7, ["north"]], 400),
         ("site", ["North", "west"], 422),
         ("owner", ["nobody", "free "], 422),
+        # Not among the fields: ignored, whatever it holds.
+        ("aimless", ["yes", True, None, 7], 201),
+        ("status", ["done", {"a": [1]}], 201),
     ],
 )
 def test_values(field: str, values: list[Any], status: int) -> None:
