--- a/clayport/api.py
+++ b/clayport/api.py
@@ -6,6 +6,7 @@
 import math
 import time
 from typing import TYPE_CHECKING, Any
+from urllib.parse import unquote
 
 import msgspec
 
@@ -80,6 +81,7 @@
             return await self._submit(body) if method == "POST" else (405, {})
         if path.startswith("/api/jobs/"):
             job, _, action = path[len("/api/jobs/") :].partition("/")
+            job = unquote(job)
             if not action:
                 return await self._poll(job) if method == "GET" else (405, {})
             if action == "abort":
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -132,6 +132,7 @@
     [
         ("j-000001", 200),
         ("j-000001?x=j-2", 200),
+        ("%6a%2D00000%31", 200),  # the same name
         ("j-000002", 404),
         ("J-000001", 404),
         ("j-000001%0A", 404),
