A gang that can never be placed, and a type that is in no zone, are answered 422

Cause: a gang that has to be spread, while it is bound to one zone, kept in one, or its types are in a single one, was answered 201 and waited for ever; so was a task for which there is a type in no zone.

Change: can_be_placed looks at the zones in which a task fits a type. The protocol says 422 for what can never run and names a task that fits no allowed type; half of a gang that needs all of itself is no different. Arrays and services that are spread in one zone run in part, and stay accepted.

--- a/clayport/api.py
+++ b/clayport/api.py
@@ -12,6 +12,7 @@
 
 from . import peerwire
 from .jobs import (
+    can_be_placed,
     can_ever_run,
     end_key,
     end_value,
@@ -21,7 +22,7 @@
     live_value,
 )
 from .limits import AdmissionControl, Deadline
-from .model import SERVICE, Description, Job, fits, valid_id
+from .model import SERVICE, Description, Job, valid_id
 from .peers import PeerError
 from .statestore import CANCEL_S, URGENT_S, Conflict, Lookups, Txn, Unavailable, Unknown
 
@@ -193,11 +194,7 @@
         limit = core.limits.get(job.team)
         if not core.types and job.id not in core.ended:
             return 503, {"error": "machine types not known yet"}
-        if (
-            limit is None
-            or not any(fits(job, t) for t in core.types)
-            or not can_ever_run(job, limit)
-        ):
+        if limit is None or not can_be_placed(job, core.types) or not can_ever_run(job, limit):
             return await self._refuse(job, 422, "can never run", deadline)
         if job.id in core.ended:
             return 200, await self._answer(job.id, core.ended[job.id], deadline)
--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from .model import ARRAY, ASSIGNED_BYTES, GANG, SERVICE, TXN_BYTES, Chunk, Job
+from .model import ARRAY, ASSIGNED_BYTES, GANG, SERVICE, TXN_BYTES, Chunk, Job, MachineType, fits
 from .placement import shape
 from .statestore import Txn
 from .workers import GONE
@@ -548,6 +548,18 @@
     return (float(value["c"]), float(value["g"])) if value else (0.0, 0.0)
 
 
+def can_be_placed(job: Job, types: Iterable[MachineType]) -> bool:
+    """Whether there can be machines for the job: a type that a task fits, in a zone that the
+    job allows; for a gang, which needs them all at once, in as many zones as it has to be
+    spread over."""
+    zones = {
+        zone for kind in types if fits(job, kind) for zone in kind.zones if job.zone in (None, zone)
+    }
+    if job.kind == GANG and job.spread and job.tasks > 1:
+        return len(zones) > 1 and not job.one_zone
+    return bool(zones)
+
+
 def can_ever_run(job: Job, limit: tuple[float, float]) -> bool:
     """Whether the team's limit allows the job at all (0: no limit)."""
     cpus, gpus = amounts(job, 1 if job.kind == ARRAY else job.tasks)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -6,12 +6,15 @@
 from typing import Any
 
 import curio
+import msgspec
 import pytest
 
+from clayport import jobs
 from clayport.jobs import live_key
+from clayport.model import Job
 
 from .test_program import api
-from .world import job
+from .world import TYPES, job
 
 RAW = json.dumps(job(1))
 DEEP = "[" * 40_000 + "]" * 40_000
@@ -154,6 +157,47 @@
     assert curio.run(handler.handle, "GET", "/api/jobs/" + path, b"")[0] == status
 
 
+NORTH = [{**t, "sites": ["north"]} for t in TYPES]
+APART = [
+    {**t, "sites": [zone]} for t, zone in zip(TYPES, ("north", "south"))
+]  # accel in the south only
+NOWHERE = [{**t, "sites": []} for t in TYPES]
+
+
+@pytest.mark.parametrize(
+    "fields, types, ok",
+    [
+        ({}, TYPES, True),
+        ({}, NOWHERE, False),
+        ({"cards": 1.0, "site": "south"}, APART, True),
+        ({"cards": 1.0, "site": "north"}, APART, False),  # not in that zone
+        ({"cards": 1.0, "site": "south", "flavors": ["plain"]}, APART, False),
+        ({"cards": 3.0}, TYPES, False),
+        ({"vcpus": 9.0, "flavors": ["plain"]}, TYPES, False),
+        ({"vcpus": 9.0}, TYPES, True),
+        ({"vcpus": 0.0, "ram_gb": 0.0}, TYPES, True),
+        # A gang in one zone needs one, one that is spread two at least.
+        ({"shape": "ensemble", "together": True}, APART, True),
+        ({"shape": "ensemble", "scatter": True}, TYPES, True),
+        ({"shape": "ensemble", "scatter": True}, NORTH, False),
+        ({"shape": "ensemble", "scatter": True, "cards": 1.0}, APART, False),
+        ({"shape": "ensemble", "scatter": True, "site": "north"}, TYPES, False),
+        ({"shape": "ensemble", "scatter": True, "together": True}, TYPES, False),
+        ({"shape": "ensemble", "scatter": True, "together": True, "pieces": 1}, TYPES, True),
+        # Of others, as many run as may.
+        ({"shape": "daemon", "scatter": True, "site": "north"}, TYPES, True),
+        ({"scatter": True, "together": True}, TYPES, True),
+    ],
+)
+def test_what_there_can_be_machines_for(
+    fields: dict[str, Any], types: list[dict[str, Any]], ok: bool
+) -> None:
+    handler, c = api()
+    c.types = msgspec.convert(types, list[type(c.types[0])])  # type: ignore[misc]
+    assert jobs.can_be_placed(msgspec.convert(job(1, **fields), Job), c.types) == ok
+    assert submit(handler, json.dumps(job(1, **fields)).encode()) == (201 if ok else 422)
+
+
 @pytest.mark.parametrize(
     "fields, status",
     [
