The simulated users look closely and ask oddly; rows for what they may be told

Cause: users of the simulated world asked one node at a time, well after whatever had happened, and only for what was valid. Answers that are older than one that another node gave, repeated submissions and cancellations that meet a job's end, and what is accepted though it can't run had no test.

Change: tests/users.py holds the user side of the world, taken out of world.py, and learns close looks (all nodes asked at once and the submission repeated when a job was accepted, ended or cancelled; some cancel at once), odd requests, and the users' further counts: an answer older than the question allows, a job cancelled by nobody, a submission accepted that can't run or lacks a field, and 75 s without an answered question about one job once troubles are over. A watch may hear of changes late (news_late_s). What was told last no longer replaces a final answer, so a second old answer after the first counts too.

Weighed: an answer's counts are put together from the record and from what the job's home says, so queued with none done can follow running with 3 done while the home is out of reach or has just begun. The protocol calls the counts a display and orders only accepted, done and cancelled; these come from the records alone. Refusing the answer instead would count against a job after 90 s, so it stays.

--- a/tests/world.py
+++ b/tests/world.py
@@ -14,13 +14,14 @@
 from typing import Any
 
 import curio
-import msgspec
 
 from clayport import http, peers, peerwire
 from clayport.config import parse
 from clayport.server import Controller
 from clayport.workers import GONE
 
+from .users import Users
+
 ZONES = ["north", "south"]
 SETTINGS: dict[str, Any] = {
     "zones": ZONES,
@@ -457,17 +458,16 @@
     return kept
 
 
-class World:
+class World(Users):
     """Everything outside the controllers, and the Rules."""
 
     def __init__(
         self, clock: Clock, seed: int, controllers: int = 3, rebuild: bool = False
     ) -> None:
+        super().__init__()
         self.rebuild = rebuild  # whether controllers rebuild what the state service loses
         self.second_copy = False  # whether 201 waits until a second place has the record
         self.disks: dict[str, str] = {}  # controllers that have one, and where
-        # Jobs answered 404 after a loss with nobody left who could know them; None: broken.
-        self.lost: set[str] | None = None
         self.clock, self.rng = clock, random.Random(seed)
         self.labels = [f"c{i}" for i in range(controllers)]
         self.state = State(self)
@@ -484,17 +484,13 @@
         self.late_writes = self.late_reports = 0.0
         self.deaf: set[str] = set()  # machines whose reports arrive, and which hear nothing
         self.slow_s = 0.0  # the state service takes up to so long for an answer
+        self.news_late_s = 0.0  # and so long more until a watch hears of a change
         # The tasks of an array run this much longer, in shares of the job's run time, by number.
         self.apart = 0.0
         self.late: list[Callable[[], Coroutine[Any, Any, None]]] = []
         self.jobs: dict[str, dict[str, Any]] = {}
         self.run_s: dict[str, float] = {}
         self.results: dict[str, set[int]] = {}
-        self.accepted: set[str] = set()
-        self.accepted_at: dict[str, float] = {}
-        self.cancelled: dict[str, float] = {}
-        self.told: dict[str, str] = {}
-        self.broken: list[str] = []
         self.machine_number = 0
         self.rentals: dict[str, list[str]] = {}
         self.launches = 0
@@ -577,21 +573,6 @@
             for _, _, task in members:
                 task.state, task.until = "running", now + self.run_s[job_id]
 
-    def orphaned(self, job_id: str, status: str) -> None:
-        """Whether a job is called queued or running although one that it needs, directly or
-        through others, was cancelled long ago."""
-        todo = [job_id]
-        while todo:
-            for need in self.jobs[todo.pop()].get("prereqs") or ():
-                since = self.cancelled.get(need)
-                if (
-                    since is not None
-                    and status in ("queued", "running")
-                    and self.clock() - max(since, self.accepted_at.get(job_id, math.inf)) > 35.0
-                ):
-                    self.broken.append(f"orphaned {job_id} needs {need}: {status}")
-                todo.append(need)
-
     async def watch_rules(self) -> None:
         while True:
             await curio.sleep(0.5)
@@ -748,7 +729,10 @@
             if self.clock() >= self.state.down_until and source not in self.state.refused:
                 found = self.state.changes(args["prefix"], int(args["since"]))
                 if found or self.clock() >= end:
-                    return 200, json.dumps({"store_rev": self.state.rev, "log": found}).encode()
+                    answer = json.dumps({"store_rev": self.state.rev, "log": found}).encode()
+                    if self.news_late_s:
+                        await curio.sleep(self.rng.uniform(0.0, self.news_late_s))
+                    return 200, answer
             elif self.clock() >= end:
                 raise http.NoAnswer("outage")
 
@@ -914,86 +898,13 @@
         for peer in c.peers.values():
             peer.call = dead  # type: ignore[method-assign]
 
-    # -- users -----------------------------------------------------------
-
-    async def user(
-        self, label: str, method: str, path: str, value: Any = None
-    ) -> tuple[int, dict[str, Any]]:
-        try:
-            status, raw = await self.deliver(
-                "users", label, method, path, msgspec.json.encode(value), 5.0
-            )
-            return status, json.loads(raw)
-        except http.NoAnswer:
-            return 0, {}
-
-    async def submit(self, job: dict[str, Any], run_s: float) -> None:
-        """Submit until it is accepted, at any controller."""
-        self.jobs[job["id"]] = job
-        self.run_s[job["id"]] = run_s
-        self.results[job["id"]] = set()
-        while True:
-            status, _ = await self.user(self.rng.choice(self.labels), "POST", "/api/jobs", job)
-            if status in (200, 201):
-                self.accepted.add(job["id"])
-                self.accepted_at.setdefault(job["id"], self.clock())
-                return
-            if status in (400, 422) and job["id"] in self.accepted:
-                self.broken.append(f"forgotten {job['id']}: {status}")
-            await curio.sleep(1.0)
-
-    async def abort(self, job_id: str, label: str = "") -> None:
-        """Ask until it is cancelled or done, of any controller or of one."""
-        while True:
-            status, answer = await self.user(
-                label or self.rng.choice(self.labels), "POST", f"/api/jobs/{job_id}/abort"
-            )
-            if status == 200:
-                if answer["status"] == "cancelled":
-                    self.cancelled.setdefault(job_id, self.clock())
-                self.note(job_id, answer["status"])
-                return
-            await curio.sleep(1.0)
-
-    def note(self, job_id: str, status: str) -> None:
-        before = self.told.get(job_id)
-        if before in ("done", "cancelled") and status != before:
-            self.broken.append(f"went_back {job_id}: {before} then {status}")
-        if status == "cancelled" and job_id not in self.cancelled:
-            self.cancelled.setdefault(job_id, self.clock())
-        if status == "done" and len(self.results[job_id]) < self.jobs[job_id]["pieces"]:
-            self.broken.append(f"not_done {job_id}")
-        self.told[job_id] = status
-
-    async def poll(self) -> None:
-        """Users ask for every accepted job again and again."""
-        while True:
-            await curio.sleep(0.7)
-            for job_id in self.rng.sample(sorted(self.accepted), min(4, len(self.accepted))):
-                # An answer may be as old as its question, not older.
-                told = self.told.get(job_id)
-                status, answer = await self.user(
-                    self.rng.choice(self.labels), "GET", f"/api/jobs/{job_id}"
-                )
-                if status == 404 and self.lost is not None:
-                    self.lost.add(job_id)
-                    self.accepted.discard(job_id)
-                elif status == 404:
-                    self.broken.append(f"forgotten {job_id}")
-                elif status == 200 and (
-                    told == self.told.get(job_id) or answer["status"] in ("done", "cancelled")
-                ):
-                    self.orphaned(job_id, answer["status"])
-                    self.note(job_id, answer["status"])
-            status, _ = await self.user(self.rng.choice(self.labels), "GET", "/api/jobs/j-999999")
-            if status == 200:
-                self.broken.append("invented j-999999")
+    # -- everybody -------------------------------------------------------
 
     async def open(self) -> None:
         """Everybody begins: controllers, machines as they come, users who ask, the Rules."""
         for label in self.labels:
             await self.start(label)
-        for routine in (self.spawner, self.poll, self.watch_rules):
+        for routine in (self.spawner, self.poll, self.ask_oddly, self.watch_rules):
             await curio.spawn(routine, daemon=True)
 
     async def spawner(self) -> None:
