Tests: nineteen more meetings of troubles, and what waits although it could run

Cause: the world of the tests knew no transaction whose answer alone is lost, no report kept for the next generation, no command held up by itself, no machine that reaches no controller, no zone that is cut off, and no cancellation at the end of a job.

Launches issued, and tasks started, after a confirmed cancellation are kept as figures.

--- /dev/null
+++ b/tests/test_meetings_page.py
@@ -0,0 +1,300 @@
+"""Meetings of two troubles, each as a scene beside a day's work: rules hold while they last,
+and all is served once they are over."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from functools import partial
+from typing import Any
+
+import curio
+import pytest
+
+from .test_model import work
+from .test_restarts import again
+from .troubles import (
+    CANCEL_S,
+    FIRST_EXTRA,
+    LEASE_S,
+    LONG_S,
+    ask_for_all,
+    calm,
+    cancel,
+    cancel_now,
+    changed,
+    deposed,
+    long_jobs,
+    running,
+    some_machines,
+    until_finished,
+    watch_waiting,
+)
+from .world import ZONES, Clock, World, job, simulate
+
+Scene = Callable[[World], Coroutine[Any, Any, None]]
+
+
+async def zone_cut_off(world: World) -> None:
+    """A zone's workers and a controller reach only each other, for longer than a lease."""
+    names = await long_jobs(world, 8)
+    for half in (names[:4], names[4:]):
+        world.enclosed = {world.rng.choice(world.labels)}
+        world.enclosed_zone = world.rng.choice(ZONES)
+        await curio.sleep(world.rng.uniform(0.5, 4.0))
+        await cancel(world, half, LEASE_S)
+        await curio.sleep(world.rng.uniform(1.2, 4.5) * LEASE_S)
+        world.enclosed_zone = ""
+        await curio.sleep(world.rng.uniform(2.0, 8.0))
+
+
+async def bound_to_a_zone(world: World) -> None:
+    """Arrays, gangs and services that keep to one zone lose machines, and a leader ends."""
+    for number in range(FIRST_EXTRA, FIRST_EXTRA + 8):
+        kind: dict[str, Any] = [
+            {"pieces": 5, "together": True},
+            {"pieces": 3, "shape": "ensemble", "together": True},
+            {"pieces": 4, "site": "north"},
+            {"pieces": 4, "scatter": True},
+        ][number % 4]
+        await curio.spawn(world.submit, job(number, **kind), 9.0, daemon=True)
+    for _ in range(6):
+        await curio.sleep(world.rng.uniform(2.0, 6.0))
+        zone = world.rng.choice(ZONES)
+        there = [w for w in world.workers.values() if w.alive() and w.zone == zone and w.on()]
+        for worker in there[: 1 + len(there) // 2]:
+            what = world.rng.random()
+            if what < 0.4:
+                world.kill(worker)
+            elif what < 0.8:
+                world.cut.add(worker.name)
+            else:
+                worker.hung_until = world.clock() + world.rng.uniform(3.0, 12.0)
+        if world.rng.random() < 0.5:
+            await changed(world)
+        if world.rng.random() < 0.5:
+            world.cut.clear()
+
+
+async def ten_changes(world: World, outage: bool = False) -> None:
+    """Leaders change ten times in two minutes, also inside an outage."""
+    names = await long_jobs(world, 8)
+    if outage:
+        world.state.outage(world.clock() + 6.0, 1.6 * CANCEL_S)
+    await cancel(world, names, 100.0)
+    for _ in range(10):
+        await curio.sleep(world.rng.uniform(4.0, 12.0))
+        await changed(world)
+
+
+async def answers_lost(world: World) -> None:
+    """Transactions are carried out at once and only their answers are lost, while all read."""
+    world.lost_answers = 0.3
+    names = await long_jobs(world, 6)
+    await cancel(world, names, 25.0)
+    for _ in range(5):
+        await curio.sleep(world.rng.uniform(2.0, 8.0))
+        await changed(world)
+
+
+async def cancelled_as_one_is_refused(world: World) -> None:
+    """Jobs are cancelled before, in and after the same tenth of a second in which the state
+    service refuses one alone; a second later it is out for longer than `cancel_s`."""
+    names = await long_jobs(world, 10)
+    owners = [world.controllers["c0"].generation.place(w.name) for w in running(world, names[0])]
+    await cancel(world, names, 0.5)
+    await curio.sleep(0.2)
+    world.state.refused.add(owners[0] if owners else "c0")
+    await curio.sleep(1.0)
+    world.state.outage(world.clock(), 1.3 * CANCEL_S)
+    await curio.sleep(1.3 * CANCEL_S)
+    world.state.refused.clear()
+
+
+async def commands_of_the_deposed(world: World) -> None:
+    """Commands of one that has ended or is left out arrive after those of the next."""
+    world.late_commands = 0.5
+    names = await long_jobs(world, 8)
+    for name in names:
+        await cancel(world, [name], 2.0)
+        await changed(world)
+        await curio.sleep(world.rng.uniform(0.5, 5.0))
+
+
+async def full_team(world: World, leader_first: bool = False) -> None:
+    """A team is at its limit while its jobs are cancelled, machines are cut off or hang, and
+    the leader changes, before the cancellation or after it."""
+    fields = {"owner": "tight", "cards": 1.0, "shape": "sweep", "pieces": 2, "loaners": False}
+    names = await long_jobs(world, 4, **fields)
+    for half in (names[:2], names[2:]):
+        machines = [w for name in half for w in running(world, name)]
+        if leader_first:
+            await curio.spawn(changed, world, daemon=True)
+            await curio.sleep(world.rng.uniform(0.0, 1.0))
+        for worker in machines:
+            if world.rng.random() < 0.5:
+                world.cut.add(worker.name)
+            else:
+                worker.hung_until = world.clock() + world.rng.uniform(3.0, 14.0)
+        await curio.sleep(world.rng.uniform(0.0, 1.0))
+        await cancel(world, half, 1.0)
+        if not leader_first:
+            await curio.sleep(world.rng.uniform(0.0, 1.5))
+            await changed(world)
+        await curio.sleep(world.rng.uniform(5.0, 20.0))
+        world.cut.clear()
+        await curio.sleep(world.rng.uniform(2.0, 12.0))
+
+
+async def all_away(world: World) -> None:
+    """Nobody is there for longer than a lease."""
+    names = await long_jobs(world, 6)
+    await cancel(world, names[:3], 2.0)
+    await curio.sleep(1.0)
+    for label in world.labels:
+        await world.crash(label)
+    await curio.sleep(world.rng.uniform(1.1, 2.5) * LEASE_S)
+    for label in world.labels:
+        await curio.sleep(world.rng.choice((0.05, 0.5, 4.0)))
+        await world.start(label)
+    await cancel(world, names[3:], 5.0)
+
+
+async def cancelled_as_work_changes_hands(world: World) -> None:
+    """Jobs are cancelled in the seconds in which one controller's work goes to the others."""
+    names = await long_jobs(world, 12)
+    for n in range(0, len(names), 4):
+        await cancel(world, names[n : n + 4], 8.0)
+        label = world.rng.choice(world.labels)
+        if world.rng.random() < 0.5:
+            await world.crash(label)
+            await curio.sleep(world.rng.uniform(3.0, 8.0))
+            await world.start(label)
+        else:
+            await deposed(world, label, world.rng.uniform(3.0, 8.0))
+        await curio.sleep(world.rng.uniform(2.0, 6.0))
+
+
+async def mute_machines(world: World) -> None:
+    """Workers open no connection to any controller, while commands reach them."""
+    names = await long_jobs(world, 8)
+    for n in range(0, len(names), 2):
+        world.mute = set(some_machines(world, 0.4))
+        await curio.sleep(world.rng.uniform(0.5, 6.0))
+        await cancel(world, names[n : n + 2], 3.0)
+        if world.rng.random() < 0.6:
+            await changed(world)
+        await curio.sleep(world.rng.uniform(2.0, 18.0))
+        world.mute.clear()
+        await curio.sleep(world.rng.uniform(1.0, 5.0))
+
+
+async def reports_for_the_next(world: World, late_s: tuple[float, float]) -> None:
+    """Old reports reach every controller with a new generation, or once it has acted."""
+    world.kept_reports = 0.5
+    copies = await curio.spawn(world.hand_over_copies, late_s, daemon=True)
+    names = await long_jobs(world, 6)
+    for name in names:
+        await cancel(world, [name], 4.0)
+        await curio.sleep(world.rng.uniform(2.0, 8.0))
+        for machine in some_machines(world, 0.1):
+            world.workers[machine].hung_until = world.clock() + world.rng.uniform(5.0, 14.0)
+        await changed(world)
+    await copies.cancel()
+
+
+async def new_machines_at_once(world: World) -> None:
+    """Machines are up within two seconds and get work at once, writes lag, leaders end."""
+    world.boot_s = (0.2, 2.0)
+    world.late_writes, world.slow_s = 0.15, 0.4
+    for number in range(FIRST_EXTRA, FIRST_EXTRA + 6):
+        wide = job(number, pieces=4, vcpus=7.0, rank="high")
+        await curio.spawn(world.submit, wide, 5.0, daemon=True)
+        await curio.sleep(world.rng.uniform(0.3, 4.0))
+        await again(world, world.rng.choice(world.labels))
+        await curio.sleep(world.rng.uniform(1.0, 5.0))
+
+
+async def short_of_room(world: World) -> None:
+    """There is more work than room, urgent and not, over slow links."""
+    world.link_s = 0.3
+    for number in range(FIRST_EXTRA, FIRST_EXTRA + 9):
+        rank = ("best_effort", "normal", "high")[number % 3]
+        many = job(number, pieces=20, vcpus=2.0, rank=rank, due_s=60.0 if rank == "high" else None)
+        await curio.spawn(world.submit, many, 6.0, daemon=True)
+        await curio.sleep(world.rng.uniform(0.2, 2.0))
+    await changed(world)
+    await curio.sleep(30.0)
+
+
+async def one_task_jobs(world: World, for_s: float = 60.0) -> None:
+    """One-task jobs come four a second, and a quarter of them is cancelled."""
+    for number in range(FIRST_EXTRA, FIRST_EXTRA + int(4 * for_s)):
+        value = job(number, pieces=1, vcpus=0.5, guess_s=2.0)
+        await curio.spawn(world.submit, value, 2.0, daemon=True)
+        if number % 4 == 0:
+            await cancel(world, [value["id"]], 5.0)
+        await curio.sleep(0.25)
+
+
+async def cancelled_at_the_end(world: World) -> None:
+    """Jobs are cancelled at the moment in which their last task ends."""
+    world.cancelled_at_end = 0.6
+    for number in range(FIRST_EXTRA, FIRST_EXTRA + 20):
+        await curio.spawn(world.submit, job(number, pieces=1 + number % 2), 3.0, daemon=True)
+        await curio.sleep(world.rng.uniform(0.2, 2.0))
+
+
+async def cancelled_while_machines_hang(world: World) -> None:
+    """Running jobs are cancelled within a fifth of a second, machines hang and go on."""
+    names = await long_jobs(world, 12)
+    for n in range(0, len(names), 4):
+        await cancel_now(world, names[n : n + 4], world.rng.uniform(0.5, 1.4) * LEASE_S)
+        if world.rng.random() < 0.5:
+            await changed(world)
+        await curio.sleep(world.rng.uniform(5.0, 15.0))
+
+
+SCENES: dict[str, Scene] = {
+    "zone_cut_off": zone_cut_off,
+    "bound_to_a_zone": bound_to_a_zone,
+    "ten_changes": ten_changes,
+    "ten_changes_in_an_outage": partial(ten_changes, outage=True),
+    "answers_lost": answers_lost,
+    "cancelled_as_one_is_refused": cancelled_as_one_is_refused,
+    "commands_of_the_deposed": commands_of_the_deposed,
+    "full_team": full_team,
+    "full_team_leader_first": partial(full_team, leader_first=True),
+    "all_away": all_away,
+    "cancelled_as_work_changes_hands": cancelled_as_work_changes_hands,
+    "mute_machines": mute_machines,
+    "reports_as_the_next_begins": partial(reports_for_the_next, late_s=(0.0, 0.3)),
+    "reports_once_the_next_has_acted": partial(reports_for_the_next, late_s=(2.0, 8.0)),
+    "new_machines_at_once": new_machines_at_once,
+    "short_of_room": short_of_room,
+    "one_task_jobs": one_task_jobs,
+    "cancelled_at_the_end": cancelled_at_the_end,
+    "cancelled_while_machines_hang": cancelled_while_machines_hang,
+}
+
+
+async def scene_day(clock: Clock, name: str, seed: int, controllers: int) -> World:
+    """A day's work, the scene beside it, and what is judged once it is over."""
+    world = World(clock, seed, controllers)
+    await world.open()
+    await curio.spawn(watch_waiting, world, daemon=True)
+    trouble = await curio.spawn(SCENES[name], world, daemon=True)
+    await work(world)
+    await trouble.join()
+    calm(world)
+    await cancel(world, [name for name, run_s in world.run_s.items() if run_s == LONG_S])
+    left = await until_finished(world)
+    if not world.broken:
+        world.broken += [f"waits {name}" for name in left]
+        await ask_for_all(world)
+    return world
+
+
+@pytest.mark.parametrize("name", SCENES)
+def test_rules_hold_and_all_is_served_after(monkeypatch: pytest.MonkeyPatch, name: str) -> None:
+    world = simulate(monkeypatch, lambda clock: scene_day(clock, name, 60, 3))
+    assert world.broken == []
--- a/tests/world.py
+++ b/tests/world.py
@@ -286,7 +286,7 @@
     def __init__(self, world: World, name: str, kind: str, zone: str, spot: bool) -> None:
         self.world, self.name, self.kind, self.zone, self.spot = world, name, kind, zone, spot
         self.address = f"{name}:9000"
-        self.up_at = world.clock() + world.rng.uniform(0.5, 1.5) * 8
+        self.up_at = world.clock() + world.rng.uniform(*world.boot_s)
         self.gone = False
         self.hung_until = 0.0
         self.cut_from: set[str] = set()
@@ -398,6 +398,7 @@
             range(whole["pieces"]) if whole["shape"] == "ensemble" else [int(number)]
         )
         task.state, task.why = "exited", "done"
+        self.world.ended(job_id)
 
     async def run(self) -> None:
         w = self.world
@@ -414,6 +415,8 @@
             session = self.session
             if w.late_reports and w.rng.random() < w.late_reports:
                 await curio.spawn(w.again, self.name, body, daemon=True)
+            if w.kept_reports and w.rng.random() < w.kept_reports:
+                w.copies.append((self.name, body))
             try:
                 status, raw = await w.deliver(self.name, target, "POST", "/v1/report", body, 4.0)
                 answer = json.loads(raw)
@@ -424,6 +427,7 @@
                 if answer.get("epoch", -1) >= self.token and session == self.session:
                     self.token = answer["epoch"]
                     self.answered = max(self.answered, now)
+                    w.issued(answer["orders"])
                     self.execute(answer["orders"])
             elif (
                 status == 421
@@ -482,6 +486,17 @@
         # Shares of transactions that get no answer and are carried out 2 to 12 s later, and
         # of reports of which a copy arrives again, at any controller, up to two leases later.
         self.late_writes = self.late_reports = 0.0
+        # Shares of transactions carried out at once of which only the answer is lost; of reports
+        # of which a copy is kept for the next generation; of direct commands that get no answer
+        # and are carried out 2 to 16 s late; of the jobs that are cancelled as they end.
+        self.lost_answers = self.kept_reports = self.late_commands = self.cancelled_at_end = 0.0
+        self.copies: list[tuple[str, bytes]] = []  # the reports that are kept
+        self.mute: set[str] = set()  # machines that reach no controller, while commands arrive
+        # A zone and the controllers in it that reach only each other.
+        self.enclosed_zone = ""
+        self.enclosed: set[str] = set()
+        self.boot_s: tuple[float, float] = (4.0, 12.0)
+        self.link_s = 0.0  # a message takes up to so much longer on its way
         self.deaf: set[str] = set()  # machines whose reports arrive, and which hear nothing
         self.slow_s = 0.0  # the state service takes up to so long for an answer
         self.news_late_s = 0.0  # and so long more until a watch hears of a change
@@ -491,6 +506,11 @@
         self.jobs: dict[str, dict[str, Any]] = {}
         self.run_s: dict[str, float] = {}
         self.results: dict[str, set[int]] = {}
+        # Launches issued, and tasks that started, after their job was confirmed as cancelled,
+        # and how long after. Within `cancel_s` no rule of the bench counts them.
+        self.issued_cancelled: list[tuple[str, float]] = []
+        self.started_cancelled: list[tuple[str, float]] = []
+        self.calm = False  # whether all troubles are over
         self.machine_number = 0
         self.rentals: dict[str, list[str]] = {}
         self.launches = 0
@@ -510,6 +530,8 @@
         since = self.cancelled.get(job_id)
         if since is not None and self.clock() - since > 35.0:
             self.broken.append(f"ran_cancelled {task} starts on {worker.name}")
+        if since is not None:
+            self.started_cancelled.append((task, self.clock() - since))
         for need in job.get("prereqs") or ():
             if len(self.results[need]) < self.jobs[need]["pieces"]:
                 self.broken.append(f"too_early {task} before {need}")
@@ -583,15 +605,43 @@
                     if since is not None and now - since > 35.0:
                         self.broken.append(f"ran_cancelled {task} on {worker.name}")
 
+    def issued(self, orders: list[dict[str, Any]]) -> None:
+        """A controller gives these commands now."""
+        for order in orders:
+            since = self.cancelled.get(order["piece"].partition("/")[0])
+            if order["verb"] == "launch" and since is not None:
+                self.issued_cancelled.append((order["piece"], self.clock() - since))
+
+    def ended(self, job_id: str) -> None:
+        """The last task of a job may have ended; some users call it off at that moment."""
+        if (
+            self.cancelled_at_end
+            and len(self.results[job_id]) == self.jobs[job_id]["pieces"]
+            and self.rng.random() < self.cancelled_at_end
+        ):
+            self.late.append(lambda: self.abort(job_id))
+
     # -- the network -----------------------------------------------------
 
+    def inside(self, name: str) -> bool:
+        """Whether it is in the zone that is cut off."""
+        worker = self.workers.get(name)
+        return name in self.enclosed or worker is not None and worker.zone == self.enclosed_zone
+
     def reaches(self, source: str, target: str) -> bool:
         return (
             source not in self.cut
             and target not in self.cut
             and f"{source}>{target}" not in self.cut
+            and (not self.enclosed_zone or self.inside(source) == self.inside(target))
+            and (source not in self.mute or target not in self.labels)
         )
 
+    def hit(self, trouble: str) -> bool:
+        """Whether a trouble with that share strikes now."""
+        share: float = getattr(self, trouble)
+        return bool(share) and self.rng.random() < share
+
     async def _exchange(
         self, source: str, target: str, serve: Callable[[], Any], timeout_s: float, hold: bool
     ) -> Any:
@@ -604,6 +654,20 @@
             await curio.spawn(self._later(serve, (2.0, 12.0)), daemon=True)
             await curio.sleep(timeout_s)
             raise http.NoAnswer("carried out late")
+        if target == "state" and hold and self.reaches(source, target) and self.hit("lost_answers"):
+            await curio.sleep(delay)
+            serve()
+            await curio.sleep(timeout_s)
+            raise http.NoAnswer("only the answer is lost")
+        if target in self.workers and hold and self.hit("late_commands"):
+            await curio.spawn(self._later(serve, (2.0, 16.0)), daemon=True)
+            await curio.sleep(timeout_s)
+            raise http.NoAnswer("held up")
+        if self.link_s:
+            await curio.sleep(self.rng.uniform(0.0, self.link_s))
+        if source in self.mute and target in self.labels:
+            await curio.sleep(timeout_s)  # no connection, so nothing is held either
+            raise http.NoAnswer("mute")
         if not self.reaches(source, target):
             if hold and self.rng.random() < 0.3:
                 await curio.spawn(self._later(serve), daemon=True)
@@ -671,6 +735,27 @@
         except http.NoAnswer:
             pass
 
+    async def hand_over_copies(self, late_s: tuple[float, float]) -> None:
+        """With each new generation, the reports that were kept reach every controller."""
+        known = self.state.keys.get("c/generation")
+        while True:
+            await curio.sleep(0.05)
+            found = self.state.keys.get("c/generation")
+            if found == known:
+                continue
+            known, kept = found, self.copies[-60:]
+            self.copies.clear()
+            await curio.sleep(self.rng.uniform(*late_s))
+            for name, body in kept:
+                for label in self.labels:
+                    await curio.spawn(self._copy, name, label, body, daemon=True)
+
+    async def _copy(self, source: str, label: str, body: bytes) -> None:
+        try:
+            await self.deliver(source, label, "POST", "/v1/report", body, 4.0)
+        except http.NoAnswer:
+            pass
+
     def client(self, source: str, host: str) -> Any:
         world = self
 
@@ -684,6 +769,8 @@
                 value = json.loads(body) if body else None
                 if host == "state" and path.startswith("/changes"):
                     return await world.watch(source, path)
+                if host in world.workers and value is not None:
+                    world.issued(value["orders"])
 
                 def serve() -> Any:
                     if host == "state" and path == "/commit" and source in world.old:
