Void what an ended owner left on its way; close machines that only answer commands

Two faults, each found by writing down the order of events for a mechanism.

ran_cancelled: an owner sent a launch, which was held on its way, ended, and was back within its lease. The job was cancelled, and the state service went out, so no generation followed. The others and the new process kept their promises, and kept the worker's session alive under its own token; the launch arrived more than cancel_s after the confirmation and started the task. Now whoever keeps a machine alive whose owner's process is known to have ended gives out a token above all that this process sent. An owner that finds a higher token of its own generation takes it over: what it sent before is void, nothing is taken for gone.

Served for ever badly: machines that open no connection to any controller, but answer commands, were asked and found to answer, so they stayed open. Their lease ran out every lease_s, and their tasks were started there again and again. Now a machine whose session has moved on, and that has not reported since, is closed, and is given back half of cancel_s after its last report.

--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -30,6 +30,16 @@
 Told = tuple[str, str, int, str, str, bool]
 
 
+def void_token(token: int) -> int:
+    """A token above all that its owner gave out in that generation, and below the next one's.
+
+    For machines whose owner has ended. In an outage no generation follows it, the others keep
+    the machine's session alive, and a launch that was held on its way started a task of a job
+    that had long been cancelled.
+    """
+    return token | 1 << (COUNTER_BITS - 1)
+
+
 class Fleet:
     """Everything between this controller and the machines."""
 
@@ -102,7 +112,7 @@
             # task must not live on here past its deadline.
             return 503, {}
         if owner == core.label and core.serving:
-            return self.own_report(report, now, True)
+            return self.own_report(report, now)
         if owner and owner != core.label and core.state_known:
             peer = core.peers.get(owner)
             last = self.forwarded.get(report.machine, -1e9)
@@ -122,13 +132,21 @@
                 except (PeerError, msgspec.DecodeError):
                     pass
         if core.may_renew(time.monotonic()) and not self._unsure(report):
-            # The worker's own token and no orders but kills: this starts nothing and
-            # takes nothing from whoever is entitled.
-            return 200, {"epoch": report.token, "orders": []}
+            # No orders but kills: this starts nothing and takes nothing from whoever is
+            # entitled. What an owner that has ended left on its way is void.
+            ended = self._owner_ended(owner)
+            return 200, {"epoch": void_token(report.token) if ended else report.token, "orders": []}
         if owner and owner != core.label:
             return 421, {"upstream": owner}
         return 503, {}
 
+    def _owner_ended(self, owner: str) -> bool:
+        """Whether the process that the generation names as the owner is known to have ended:
+        another one has answered in its place."""
+        named = self.core.generation.members.get(owner)
+        heard = self.core.horizon.incarnations.get(owner)
+        return bool(named and heard and named != heard)
+
     def _unsure(self, report: Report) -> bool:
         """Whether a machine has tasks of jobs that we can't say anything of: accepted, and
         perhaps cancelled, after we had last read the records."""
@@ -136,7 +154,7 @@
             t.state != "exited" and self._stranger(t.task.partition("/")[0]) for t in report.tasks
         )
 
-    def own_report(self, report: Report, now: float, direct: bool) -> tuple[int, dict[str, Any]]:
+    def own_report(self, report: Report, now: float) -> tuple[int, dict[str, Any]]:
         core = self.core
         if report.machine in core.owner.gone:
             # Held on its way: a machine that had been returned was open for work again, until
@@ -146,7 +164,7 @@
             core.suspect_stale()
             return 503, {}
         new = report.machine not in core.owner.machines
-        m = core.owner.take_report(report, now, direct)
+        m = core.owner.take_report(report, now, True)
         if m is None:
             return 200, {"epoch": core.owner.machine(report.machine, now).token, "orders": []}
         if new:
@@ -442,13 +460,10 @@
                 and time.monotonic() - m.heard < core.settings.cluster.workers.cancel_s / 2
             ):
                 return
-            if address and await self._answers(m.name, address, gen.members):
+            answers = bool(address) and await self._answers(m.name, address, gen.members)
+            if core.generation is not gen or not core.serving:
                 return
-            if (
-                core.generation is not gen
-                or not core.serving
-                or time.monotonic() - m.heard < self.silent_s
-            ):
+            if not self._useless(m) and (answers or time.monotonic() - m.heard < self.silent_s):
                 return
             log.info(
                 "machine=%s generation=%d event=fence cause=silent tasks=%d",
@@ -469,6 +484,12 @@
             if m.name in core.owner.machines:
                 core.owner.touch(m.name)
 
+    def _useless(self, m: Machine) -> bool:
+        """Whether a machine answers commands, but has let its lease run out for long."""
+        return m.lapsed and (
+            time.monotonic() - m.reported_at > self.core.settings.cluster.workers.cancel_s / 2
+        )
+
     async def _answers(self, name: str, address: str, members: Container[str]) -> bool:
         """Whether the worker answers us or a peer, both asked at once: one after the other,
         a machine that had ended was returned only after its lease was over, and its replicas
--- a/clayport/peer_requests.py
+++ b/clayport/peer_requests.py
@@ -135,7 +135,7 @@
             or not core.may_renew(now)
         ):
             return peerwire.REPORTED, (503, b"{}")
-        status, value = core.fleet.own_report(report, now, False)
+        status, value = core.fleet.own_report(report, now)
         return peerwire.REPORTED, (status, msgspec.json.encode(value))
 
     # -- requests to the home of a job -----------------------------------
--- a/clayport/workers.py
+++ b/clayport/workers.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from .membership import Generation
+from .membership import COUNTER_BITS, Generation
 from .model import SERVICE, Job, MachineType, Report, split_task
 from .placement import Room, capacity
 
@@ -53,7 +53,10 @@
         self.fenced = False  # the newest report carries the current token
         self.heard = now  # when a report last came, or when the ownership began
         self.known = False  # a report has come under this ownership
-        self.direct_at = -1e9  # when a report last came from the worker itself
+        self.reported_at = now  # when a report last came, and not a command's answer
+        # Its lease ran out and it has only answered commands since: what is started there
+        # ends with the next lease, again and again.
+        self.lapsed = False
         self.notice_at: float | None = None
         self.draining = False
         self.evacuating = False
@@ -144,6 +147,7 @@
         """We stood still: what came meanwhile is still to be read, so nobody was silent."""
         for m in self.machines.values():
             m.heard += gap_s
+            m.reported_at += gap_s
 
     def machine(self, name: str, now: float) -> Machine:
         assert self.generation is not None
@@ -186,14 +190,16 @@
     # -- reports ---------------------------------------------------------
 
     def entitled(self, report: Report) -> bool:
-        """False when a successor has given out a higher token than ours."""
+        """False when a successor has given out a token of a later generation.
+
+        A higher one of ours was given out by a peer that took us for ended.
+        """
         assert self.generation is not None
-        known = self.machines.get(report.machine)
-        token = known.token if known else self.generation.base_token + 1
-        return report.token <= token
+        return report.token >> COUNTER_BITS <= self.generation.number
 
-    def take_report(self, report: Report, now: float, direct: bool) -> Machine | None:
-        """Apply a report; None for one that is older than what is known.
+    def take_report(self, report: Report, now: float, reported: bool) -> Machine | None:
+        """Apply a report; None for one that is older than what is known. `reported`: the worker
+        sent it to a controller, so its answer renews the lease; a command's doesn't.
 
         Reports held in the network arrive minutes late: (session, seq) tells.
         """
@@ -203,17 +209,19 @@
         if m.known and report.session > m.session:
             m.kills.clear()
             m.clears.clear()
+            m.lapsed = not reported
         # A machine that is new or closes without any task changes the room as well:
         # peers pull a table only when its revision has moved.
-        shown = (m.known, m.notice_at is None, self.sick(m))
+        shown = (m.known, self.open(m))
         m.known = True
         m.session, m.seq, m.heard = report.session, report.seq, now
-        if direct:
-            m.direct_at = now
+        if reported:
+            m.reported_at, m.lapsed = now, False
         m.address, m.type, m.zone, m.spot = report.address, report.type, report.zone, report.spot
         m.notice_at = None if report.notice_s is None else now + report.notice_s
         # Only under the current token is an older command known to be void.
-        m.fenced = report.token >= m.token
+        m.token = max(m.token, report.token)
+        m.fenced = report.token == m.token
         listed: dict[Key, tuple[str, str, bool]] = {}
         for piece in report.tasks:
             listed[(piece.task, piece.attempt)] = (piece.state, piece.why, piece.saved)
@@ -248,7 +256,7 @@
                 del m.told[key]
         if m.clears:
             m.clears = dict.fromkeys(key for key in m.clears if key in listed)
-        if before != listed or shown != (True, m.notice_at is None, self.sick(m)):
+        if before != listed or shown != (True, self.open(m)):
             self._touched(m, now)
         return m
 
@@ -605,6 +613,7 @@
             and not m.draining
             and m.notice_at is None
             and not m.fencing
+            and not m.lapsed
             and not self.sick(m)
         )
 
--- /dev/null
+++ b/tests/test_orders_of_events.py
@@ -0,0 +1,73 @@
+"""For a mechanism each, the one order of events that it exists for."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from .test_meetings import fill, launching
+from .test_restarts import again
+from .troubles import CANCEL_S, LEASE_S, calm, long_jobs
+from .world import Clock, World, simulate
+
+
+async def launch_outlives_its_sender(clock: Clock, arrives_s: float) -> World:
+    """A launch is on its way for long; its sender ends and is back in an outage, before which
+    the job was cancelled; the worker keeps its session all the time."""
+    world = World(clock, 41)
+    await fill(world)
+    name, sender, asked = await launching(world)
+    world.hold_s = (arrives_s, arrives_s + 1.0)
+    await curio.sleep(0.3)
+    await world.crash(sender)
+    await curio.spawn(world.abort, name, asked, daemon=True)
+    while f"end/{name}" not in world.state.keys:
+        await curio.sleep(0.01)
+    world.state.outage(clock(), 3 * CANCEL_S)
+    world.held.clear()
+    await curio.sleep(0.3)
+    await world.start(sender)
+    await curio.sleep(3 * CANCEL_S)
+    assert name in world.cancelled
+    calm(world)
+    await curio.sleep(10.0)
+    return world
+
+
+@pytest.mark.parametrize("arrives_s", [CANCEL_S + 8.0, 2 * CANCEL_S])
+def test_a_launch_does_not_outlive_its_sender(
+    monkeypatch: pytest.MonkeyPatch, arrives_s: float
+) -> None:
+    world = simulate(monkeypatch, lambda clock: launch_outlives_its_sender(clock, arrives_s))
+    assert world.broken == []
+
+
+async def mute_for_long(clock: Clock, for_s: float, leader_ends: bool) -> tuple[World, float]:
+    """Machines answer commands and never report: when all that was on them runs for good."""
+    world = World(clock, 44)
+    await world.open()
+    await long_jobs(world, 8, shape="sweep")
+    busy = sorted((w for w in world.workers.values() if w.on()), key=lambda w: -len(w.on()))
+    chosen = busy[: max(1, len(busy) // 3)]
+    tasks = {k[0] for w in chosen for k in w.on()}
+    world.mute.update(w.name for w in chosen)
+    if leader_ends:
+        await again(world, world.controllers["c0"].generation.place(chosen[0].name))
+    since = missed = clock()
+    while clock() < since + 4 * CANCEL_S:
+        await curio.sleep(0.5)
+        if clock() > since + for_s:
+            world.mute.clear()
+        if not tasks <= {k[0] for w in world.workers.values() for k in w.on()}:
+            missed = clock()
+    return world, missed - since
+
+
+@pytest.mark.parametrize("leader_ends", [False, True])
+@pytest.mark.parametrize("for_s, most_s", [(0.4 * LEASE_S, 0.0), (100 * LEASE_S, 2 * CANCEL_S)])
+def test_machines_that_only_answer_get_no_work_for_ever(
+    monkeypatch: pytest.MonkeyPatch, for_s: float, most_s: float, leader_ends: bool
+) -> None:
+    world, missed_s = simulate(monkeypatch, lambda clock: mute_for_long(clock, for_s, leader_ends))
+    assert world.broken == []
+    assert missed_s <= most_s
