--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -12,7 +13,7 @@
 
 from clayport import peerwire
 
-from .world import SETTINGS, Clock, World, job, simulate
+from .world import SETTINGS, ZONES, Clock, World, job, simulate
 
 JOBS: list[tuple[dict[str, Any], float]] = [
     ({"pieces": 6}, 6.0),
@@ -48,6 +49,44 @@
 JOBS_A_DAY = 24
 
 
+# Shares with which the world's further troubles strike.
+SHARES = {
+    "late_writes": 0.2,
+    "late_reports": 0.3,
+    "lost_answers": 0.3,
+    "kept_reports": 0.4,
+    "late_commands": 0.4,
+    "cancelled_at_end": 0.3,
+    "slow_s": 0.8,
+    "link_s": 0.2,
+}
+MACHINES = ("mute", "deaf")
+PAIRS = list(itertools.combinations((*SHARES, *MACHINES, "enclosed"), 2))
+
+
+async def pairs(world: World, calm_at: float) -> None:
+    """Two further troubles at a time, while others come and go."""
+    rng = world.rng
+    copies = await curio.spawn(world.hand_over_copies, (0.0, 5.0), daemon=True)
+    while world.clock() < calm_at:
+        pair = rng.choice(PAIRS)
+        for what in pair:
+            if what in SHARES:
+                setattr(world, what, SHARES[what])
+            elif what in MACHINES:
+                names = sorted(world.workers)
+                getattr(world, what).update(rng.sample(names, len(names) // 4))
+            else:
+                world.enclosed, world.enclosed_zone = {rng.choice(world.labels)}, rng.choice(ZONES)
+        await curio.sleep(rng.uniform(5.0, 20.0))
+        for what in SHARES:
+            setattr(world, what, 0.0)
+        world.enclosed_zone = ""
+        for holder in (world.mute, world.deaf, world.enclosed):
+            holder.clear()
+    await copies.cancel()
+
+
 async def trouble(world: World, calm_at: float) -> None:
     """Random failures, one after another and overlapping, until `calm_at`."""
     rng = world.rng
@@ -283,9 +322,13 @@
             await then(number)
 
 
-async def day(clock: Clock, seed: int, troubled: bool, controllers: int = 3) -> World:
+async def day(
+    clock: Clock, seed: int, troubled: bool, controllers: int = 3, paired: bool = False
+) -> World:
     world = World(clock, seed, controllers)
     await world.open()
+    if paired:
+        await curio.spawn(pairs, world, clock() + 60.0, daemon=True)
     if troubled:
         await curio.spawn(trouble, world, clock() + 60.0, daemon=True)
     await work(world)
@@ -293,8 +336,18 @@
 
 
 @pytest.mark.parametrize(
-    "seed, troubled, controllers",
-    [(1, False, 3), *((s, True, 3) for s in range(2, 8)), (8, True, 5), (9, True, 5)],
+    "seed, troubled, controllers, paired",
+    [
+        (1, False, 3, False),
+        *((s, True, 3, False) for s in range(2, 8)),
+        (8, True, 5, False),
+        (9, True, 5, False),
+        # Two further troubles at a time, alone and beside the others.
+        (10, False, 3, True),
+        (11, True, 3, True),
+        (12, True, 3, True),
+        (13, True, 5, True),
+    ],
 )
 def test_rules_hold(
     monkeypatch: pytest.MonkeyPatch,
@@ -302,8 +355,9 @@
     seed: int,
     troubled: bool,
     controllers: int,
+    paired: bool,
 ) -> None:
-    world = simulate(monkeypatch, lambda clock: day(clock, seed, troubled, controllers))
+    world = simulate(monkeypatch, lambda clock: day(clock, seed, troubled, controllers, paired))
     assert world.broken == []
     # A request that can't be packed, or a routine that fails, is only logged.
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
