Scenes of meetings: which mechanism each row fails without

Cause: that a row passes says little unless it can fail. Change: each of the nineteen rows was run with mechanisms taken out on a scratch basis; the comment names the one that it failed without. The row of cancellations at the end takes a seed that fails without the conditions; of the one-task jobs, those that are cancelled run until then. Result: all nineteen rows fail on one mechanism at least.

--- a/tests/test_meetings_page.py
+++ b/tests/test_meetings_page.py
@@ -230,8 +230,9 @@
     """One-task jobs come four a second, and a quarter of them is cancelled."""
     for number in range(FIRST_EXTRA, FIRST_EXTRA + int(4 * for_s)):
         value = job(number, pieces=1, vcpus=0.5, guess_s=2.0)
-        await curio.spawn(world.submit, value, 2.0, daemon=True)
-        if number % 4 == 0:
+        cancelled = number % 4 == 0
+        await curio.spawn(world.submit, value, LONG_S if cancelled else 2.0, daemon=True)
+        if cancelled:
             await cancel(world, [value["id"]], 5.0)
         await curio.sleep(0.25)
 
@@ -254,6 +255,12 @@
         await curio.sleep(world.rng.uniform(5.0, 15.0))
 
 
+# Every row was seen to fail with a mechanism taken out: the conditions of transactions on
+# chunks and generation (zone_cut_off), on quotas (full_team_leader_first) and on live and final
+# records (cancelled_at_the_end); the numbers of reports (reports_once_the_next_has_acted);
+# that only a fenced report says "gone" of an adopted task (ten_changes, new_machines_at_once,
+# reports_as_the_next_begins, short_of_room); the zones of spread jobs (bound_to_a_zone); kills
+# of what is cancelled (the others).
 SCENES: dict[str, Scene] = {
     "zone_cut_off": zone_cut_off,
     "bound_to_a_zone": bound_to_a_zone,
@@ -277,6 +284,9 @@
 }
 
 
+SEEDS = {"cancelled_at_the_end": 61}  # 60 doesn't fail with the conditions taken out
+
+
 async def scene_day(clock: Clock, name: str, seed: int, controllers: int) -> World:
     """A day's work, the scene beside it, and what is judged once it is over."""
     world = World(clock, seed, controllers)
@@ -296,5 +306,5 @@
 
 @pytest.mark.parametrize("name", SCENES)
 def test_rules_hold_and_all_is_served_after(monkeypatch: pytest.MonkeyPatch, name: str) -> None:
-    world = simulate(monkeypatch, lambda clock: scene_day(clock, name, 60, 3))
+    world = simulate(monkeypatch, lambda clock: scene_day(clock, name, SEEDS.get(name, 60), 3))
     assert world.broken == []
