--- a/bench/passes.py
+++ b/bench/passes.py
@@ -15,6 +15,7 @@
 import random
 import statistics
 import time
+from collections.abc import Callable
 
 from clayport.config import parse
 from clayport.jobs import HomeJob
@@ -78,11 +79,11 @@
         core.rooms[room.machine] = room
 
 
-def one_pass(core: Controller) -> float:
-    """Seconds that it took; what it placed is dropped, so that all go on waiting."""
-    start = time.perf_counter()
+def one_pass(core: Controller, clock: Callable[[], float] = time.perf_counter) -> float:
+    """Seconds by `clock` that it took; what it placed is dropped, so that all go on waiting."""
+    start = clock()
     core.placer._pass(time.monotonic())
-    took = time.perf_counter() - start
+    took = clock() - start
     for hj in core.dispatch.homes.values():
         if hj.starts and hasattr(core.placer, "line"):
             core.placer.line.touch(hj.job.id)
@@ -98,24 +99,30 @@
     return took
 
 
-def main() -> None:
-    """Time whole placement passes for a given number of waiting jobs and print the times."""
-    args = argparse.ArgumentParser(description="Time a placer's passes.")
-    args.add_argument("--jobs", type=int, default=10_000)
-    args.add_argument("--machines", type=int, default=639)
-    args.add_argument("--passes", type=int, default=20)
-    chosen = args.parse_args()
-    rng = random.Random(1)
+def busy(jobs: int, machines: int, rng: random.Random) -> tuple[Controller, list[fleets.Room]]:
+    """A controller to which so many jobs wait at home, and the rooms of a busy fleet."""
     core = controller()
-    there = fleets.rooms(chosen.machines, rng)
+    there = fleets.rooms(machines, rng)
     for room in there:
         show(core, room)
-    for job in fleets.jobs(chosen.jobs, rng):
+    for job in fleets.jobs(jobs, rng):
         job = core.judged(job)
         core.live[job.id] = (job, 1)
         core.dispatch.homes[job.id] = HomeJob(job, 1, 500, time.monotonic())
         if hasattr(core.placer, "line"):
             core.placer.line.touch(job.id)
+    return core, there
+
+
+def main() -> None:
+    """Time whole placement passes for a given number of waiting jobs and print the times."""
+    args = argparse.ArgumentParser(description="Time a placer's passes.")
+    args.add_argument("--jobs", type=int, default=10_000)
+    args.add_argument("--machines", type=int, default=639)
+    args.add_argument("--passes", type=int, default=20)
+    chosen = args.parse_args()
+    rng = random.Random(1)
+    core, there = busy(chosen.jobs, chosen.machines, rng)
     first = one_pass(core)
     later = []
     for _ in range(chosen.passes):
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -15,8 +15,7 @@
 import random
 import time
 import tracemalloc
-
-import pyperf
+from collections.abc import Callable
 
 from clayport.jobs import HomeJob
 from clayport.placement import Policy, Spread, place
@@ -28,9 +27,15 @@
 JOBS, REPORTS, FEW = 6, 5, 4
 
 
-def rounds(loops: int, machines: int, indexed: bool, most: int = FEW) -> float:
-    """Seconds that `loops` rounds took, without making the fleet or putting back what was
-    placed: each job finds the fleet as it was."""
+def rounds(
+    loops: int,
+    machines: int,
+    indexed: bool,
+    most: int = FEW,
+    clock: Callable[[], float] = time.perf_counter,
+) -> float:
+    """Seconds by `clock` that `loops` rounds took, without making the fleet or putting back
+    what was placed: each job finds the fleet as it was."""
     rng = random.Random(machines)
     there = fleets.rooms(machines, rng)
     work = fleets.jobs(JOBS, rng, most)
@@ -47,12 +52,12 @@
             if index is not None:
                 for room in changed:
                     index.add(room)
-            start = time.perf_counter()
+            start = clock()
             if index is not None:
                 chosen = place(job, job.tasks, index, Spread(job, ()), policy)
             else:
                 chosen = plain.place(job, job.tasks, there, Spread(job, ()), "host-0", policy)
-            took += time.perf_counter() - start
+            took += clock() - start
             for room in chosen:
                 room.take(job, -1)
     return took / JOBS
@@ -84,6 +89,8 @@
 
 def main() -> None:
     """Run the pyperf benchmarks of the room index against the plain search."""
+    import pyperf  # only here: `rounds` is measured elsewhere without it
+
     runner = pyperf.Runner(processes=3, values=3, program_args=("-m", "bench.placement"))
     if not runner.parse_args().worker:
         memory()
