--- a/bench/capacity/model.py
+++ b/bench/capacity/model.py
@@ -139,8 +139,8 @@
         ) / 1e6
 
     def sockets(self) -> float:
-        """Connections of workers when one controller of the cell has ended."""
-        return self.workers / max(1, self.layout.controllers - 1)
+        """Connections of workers when one machine of the cell has ended."""
+        return self.workers / max(1, self.layout.controllers - self.layout.processes)
 
     def load_seconds(self) -> float:
         """Processor time for each controller to take over its share in a new generation."""
@@ -256,7 +256,7 @@
         ),
         row(
             "controller as owner",
-            "workers' connections, one controller ended",
+            "workers' connections, one machine for control ended",
             "",
             (d.sockets() for d in mixes),
             LIMITS.accepted_sockets,
--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -7,7 +7,7 @@
 
 from . import model
 from .figures import Slopes
-from .size import CELLS, LIMITS, MIXES, ONE_FLEET, REGION_CELLS, SIZE, Layout
+from .size import CELLS, LIMITS, MIXES, ONE_FLEET, PROCESS_CELLS, REGION_CELLS, SIZE, Layout
 
 MARK = re.compile(r"(<!-- table: ([\w-]+) -->\n).*?(<!-- end -->)", re.DOTALL)
 
@@ -150,7 +150,7 @@
 def verdict(slopes: Slopes) -> str:
     """The rows that fail, the worst first, by the mildest mix and then by the worst."""
     found = []
-    for layout in (ONE_FLEET, REGION_CELLS, CELLS):
+    for layout in (ONE_FLEET, PROCESS_CELLS, REGION_CELLS, CELLS):
         failing = [row for row in model.rows(slopes, layout) if row.worst > 1]
         failing.sort(key=lambda row: (row.factor, row.worst), reverse=True)
         found += [
@@ -192,6 +192,7 @@
     "one-fleet": lambda slopes: roles(slopes, ONE_FLEET),
     "region-cells": lambda slopes: roles(slopes, REGION_CELLS),
     "cells": lambda slopes: roles(slopes, CELLS),
+    "process-cells": lambda slopes: roles(slopes, PROCESS_CELLS),
     "verdict": verdict,
     "worker": worker,
     "rates": rates,
--- a/bench/capacity/size.py
+++ b/bench/capacity/size.py
@@ -63,6 +63,7 @@
     name: str
     cells: int
     controllers: int  # of each cell
+    processes: int = 1  # controllers on one machine
 
 
 SIZE = Size()
@@ -70,6 +71,7 @@
 ONE_FLEET = Layout("one fleet", 1, SIZE.control_machines)
 # Two of the 47 machines for each of 19 cells; nine are left over.
 CELLS = Layout("a cell for each zone", SIZE.zones, SIZE.control_machines // SIZE.zones)
+PROCESS_CELLS = Layout("a cell for each zone, three controllers a machine", CELLS.cells, 6, 3)
 REGION_CELLS = Layout("a cell for each region", SIZE.regions, SIZE.control_machines // SIZE.regions)
 # How often a cell asks for more of a team's quota, or returns some (on paper).
 PORTION_INTERVAL_S = 60.0
