--- /dev/null
+++ b/clayport/imports.py
@@ -0,0 +1,58 @@
+"""Imports without the parts of the libraries that a controller never runs.
+
+Starting up is paid from the same share of a core as serving, and a controller that comes back
+has to answer its workers before their leases end. Much of the time of the imports went into
+parts that curio and hashlib load for features that nobody uses here: asyncio (futures of another
+event loop), multiprocessing (worker processes), ssl and OpenSSL's hashes (all that is needed of
+them is built in).
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from importlib.machinery import ModuleSpec
+from types import ModuleType
+from typing import Any
+
+# Modules that those who import them can do without: the import fails.
+ABSENT = ("ssl", "_hashlib")
+# Modules that have to be there while the libraries are imported, and what is used of them then.
+EMPTY: dict[str, dict[str, Any]] = {
+    "asyncio": {},
+    "multiprocessing": {"cpu_count": os.cpu_count},
+    "curio.channel": {"__all__": [], "Connection": None},
+}
+
+
+class EmptyModules:
+    """A finder and loader of empty modules in the place of those in `EMPTY`."""
+
+    def find_spec(self, name: str, path: object = None, target: object = None) -> ModuleSpec | None:
+        return ModuleSpec(name, self) if name in EMPTY else None  # type: ignore[arg-type]
+
+    def create_module(self, spec: ModuleSpec) -> None:
+        """The import system's default module will do."""
+
+    def exec_module(self, module: ModuleType) -> None:
+        vars(module).update(EMPTY[module.__name__])
+
+
+@contextmanager
+def reduced() -> Iterator[None]:
+    """Import libraries without `ABSENT` and `EMPTY`. Afterwards, whoever imports one of these
+    gets the real one, unless it has been imported before."""
+    replaced = [name for name in (*ABSENT, *EMPTY) if name not in sys.modules]
+    finder = EmptyModules()
+    sys.meta_path.insert(0, finder)
+    for name in ABSENT:
+        if name in replaced:
+            sys.modules[name] = None  # type: ignore[assignment]
+    try:
+        yield
+    finally:
+        sys.meta_path.remove(finder)
+        for name in replaced:
+            sys.modules.pop(name, None)
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import logging
+import os
 import random
-import secrets
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Coroutine, Mapping
@@ -62,7 +62,7 @@
         self.settings = settings
         self.label = settings.label
         # Drawn anew by each process; all that is drawn later follows from it.
-        self.incarnation = incarnation or secrets.token_hex(8)
+        self.incarnation = incarnation or os.urandom(8).hex()
         self.rng = random.Random(self.incarnation)
         # A crashed controller is evicted when its lease ends: a third of a
         # worker's lease leaves the workers time to find their new owner.
