With too little processor time, submissions are refused before polls are late

Cause: the door knew of what waits for the state service alone. A controller with less processor time than it is asked for took submissions on until their users, and pollers, had left.

Change: `keep_awake` notes how late its timer was; that is how long whatever is ready waits for its turn. A submission needs two turns. Once these take longer than a poll can wait, it is refused with 503 and `Retry-After`; repeated submissions, polls, cancellations and reports go on.

Measured: by test only. Without the second door three of five rows are accepted; without the noting two of three rows fail.

--- a/clayport/api.py
+++ b/clayport/api.py
@@ -37,6 +37,9 @@
 RETRY_MOST_S = 30.0
 # The share of that time in which an answer is to be ready, the way there and back aside.
 IN_TIME = 0.7
+# Turns of the processor that an answer waits for: to be read, and to be written once the state
+# service has answered.
+TURNS = 2
 # What a final record takes besides the description that it carries on.
 END_BYTES = 64
 
@@ -49,6 +52,9 @@
         self.lookups = Lookups(core.store, 4 * core.settings.cluster.state.txn_ops, POLL_S / 3)
         # What can't be written while its user waits is refused before anything is asked.
         self.admission = AdmissionControl(IN_TIME * SUBMIT_S, RETRY_MOST_S)
+        # With less processor time than all ask for, submissions are refused while polls, reports
+        # and cancellations can still be answered in time.
+        self.processor_admission = AdmissionControl(IN_TIME * POLL_S, RETRY_MOST_S)
 
     async def handle(self, method: str, path: str, body: bytes) -> tuple[int, bytes, Headers]:
         after_s = 1
@@ -250,9 +256,12 @@
         return 200, await self._answer(job.id, known, deadline)
 
     def _admit(self, ahead_s: float) -> None:
-        """Unavailable, with when to come back, if what waits for the state service can't be
-        worked off in time."""
-        after_s = self.admission.retry_after_s(self.core.store.backlog(ahead_s))
+        """Unavailable, with when to come back, if what waits for the state service, or for the
+        processor, can't be worked off in time."""
+        after_s = max(
+            self.admission.retry_after_s(self.core.store.backlog(ahead_s)),
+            self.processor_admission.retry_after_s(TURNS * self.core.stalls.timer_delay_s),
+        )
         if after_s:
             raise Unavailable("too much is waiting", after_s)
 
--- a/clayport/stalls.py
+++ b/clayport/stalls.py
@@ -27,6 +27,8 @@
     Attributes:
         count: Stalls so far.
         confirmed_count: The value of `count` when the records were last asked for, and read.
+        timer_delay_s: How late the latest timer was, in seconds: whatever is ready now waits
+            about as long for its turn of the processor.
     """
 
     def __init__(self, core: Controller, now: float) -> None:
@@ -34,12 +36,16 @@
         self.last_run = now
         self.count = 0
         self.confirmed_count = 0
+        self.timer_delay_s = 0.0
 
     async def detect_stalls(self) -> None:
         """Check a few times in each report interval."""
+        pause_s = CHECK_INTERVALS * self.core.settings.cluster.workers.report_s
         while True:
-            self.check(time.monotonic())
-            await curio.sleep(CHECK_INTERVALS * self.core.settings.cluster.workers.report_s)
+            now = time.monotonic()
+            self.check(now)
+            await curio.sleep(pause_s)
+            self.timer_delay_s = max(0.0, time.monotonic() - now - pause_s)
 
     def check(self, now: float) -> bool:
         """Whether what was last seen is as old as the clock says, as far as is known."""
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -32,7 +32,7 @@
 
 from .test_dispatch import Home
 from .test_workers import JOB, KEY, Bench
-from .world import TYPES
+from .world import TYPES, Clock, simulate
 from .world import job as wire_job
 
 
@@ -296,6 +296,71 @@
     assert found == [200, 503, 200]
 
 
+@pytest.mark.parametrize(
+    "late_s, codes, retry_after",
+    [
+        (0.0, [201, 200, 200, 200, 200], ""),
+        (0.6, [201, 200, 200, 200, 200], ""),
+        (0.8, [503, 200, 200, 200, 200], "1"),  # polls wait for 2 s at most
+        (3.0, [503, 200, 200, 200, 200], "6"),
+        (60.0, [503, 200, 200, 200, 200], "30"),
+    ],
+)
+def test_with_too_little_processor_time_submissions_are_refused_first(
+    monkeypatch: pytest.MonkeyPatch, late_s: float, codes: list[int], retry_after: str
+) -> None:
+    """What is due soonest goes on: repeated submissions, polls, cancellations and reports.
+    (Without `processor_admission` the last three rows are accepted.)"""
+    home = Home(monkeypatch)
+    c = home.c
+    c.ended["j-000002"] = "done"
+    c.serving = True
+    c.stalls.timer_delay_s = late_s
+
+    async def commit(*_: Any) -> int:
+        return 5
+
+    monkeypatch.setattr(c.store, "commit", commit)
+    monkeypatch.setattr(c, "may_renew", lambda now: True)
+    report = {"host": "m1", "address": "m:1", "flavor": "plain", "site": "north"}
+    report |= {"loaners": False, "tenure": 1, "counter": 1, "epoch": 0, "pieces": []}
+    answers = [
+        curio.run(c.api.handle, method, path, msgspec.json.encode(body))
+        for method, path, body in (
+            ("POST", "/api/jobs", wire_job(1)),
+            ("POST", "/api/jobs", wire_job(2)),
+            ("GET", "/api/jobs/j-000002", None),
+            ("POST", "/api/jobs/j-000002/abort", None),
+            ("POST", "/v1/report", report),
+        )
+    ]
+    assert [status for status, _, _ in answers] == codes
+    assert dict(answers[0][2]).get("Retry-After", "") == retry_after
+
+
+@pytest.mark.parametrize("held_s", [0.0, 0.7, 2.0])
+def test_how_late_a_process_is_shows_at_its_next_timer(
+    monkeypatch: pytest.MonkeyPatch, held_s: float
+) -> None:
+    home = Home(monkeypatch)
+
+    async def main(clock: Clock) -> None:
+        watching = await curio.spawn(home.c.stalls.detect_stalls)
+        await curio.sleep(0)
+        clock.now += held_s  # the work of others, before timers are looked at again
+        await curio.sleep(0.1)
+        seen.append(home.c.stalls.timer_delay_s)
+        await curio.sleep(1.0)
+        seen.append(home.c.stalls.timer_delay_s)
+        await watching.cancel()
+
+    seen: list[float] = []
+    simulate(monkeypatch, main)
+    pause_s = home.c.settings.cluster.workers.report_s / 4
+    assert seen[0] == pytest.approx(max(0.0, held_s - pause_s))
+    assert seen[1] == pytest.approx(0.0)  # and is over with the next that is in time
+
+
 @pytest.mark.parametrize(
     "age, waiting, wanted",
     [
