--- a/clayport/peers.py
+++ b/clayport/peers.py
@@ -156,7 +156,18 @@
     `limit` bounds the connections: a peer that reconnects without end must not
     take the sockets kept for workers.
     """
-    connections: dict[curio.Task, None] = {}
+    # When each last brought a whole frame, or was accepted; the oldest first.
+    connections: dict[curio.Task, float] = {}
+
+    async def sweep() -> None:
+        """Close connections that bring nothing: one duty for all of them. (A timer for each
+        frame cost an eighth of an exchange.)"""
+        while True:
+            await curio.sleep(idle_s / 4)
+            now = time.monotonic()
+            for task in [t for t, at in connections.items() if now - at > idle_s]:
+                connections.pop(task, None)
+                await task.cancel(blocking=False)
 
     async def answer(
         sock: Any, lock: curio.Lock, kind: int, number: int, values: tuple[Any, ...]
@@ -177,9 +188,11 @@
         try:
             async with sock:
                 while True:
-                    kind, number, values = await curio.timeout_after(idle_s, _read_frame, sock)
+                    kind, number, values = await _read_frame(sock)
+                    if me in connections:
+                        connections[me] = time.monotonic()
                     await curio.spawn(answer, sock, lock, kind, number, values, daemon=True)
-        except (EOFError, OSError, curio.TaskTimeout):
+        except (EOFError, OSError):
             pass
         except wire.FrameError as exc:
             log.error("malformed frame from a peer dropped: %s", exc)
@@ -187,6 +200,7 @@
             connections.pop(me, None)
 
     listening = await listener(host, port, limit)
+    await curio.spawn(sweep, daemon=True)
     async with listening:
         while True:
             try:
@@ -200,4 +214,4 @@
                 connections.pop(oldest)
                 await oldest.cancel(blocking=False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connections[await curio.spawn(connection, sock, daemon=True)] = None
+            connections[await curio.spawn(connection, sock, daemon=True)] = time.monotonic()
