Pool three runs of the slopes, since one run's spread hides what the machine adds

Cause: the quartiles within a run lie close together, but a second run gave times up to twice as long: whatever else the machine does changes a whole run. The page rested on one run, the fastest.

The page says how far the runs lie apart, has rows for the cloud, and its rows are built by one short function for each group.

--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -1,12 +1,14 @@
 """Measure what a controller spends on each kind of work, or renew the page that rests on it.
 
     python -m bench.capacity [-o docs/capacity/slopes.json] [--only GROUP]
+    python -m bench.capacity --pool RUN... [-o docs/capacity/slopes.json]
     python -m bench.capacity --page [--check]
 
 One process, a few minutes, under 2 GB. All times are processor time, so that other work on the
-machine makes them noisier and somewhat longer, but doesn't count; the file says how busy the
-machine was. `--page` writes the tables of docs/CAPACITY.md anew from the file, and `--check`
-only says whether they are up to date (exit 1 if not).
+machine doesn't count; but it makes them longer, by up to twice from run to run, so several runs
+are pooled, and the file says how busy the machine was. `--page` writes the tables of
+docs/CAPACITY.md anew from the file, and `--check` only says whether they are up to date (exit 1
+if not).
 """
 
 from __future__ import annotations
@@ -22,7 +24,7 @@
 import msgspec
 
 from . import page, single, whole
-from .figures import Figure, Host, Slopes, read, write
+from .figures import Figure, Host, Slopes, pooled, read, write
 
 SLOPES = Path("docs/capacity/slopes.json")
 PAGE = Path("docs/CAPACITY.md")
@@ -61,8 +63,7 @@
         processor(),
         os.cpu_count() or 0,
         platform.python_version(),
-        round(load_before, 2),
-        round(os.getloadavg()[0], 2),
+        [round(load_before, 2), round(os.getloadavg()[0], 2)],
     )
     return Slopes(time.strftime("%Y-%m-%d", time.gmtime()), host, figures)
 
@@ -89,6 +90,7 @@
     args = argparse.ArgumentParser(description="Measured costs, and the capacity page.")
     args.add_argument("-o", "--output", type=Path, default=SLOPES)
     args.add_argument("--only", choices=GROUPS, help="print one group's figures, write nothing")
+    args.add_argument("--pool", type=Path, nargs="+", metavar="RUN", help="make one of these")
     args.add_argument("--page", action="store_true", help=f"renew the tables of {PAGE}")
     args.add_argument("--check", action="store_true", help="with --page: only compare")
     chosen = args.parse_args()
@@ -96,6 +98,13 @@
         args.error("--check goes with --page")
     if chosen.page:
         return renew(chosen.check)
+    if chosen.pool:
+        try:
+            write(chosen.output, pooled([read(path) for path in chosen.pool]))
+        except (OSError, msgspec.MsgspecError, ValueError) as exc:
+            print(f"the runs can't be pooled: {exc}", file=sys.stderr)
+            return 2
+        return 0
     if chosen.only:
         for name, found in measure([chosen.only]).figures.items():
             print(
--- a/bench/capacity/figures.py
+++ b/bench/capacity/figures.py
@@ -25,8 +25,7 @@
     processor: str
     cores: int
     python: str
-    load_before: float
-    load_after: float
+    loads: list[float]  # load averages before and after each run
 
 
 class Slopes(msgspec.Struct, frozen=True):
@@ -51,6 +50,30 @@
     return Figure(unit, median, lower, upper, len(values))
 
 
+def pooled(runs: Sequence[Slopes]) -> Slopes:
+    """Several runs as one: the median of their medians, the outermost of their quartiles.
+
+    What else a machine does changes a whole run more than the repeats within it show.
+    """
+    first = runs[0]
+    if any(run.figures.keys() != first.figures.keys() for run in runs):
+        raise ValueError("the runs don't hold the same figures")
+    host = msgspec.structs.replace(
+        first.host, loads=[load for run in runs for load in run.host.loads]
+    )
+    figures = {}
+    for name, found in first.figures.items():
+        rows = [run.figures[name] for run in runs]
+        figures[name] = Figure(
+            found.unit,
+            statistics.median(row.median for row in rows),
+            min(row.lower_quartile for row in rows),
+            max(row.upper_quartile for row in rows),
+            sum(row.repeats for row in rows),
+        )
+    return Slopes(first.measured_at, host, figures)
+
+
 def read(path: Path) -> Slopes:
     """The slopes file; msgspec's error says what is wrong with it."""
     return msgspec.json.decode(path.read_bytes(), type=Slopes)
--- a/bench/capacity/model.py
+++ b/bench/capacity/model.py
@@ -157,56 +157,64 @@
 def rows(slopes: Slopes, layout: Layout) -> list[Row]:
     """What each role of one cell has to carry (of the whole fleet, if it isn't divided)."""
     mixes = [Demand(slopes, layout, tasks) for tasks in MIXES]
-
-    def row(
-        role: str,
-        resource: str,
-        unit: str,
-        needed: Iterable[float],
-        limit: float,
-        carried_by: str,
-        state: str = EXISTS,
-    ) -> Row:
-        return Row(role, resource, unit, tuple(needed), limit, carried_by, state)
-
-    divided = layout.cells > 1
-    way = PAPER if divided else EXISTS
     found = [
+        *state_service(mixes),
+        *processors(mixes),
+        *connections(mixes),
+        *the_rest(mixes),
+    ]
+    if layout.cells == 1:
+        return found
+    return [row._replace(state=PAPER) for row in found] + spanning(layout)
+
+
+def row(
+    role: str,
+    resource: str,
+    unit: str,
+    needed: Iterable[float],
+    limit: float,
+    carried_by: str,
+) -> Row:
+    """One whose mechanism exists today."""
+    return Row(role, resource, unit, tuple(needed), limit, carried_by, EXISTS)
+
+
+def state_service(mixes: list[Demand]) -> list[Row]:
+    """What is asked of the state service, beside the reading of a load."""
+    role = "state service"
+    return [
         row(
-            "state service",
+            role,
             "puts and deletes a second",
             "/s",
             (d.starts * d.each("state.operations") for d in mixes),
             LIMITS.state_writes,
             "chunks of an array in one record, outcomes gathered",
-            way,
         ),
         row(
-            "state service",
+            role,
             "requests a second, without polls and watches",
             "/s",
             (d.state_requests for d in mixes),
             LIMITS.state_requests,
             "one transaction for all tasks of a job that start together",
-            way,
         ),
         row(
-            "state service",
+            role,
             "watches opened a second",
             "/s",
             (d.watches for d in mixes),
             LIMITS.state_requests,
             "one watch for all records that are mirrored",
-            way,
         ),
         row(
-            "state service",
+            role,
             f"changes in {LAG_S:g} s, against the history that watches read",
             "",
             (LAG_S * d.starts * d.each("state.operations") for d in mixes),
             LIMITS.state_history,
             "a mirror that is behind reads all keys again",
-            way,
         ),
         row(
             "users' way in",
@@ -215,45 +223,48 @@
             (d.polls for d in mixes),
             mixes[0].poll_capacity,
             "polls compared many at a time",
-            way,
         ),
+    ]
+
+
+PROCESSOR_WORK = (
+    ("controller as home", "starts and ends", "homes by hash"),
+    ("controller as home", "their sockets", "pooled connections"),
+    ("controller as owner", "reports", "owners by hash, remembered heads"),
+    ("controller", "polls", "compared many at a time"),
+    ("controller", "heartbeats", "a revision in place of the table"),
+    ("controller", "refreshes while room is short", "changes in place of tables"),
+)
+
+
+def processors(mixes: list[Demand]) -> list[Row]:
+    """A controller's processor time, in all and for each kind of its work."""
+    spent = [d.processor() for d in mixes]
+    whole = row(
+        "controller, sum",
+        "processor",
+        "cores",
+        (sum(each.values()) for each in spent),
+        LIMITS.cores,
+        "owners and homes by hash",
+    )
+    parts = [
         row(
-            "controller, sum",
-            "processor",
+            role,
+            f"processor: {kind}",
             "cores",
-            (sum(d.processor().values()) for d in mixes),
+            (each[kind] for each in spent),
             LIMITS.cores,
-            "owners and homes by hash",
-            way,
-        ),
-        *(
-            row(
-                role,
-                f"processor: {kind}",
-                "cores",
-                (d.processor()[kind] for d in mixes),
-                LIMITS.cores,
-                carried_by,
-                way,
-            )
-            for role, kind, carried_by in (
-                ("controller as home", "starts and ends", "homes by hash"),
-                ("controller as home", "their sockets", "pooled connections"),
-                ("controller as owner", "reports", "owners by hash, remembered heads"),
-                ("controller", "polls", "compared many at a time"),
-                ("controller", "heartbeats", "a revision in place of the table"),
-                ("controller", "refreshes while room is short", "changes in place of tables"),
-            )
-        ),
-        row(
-            "controller",
-            "memory besides the empty process",
-            "MB",
-            (d.memory_mb() for d in mixes),
-            LIMITS.memory_mb,
-            "only what is live is kept",
-            way,
-        ),
+            carried_by,
+        )
+        for role, kind, carried_by in PROCESSOR_WORK
+    ]
+    return [whole, *parts]
+
+
+def connections(mixes: list[Demand]) -> list[Row]:
+    """A controller's sockets."""
+    return [
         row(
             "controller as owner",
             "workers' connections, one machine for control ended",
@@ -261,16 +272,29 @@
             (d.sockets() for d in mixes),
             LIMITS.accepted_sockets,
             "idle users' connections give way",
-            way,
         ),
         row(
             "controller",
             "connections of peers (four for each controller)",
             "",
-            (4.0 * layout.controllers for _ in mixes),
+            (4.0 * d.layout.controllers for d in mixes),
             LIMITS.sockets / 8,
             "the oldest is closed",
-            way,
+        ),
+    ]
+
+
+def the_rest(mixes: list[Demand]) -> list[Row]:
+    """Memory, what a new generation loads, and what is asked of the cloud."""
+    lost = (SIZE.failures_a_day + SIZE.replacements_a_day) / DAY_S
+    return [
+        row(
+            "controller",
+            "memory besides the empty process",
+            "MB",
+            (d.memory_mb() for d in mixes),
+            LIMITS.memory_mb,
+            "only what is live is kept",
         ),
         row(
             "controller",
@@ -279,7 +303,6 @@
             (d.load_seconds() for d in mixes),
             LIMITS.controller_lease_s,
             "each reads all chunks and keeps its own",
-            way,
         ),
         row(
             "state service",
@@ -288,7 +311,6 @@
             (d.load_read_seconds() for d in mixes),
             LIMITS.controller_lease_s,
             "a thousand keys a request",
-            way,
         ),
         row(
             "controller as renter",
@@ -297,12 +319,16 @@
             (d.workers / LIMITS.listed_a_request / LIMITS.cloud_requests for d in mixes),
             LIMITS.lease_s,
             "pages of 500",
-            way,
+        ),
+        row(
+            "cloud",
+            "returns and rentals of an ordinary day, one machine a request",
+            "/s",
+            (2 * lost / d.layout.cells for d in mixes),
+            LIMITS.cloud_requests,
+            "machines that are returned together go in one request",
         ),
     ]
-    if divided:
-        found += spanning(layout)
-    return found
 
 
 def spanning(layout: Layout) -> list[Row]:
--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -32,9 +32,10 @@
     """Where and when it was measured."""
     host = slopes.host
     return (
-        f"Measured on {slopes.measured_at}, {host.processor}, {host.cores} cores, Python "
-        f"{host.python}. The machine was busy with other work meanwhile: load {host.load_before} "
-        f"before, {host.load_after} after. Times are processor time.\n"
+        f"Measured on {slopes.measured_at}, {host.processor}, {host.cores} cores, Python\n"
+        f"{host.python}, in {len(host.loads) // 2} runs. The machine was busy with other work "
+        f"meanwhile: load\n{min(host.loads)} to {max(host.loads)}. Times are processor time; "
+        "medians of the runs' medians, and their outermost quartiles.\n"
     )
 
 
@@ -150,7 +151,7 @@
 def verdict(slopes: Slopes) -> str:
     """The rows that fail, the worst first, by the mildest mix and then by the worst."""
     found = []
-    for layout in (ONE_FLEET, PROCESS_CELLS, REGION_CELLS, CELLS):
+    for layout in (ONE_FLEET, REGION_CELLS, CELLS, PROCESS_CELLS):
         failing = [row for row in model.rows(slopes, layout) if row.worst > 1]
         failing.sort(key=lambda row: (row.factor, row.worst), reverse=True)
         found += [
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bench.capacity import model, page, whole
-from bench.capacity.figures import Figure, Host, Slopes, figure, read
+from bench.capacity.figures import Figure, Host, Slopes, figure, pooled, read
 from bench.capacity.size import CELLS, LIMITS, MIXES, ONE_FLEET, SIZE
 from tests.world import simulate
 
@@ -19,7 +19,7 @@
     """Slopes of which each is the same."""
     return Slopes(
         "2026-01-01",
-        Host("any", 1, "3.11", 0.0, 0.0),
+        Host("any", 1, "3.11", [0.0, 0.0]),
         {name: Figure("s", value, value, value, 1) for name in SLOPES.figures},
     )
 
@@ -39,6 +39,22 @@
         figure("s", [])
 
 
+def test_runs_are_pooled_with_their_whole_spread() -> None:
+    runs = [
+        Slopes(
+            "2026-01-01",
+            Host("any", 1, "3.11", [load, load]),
+            {"x": Figure("s", value, value - 1, value + 1, 3)},
+        )
+        for value, load in ((5.0, 1.0), (9.0, 2.0), (6.0, 3.0))
+    ]
+    found = pooled(runs)
+    assert found.figures == {"x": Figure("s", 6.0, 4.0, 10.0, 9)}
+    assert found.host.loads == [1.0, 1.0, 2.0, 2.0, 3.0, 3.0]
+    with pytest.raises(ValueError):
+        pooled([*runs, alike(1.0)])
+
+
 @pytest.mark.parametrize(
     "resource, fleet, cell",
     [
