Divide the recovery of records by what it decides

Cause: rebuild/recovery.py was one class of 717 lines that watched over the history, joined it, rebuilt it, asked the machines and wrote late evidence.

Change: recovery watches and joins, rebuilder carries a rebuild out, inventory asks the machines what they hold (its loop is divided into steps), and late_evidence adds what others could not know. Decisions, writes and events are as they were.

--- /dev/null
+++ b/clayport/rebuild/late_evidence.py
@@ -0,0 +1,75 @@
+"""What a controller had told its users and a rebuild by others could not know."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING, Any
+
+from ..jobs import end_key, end_value, live_key
+from ..statestore import Conflict, Txn, Unavailable, Unknown
+from .evidence import Evidence
+from .history import History
+
+if TYPE_CHECKING:
+    from ..server import Controller
+
+log = logging.getLogger("clayport.rebuild")
+
+
+class LateEvidence:
+    """Adds live and final records that are missing from a history that was just joined."""
+
+    def __init__(self, core: Controller, history: History) -> None:
+        self.core, self.history = core, history
+
+    async def add(self, known: Evidence) -> None:
+        """Write what is missing, one record after the other, while the history stands."""
+        core = self.core
+        attempt = core.store.begin()
+        todo = [(name, *row) for name, row in known.live.items() if name not in core.ended]
+        ends = list(known.ended.items())
+        while (todo or ends) and not self.history.doubt:
+            try:
+                if todo:
+                    name, desc, at = todo[-1]
+                    txn = Txn().require(live_key(name), 0).require(end_key(name), 0)
+                    txn.put(live_key(name), {"j": desc, "t": at})
+                    if not await self._once(txn, "job", name):
+                        await core.mirror.learn(name)
+                    todo.pop()
+                else:
+                    name, (status, at, desc) = ends[-1]
+                    await self._end(name, status, at, desc)
+                    ends.pop()
+            except (Unavailable, Unknown):
+                await core.store.rest(attempt)
+
+    async def _once(self, txn: Txn, what: str, name: str) -> bool:
+        """Write what nobody else had; False if something else is there instead."""
+        try:
+            await self.core.store.commit(Txn().require(*next(iter(txn.when.items()))))
+        except Conflict:
+            return True  # it is there: one comparison, and no write
+        try:
+            await self.core.store.commit(txn)
+            log.info("event=late-evidence %s=%s", what, name)
+            return True
+        except Conflict:
+            return False
+
+    async def _end(self, name: str, status: str, at: float, desc: Any) -> None:
+        core = self.core
+        live = await core.store.get(live_key(name))
+        txn = Txn().require(end_key(name), 0)
+        if live is not None:
+            txn.require(live_key(name), live.rev).delete(live_key(name))
+            desc = live.value["j"]
+        await self._once(
+            txn.put(
+                end_key(name),
+                end_value(status, at or time.time(), desc if status == "cancelled" else None),
+            ),
+            "end",
+            name,
+        )
