Cut the circle of jobs, rebuild.history and statestore

Cause: history took two names of the records' keys from jobs, which takes Txn from statestore, which takes History's type from history.

Change: these two names stand in record_keys, which imports nothing.

--- a/clayport/jobs.py
+++ b/clayport/jobs.py
@@ -22,14 +22,6 @@
 FAULT_MACHINES = 3
 
 GENERATION_KEY = "c/generation"
-# Which history of the records holds (`rebuild`).
-HEAD_KEY = "c/lineage"
-
-
-def is_anchor(key: str) -> bool:
-    """Whether a key of the records is an anchor of their history (none of the others has
-    such a part)."""
-    return "/~" in key
 
 
 def live_key(job: str) -> str:
--- a/clayport/mirror.py
+++ b/clayport/mirror.py
@@ -12,10 +12,11 @@
 import msgspec
 
 from . import peers, peerwire
-from .jobs import GENERATION_KEY, HEAD_KEY, end_key, ended, live_key
+from .jobs import GENERATION_KEY, end_key, ended, live_key
 from .limits import Deadline
 from .membership import Generation
 from .model import Job
+from .record_keys import HEAD_KEY
 from .statestore import Change, Compacted, Conflict, Txn, Unavailable, Unknown
 
 if TYPE_CHECKING:
--- a/clayport/placer.py
+++ b/clayport/placer.py
@@ -15,13 +15,14 @@
 
 from . import peerwire
 from .index import Index
-from .jobs import HomeJob, amounts, is_anchor, quota_of
+from .jobs import HomeJob, amounts, quota_of
 from .model import ARRAY, GANG, RANKS, SERVICE, Job
 from .peers import PeerError
 from .placement import Kept, Policy, Room, Spread, capacity, place, preempt, shape, takes
 from .provisioning import Need
 from .queueing import Group, Line, Shares
 from .queueing.shares import Name, Owed, names, names_of
+from .record_keys import is_anchor
 from .statestore import Unavailable, Unknown
 
 if TYPE_CHECKING:
--- a/clayport/takeover.py
+++ b/clayport/takeover.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
-from .jobs import HomeJob, end_key, ended, is_anchor, parse_chunk_key
+from .jobs import HomeJob, end_key, ended, parse_chunk_key
 from .membership import Generation
 from .model import Chunk, Job, chunk_size
+from .record_keys import is_anchor
 from .statestore import Entry, Unavailable, Unknown
 
 if TYPE_CHECKING:
