--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -385,6 +385,7 @@
     world.late_reports = world.late_writes = world.slow_s = 0.0
     for holder in (world.cut, world.held, world.deaf, world.state.refused):
         holder.clear()
+    world.calm_at = world.clock()
     await until_over(world)
     for name in sorted(world.accepted):
         for label in world.labels:
--- a/tests/troubles.py
+++ b/tests/troubles.py
@@ -92,7 +92,7 @@
     while True:
         await curio.sleep(5.0)
         for job_id in sorted(world.accepted):
-            waits = world.calm and nothing_runs(world, job_id)
+            waits = world.clock() >= world.calm_at and nothing_runs(world, job_id)
             if not waits or not could_run(world, world.jobs[job_id]):
                 since.pop(job_id, None)
             elif world.clock() - since.setdefault(job_id, world.clock()) >= LEFT_WAITING_S:
@@ -180,7 +180,7 @@
         world.state.refused,
     ):
         holder.clear()
-    world.calm = True
+    world.calm_at = world.clock()
 
 
 async def until_finished(world: World, most_s: float = 260.0) -> list[str]:
--- a/tests/world.py
+++ b/tests/world.py
@@ -510,7 +510,6 @@
         # and how long after. Within `cancel_s` no rule of the bench counts them.
         self.issued_cancelled: list[tuple[str, float]] = []
         self.started_cancelled: list[tuple[str, float]] = []
-        self.calm = False  # whether all troubles are over
         self.machine_number = 0
         self.rentals: dict[str, list[str]] = {}
         self.launches = 0
