Void by the ended owner's generation, not by what the machine has seen of it

A machine kept alive for an owner whose process has ended got the token it had reported, raised within that token's own generation. Two orders of events went wrong. The machine may know no token of the owner's generation yet, because the answer to its report was lost: then the token given out lay below that of the launch on its way, which still started.

Now the token is that of our generation, and a later one is left as it is. The generation is the one that the owner was looked up in, also after a wait.

--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -17,7 +17,7 @@
 from .config import ConfigError, endpoint
 from .fencing import Fences
 from .jobs import CLEAR, JOB_AT_FAULT, KILL, LATER, MACHINE_AT_FAULT
-from .membership import COUNTER_BITS
+from .membership import COUNTER_BITS, Generation
 from .model import Job, Report, split_task
 from .peers import PeerError
 from .workers import BATCH, GONE, Key, Machine
@@ -30,14 +30,18 @@
 Told = tuple[str, str, int, str, str, bool]
 
 
-def void_token(token: int) -> int:
-    """A token above all that its owner gave out in that generation, and below the next one's.
+def void_token(generation: Generation, token: int) -> int:
+    """A token above all that an owner gave out in a generation, and below the next one's.
 
     For machines whose owner has ended. In an outage no generation follows it, the others keep
     the machine's session alive, and a launch that was held on its way started a task of a job
-    that had long been cancelled.
+    that had long been cancelled. The machine may not have seen any token of the generation
+    yet (the answer to its report was lost), or one of a later generation, which is not ours
+    to void.
     """
-    return token | 1 << (COUNTER_BITS - 1)
+    if token >> COUNTER_BITS > generation.number:
+        return token
+    return max(token, generation.base_token | 1 << (COUNTER_BITS - 1))
 
 
 class Fleet:
@@ -134,16 +138,17 @@
         if core.may_renew(time.monotonic()) and not self._unsure(report):
             # No orders but kills: this starts nothing and takes nothing from whoever is
             # entitled. What an owner that has ended left on its way is void.
-            ended = self._owner_ended(owner)
-            return 200, {"epoch": void_token(report.token) if ended else report.token, "orders": []}
+            ended = self._owner_ended(gen, owner)
+            token = void_token(gen, report.token) if ended else report.token
+            return 200, {"epoch": token, "orders": []}
         if owner and owner != core.label:
             return 421, {"upstream": owner}
         return 503, {}
 
-    def _owner_ended(self, owner: str) -> bool:
-        """Whether the process that the generation names as the owner is known to have ended:
+    def _owner_ended(self, generation: Generation, owner: str) -> bool:
+        """Whether the process that a generation names as the owner is known to have ended:
         another one has answered in its place."""
-        named = self.core.generation.members.get(owner)
+        named = generation.members.get(owner)
         heard = self.core.horizon.incarnations.get(owner)
         return bool(named and heard and named != heard)
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -14,7 +14,7 @@
 from clayport.dispatch import Evicted
 from clayport.jobs import JOB_AT_FAULT, MACHINE_AT_FAULT, OK, HomeJob
 from clayport.limits import Deadline
-from clayport.membership import should_leave
+from clayport.membership import COUNTER_BITS, Generation, should_leave
 from clayport.model import Chunk, Job, MachineType, chunk_size
 from clayport.placement import OPEN
 from clayport.provisioning import Boot, Boots, Need, pressing, shopping
@@ -658,3 +658,41 @@
     home.report("m9", "north", "accel")
     home.look()
     assert gang.starts == [(0, "m9")]
+
+
+@pytest.mark.parametrize(
+    "generation, ended, voids",
+    [
+        (4, True, True),
+        # The worker has seen no token of its owner, whose answer was lost; a launch is on its way.
+        (3, True, True),
+        (0, True, True),
+        # A generation that we don't know yet has entitled another process.
+        (5, True, False),
+        (4, False, False),
+        (3, False, False),
+    ],
+)
+def test_all_that_an_ended_owner_sent_is_void_and_nothing_later(
+    monkeypatch: pytest.MonkeyPatch, generation: int, ended: bool, voids: bool
+) -> None:
+    """What is given out to a machine whose owner's process has ended, by the generation of the
+    highest token that it has seen, when ours is the fourth."""
+    home = Home(monkeypatch)
+    c = home.c
+    c.begin(Generation(4, {"c1": "first"}, 7))
+    c.state_known = True
+    monkeypatch.setattr(c, "may_renew", lambda now: True)
+    c.horizon.incarnations["c1"] = "second" if ended else "first"
+    c.fleet.forwarded["m1"] = home.now
+    sent = generation << COUNTER_BITS | 5
+    report = {"host": "m1", "address": "m:1", "flavor": "plain", "site": "north"}
+    report |= {"loaners": False, "tenure": 1, "counter": 1, "epoch": sent, "pieces": []}
+    body = msgspec.json.encode(report)
+    status, answer, _ = curio.run(c.api.handle, "POST", "/v1/report", body)
+    token = msgspec.json.decode(answer)["epoch"]
+    assert status == 200
+    if not voids:
+        assert token == sent
+    else:
+        assert (4 << COUNTER_BITS) + 1000 < token < 5 << COUNTER_BITS
