A stall that is over doesn't send users away for half a minute

The delay of the latest timer also measured how long a process had stood still. Once the records were read again it served, but until the next timer (a quarter of report_s) submissions were refused with a Retry-After that followed from the length of the stall: 30 s after one of 20 s, where every other answer after a stall says 1 s. The delay now counts up to what is called a stall; what takes longer is refused as before until the records have been read.

--- a/clayport/stalls.py
+++ b/clayport/stalls.py
@@ -28,7 +28,8 @@
         count: Stalls so far.
         confirmed_count: The value of `count` when the records were last asked for, and read.
         timer_delay_s: How late the latest timer was, in seconds: whatever is ready now waits
-            about as long for its turn of the processor.
+            about as long for its turn of the processor. A stall counts for no more than its
+            least, since how long it was says nothing of what follows.
     """
 
     def __init__(self, core: Controller, now: float) -> None:
@@ -37,6 +38,7 @@
         self.count = 0
         self.confirmed_count = 0
         self.timer_delay_s = 0.0
+        self.stall_s = STALL_INTERVALS * core.settings.cluster.workers.report_s
 
     async def detect_stalls(self) -> None:
         """Check a few times in each report interval."""
@@ -45,14 +47,15 @@
             now = time.monotonic()
             self.check(now)
             await curio.sleep(pause_s)
-            self.timer_delay_s = max(0.0, time.monotonic() - now - pause_s)
+            delay_s = time.monotonic() - now - pause_s
+            self.timer_delay_s = min(max(0.0, delay_s), self.stall_s)
 
     def check(self, now: float) -> bool:
         """Whether what was last seen is as old as the clock says, as far as is known."""
         report_s = self.core.settings.cluster.workers.report_s
         gap_s = now - self.last_run - CHECK_INTERVALS * report_s
         self.last_run = now
-        if gap_s > STALL_INTERVALS * report_s:
+        if gap_s > self.stall_s:
             self._note_stall(gap_s, now)
         return self.confirmed_count == self.count
 
