An owner is taken for ended only by an answer later than its generation

Which process a peer last answered as was compared with the one that the newest generation names. Until the first heartbeat after a restart had been answered, that was the predecessor of the named one: a living owner was taken for ended, and the tokens of machines whose reports could not be passed on were raised over its own.

Now only an answer counts that was asked for after the generation was taken over.

Result: two rows of test_all_that_an_ended_owner_sent_is_void_... fail without the change; all eight, test_faults, test_workers, test_orders_of_events and test_cancellations pass with it.

--- a/clayport/cancellations.py
+++ b/clayport/cancellations.py
@@ -139,7 +139,9 @@
         self.for_s = for_s * KEPT
         self.state_at = -math.inf  # the records are known here as they were then, or later
         self.until = dict.fromkeys(peers, -math.inf)
+        # The process that last promised, and when that was asked of it.
         self.incarnations = dict.fromkeys(self.until, "")
+        self.asked_at = dict.fromkeys(self.until, -math.inf)
         # How far the records must have been read before a peer's promises count.
         self.needs = dict.fromkeys(self.until, math.inf)
 
@@ -156,7 +158,7 @@
         """
         if received > self.until[peer] and incarnation != self.incarnations[peer]:
             self.needs[peer] = received
-        self.incarnations[peer] = incarnation
+        self.incarnations[peer], self.asked_at[peer] = incarnation, sent
         self.until[peer] = max(self.until[peer], sent + self.for_s)
 
     def known(self) -> float:
--- a/clayport/fleet.py
+++ b/clayport/fleet.py
@@ -147,10 +147,15 @@
 
     def _owner_ended(self, generation: Generation, owner: str) -> bool:
         """Whether the process that a generation names as the owner is known to have ended:
-        another one has answered in its place."""
-        named = generation.members.get(owner)
-        heard = self.core.horizon.incarnations.get(owner)
-        return bool(named and heard and named != heard)
+        another one has answered in its place. One that answered before we knew of the
+        generation may be its predecessor."""
+        horizon, named = self.core.horizon, generation.members.get(owner)
+        heard = horizon.incarnations.get(owner)
+        return (
+            generation is self.core.generation
+            and bool(named and heard and named != heard)
+            and horizon.asked_at[owner] > self.core.generation_at
+        )
 
     def _unsure(self, report: Report) -> bool:
         """Whether a machine has tasks of jobs that we can't say anything of: accepted, and
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -146,6 +146,7 @@
         """Whether this process is a member, and what it may tell users and workers."""
         lease_s = self.settings.cluster.workers.lease_s
         self.generation: Generation = NOBODY
+        self.generation_at = self.started  # when we took over that generation
         self.state_known = False  # the mirror has been read at least once
         self.serving = False  # member, and its share of the work is loaded
         self.lease: int | None = None
@@ -320,7 +321,7 @@
 
     def begin(self, generation: Generation) -> None:
         """Act under a new generation: drop what belonged to the old one and load our share."""
-        self.generation = generation
+        self.generation, self.generation_at = generation, time.monotonic()
         self.serving = False
         log.info(
             "generation=%d event=begin members=%s",
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -662,20 +662,23 @@
 
 
 @pytest.mark.parametrize(
-    "generation, ended, voids",
+    "generation, heard, heard_s, voids",
     [
-        (4, True, True),
+        (4, "second", 1.0, True),
         # The worker has seen no token of its owner, whose answer was lost; a launch is on its way.
-        (3, True, True),
-        (0, True, True),
+        (3, "second", 1.0, True),
+        (0, "second", 1.0, True),
         # A generation that we don't know yet has entitled another process.
-        (5, True, False),
-        (4, False, False),
-        (3, False, False),
+        (5, "second", 1.0, False),
+        (4, "first", 1.0, False),
+        (3, "first", 1.0, False),
+        # It was the named one's predecessor that answered, before we read of the generation.
+        (4, "before", -1.0, False),
+        (3, "before", -1.0, False),
     ],
 )
 def test_all_that_an_ended_owner_sent_is_void_and_nothing_later(
-    monkeypatch: pytest.MonkeyPatch, generation: int, ended: bool, voids: bool
+    monkeypatch: pytest.MonkeyPatch, generation: int, heard: str, heard_s: float, voids: bool
 ) -> None:
     """What is given out to a machine whose owner's process has ended, by the generation of the
     highest token that it has seen, when ours is the fourth."""
@@ -684,7 +687,7 @@
     c.begin(Generation(4, {"c1": "first"}, 7))
     c.state_known = True
     monkeypatch.setattr(c, "may_renew", lambda now: True)
-    c.horizon.incarnations["c1"] = "second" if ended else "first"
+    c.horizon.promised("c1", heard, home.now + heard_s, home.now + heard_s)
     c.fleet.forwarded["m1"] = home.now
     sent = generation << COUNTER_BITS | 5
     report = {"host": "m1", "address": "m:1", "flavor": "plain", "site": "north"}
