Tests: the simulated world is a package with a module for each stand-in

Change: tests/world/ has settings, simulation, state_service, machine, network, cloud, controllers, rules, users and deployment, which puts them together; imports stay as they were.

--- /dev/null
+++ b/tests/world/cloud.py
@@ -0,0 +1,61 @@
+"""A stand-in for the cloud that rents machines."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .machine import Worker
+from .settings import TYPES
+
+
+class Cloud:
+    """Rents, lists and takes back machines. `World` is the rest of it."""
+
+    def cloud(self, method: str, path: str, body: Any) -> tuple[int, Any]:
+        now = self.clock()
+        if path == "/catalog":
+            return 200, {"flavors": TYPES}
+        if path == "/hosts" and method == "POST":
+            if body["rental"] not in self.rentals:
+                alive = sum(not w.gone for w in self.workers.values())
+                count = min(body["number"], max(0, 14 - alive))
+                if count == 0:
+                    return 503, {"error": "no capacity"}
+                self.rentals[body["rental"]] = [
+                    self.boot(body["flavor"], body["site"], body["loaners"]) for _ in range(count)
+                ]
+            return 200, {"hosts": self.rentals[body["rental"]]}
+        if path == "/hosts/return":
+            for name in body["hosts"]:
+                if name in self.workers:
+                    self.kill(self.workers[name])
+            return 200, {}
+        return 200, {
+            "hosts": [
+                {
+                    "id": w.name,
+                    "address": w.address,
+                    "flavor": w.kind,
+                    "site": w.zone,
+                    "loaners": w.spot,
+                    "status": "running" if now >= w.up_at else "starting",
+                    "held_s": 1.0,
+                }
+                for w in self.workers.values()
+                if not w.gone
+            ],
+            "more": False,
+        }
+
+    def boot(self, kind: str, zone: str, spot: bool) -> str:
+        self.machine_number += 1
+        name = f"i-{self.machine_number:06d}"
+        self.workers[name] = Worker(self, name, kind, zone, spot)
+        self.late.append(self.workers[name].run)
+        return name
+
+    def kill(self, worker: Worker) -> None:
+        for key in worker.on():
+            self.left(worker, key)
+        worker.gone = True
+        worker.tasks.clear()
