--- a/tests/world/controllers.py
+++ b/tests/world/controllers.py
@@ -98,10 +98,13 @@
     async def _run(self, c: Controller) -> None:
         """The controller's duties without its listeners. Its crash cancels them all."""
         duties: list[Any] = [await curio.spawn(c.duty, r, daemon=True) for r in c.duties()]
-        for peer in c.peers.values():
-            duties.append(await curio.spawn(c.duty, c.heartbeats.keep_peers, peer, daemon=True))
-        for label in self.labels:
-            duties.append(await curio.spawn(c.duty, c.fleet.tell, label, daemon=True))
+        duties += [
+            await curio.spawn(c.duty, c.heartbeats.keep_peers, peer, daemon=True)
+            for peer in c.peers.values()
+        ]
+        duties += [
+            await curio.spawn(c.duty, c.fleet.tell, label, daemon=True) for label in self.labels
+        ]
         try:
             while True:
                 await curio.sleep(1000)
