--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -13,11 +13,9 @@
 
 from .test_model import JOBS_A_DAY, until_over, work
 from .test_restarts import again
-from .world import SETTINGS, Clock, World, job, simulate
+from .troubles import CANCEL_S, LEASE_S, LONG_S, busiest, last_missed_s
+from .world import Clock, World, job, simulate
 
-CANCEL_S = SETTINGS["workers"]["cancel_s"]
-LEASE_S = SETTINGS["workers"]["lease_s"]
-LONG_S = 1e6
 KINDS: dict[str, dict[str, Any]] = {
     "sweep": {"pieces": 3},
     "ensemble": {"pieces": 2, "shape": "ensemble", "loaners": False},
@@ -474,20 +472,9 @@
     all of these tasks ran again for good."""
     world = World(clock, 44)
     await fill(world)
-    busy = sorted((w for w in world.workers.values() if w.on()), key=lambda w: -len(w.on()))
-    chosen = busy[: max(1, int(share * len(busy)))]
-    tasks = {k[0] for w in chosen for k in w.on()}
-    world.deaf.update(w.name for w in chosen)
-    if leader_ends:
-        await again(world, world.controllers["c0"].generation.place(chosen[0].name))
-    since = missed = clock()
-    while clock() < since + 3 * CANCEL_S:
-        await curio.sleep(0.5)
-        if clock() > since + for_s:
-            world.deaf.clear()
-        if not tasks <= {k[0] for w in world.workers.values() for k in w.on()}:
-            missed = clock()
-    return world, sum(w.gone for w in chosen), missed - since
+    chosen = busiest(world, share)
+    missed_s = await last_missed_s(world, world.deaf, chosen, for_s, leader_ends, 3 * CANCEL_S)
+    return world, sum(w.gone for w in chosen), missed_s
 
 
 @pytest.mark.parametrize("leader_ends", [False, True])
--- a/tests/test_orders_of_events.py
+++ b/tests/test_orders_of_events.py
@@ -6,8 +6,7 @@
 import pytest
 
 from .test_meetings import fill, launching
-from .test_restarts import again
-from .troubles import CANCEL_S, LEASE_S, calm, long_jobs
+from .troubles import CANCEL_S, LEASE_S, busiest, calm, last_missed_s, long_jobs
 from .world import Clock, World, simulate
 
 
@@ -47,20 +46,8 @@
     world = World(clock, 44)
     await world.open()
     await long_jobs(world, 8, shape="sweep")
-    busy = sorted((w for w in world.workers.values() if w.on()), key=lambda w: -len(w.on()))
-    chosen = busy[: max(1, len(busy) // 3)]
-    tasks = {k[0] for w in chosen for k in w.on()}
-    world.mute.update(w.name for w in chosen)
-    if leader_ends:
-        await again(world, world.controllers["c0"].generation.place(chosen[0].name))
-    since = missed = clock()
-    while clock() < since + 4 * CANCEL_S:
-        await curio.sleep(0.5)
-        if clock() > since + for_s:
-            world.mute.clear()
-        if not tasks <= {k[0] for w in world.workers.values() for k in w.on()}:
-            missed = clock()
-    return world, missed - since
+    chosen = busiest(world, 1 / 3)
+    return world, await last_missed_s(world, world.mute, chosen, for_s, leader_ends, 4 * CANCEL_S)
 
 
 @pytest.mark.parametrize("leader_ends", [False, True])
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -32,6 +32,20 @@
     "future": True,
 }
 
+# A first report, of a machine without tasks.
+REPORT: dict[str, Any] = {
+    "host": "m1",
+    "address": "m1:1",
+    "flavor": "plain",
+    "site": "north",
+    "loaners": False,
+    "tenure": 1,
+    "counter": 1,
+    "epoch": 0,
+    "reclaim_in_s": None,
+    "pieces": [],
+}
+
 
 def changed(path: str, value: Any) -> bytes:
     settings = json.loads(json.dumps(GOOD))
@@ -342,18 +356,7 @@
     handler, c = api()
     c.begin(Generation(3, {"c0": c.incarnation}, 7))
     c.serving, c.state_known = True, True
-    report = {
-        "host": "m1",
-        "address": "m1:1",
-        "flavor": "plain",
-        "site": "north",
-        "loaners": False,
-        "tenure": 1,
-        "counter": 1,
-        "epoch": 0,
-        "reclaim_in_s": None,
-        "pieces": [],
-    }
+    report = dict(REPORT)
 
     def ask() -> int:
         report["counter"] += 1
@@ -399,20 +402,7 @@
     c.begin(Generation(3, {"c0": c.incarnation}, 7))
     c.serving, c.state_known = True, True
     c.horizon.read(time.monotonic())
-    raw = json.dumps(
-        {
-            "host": "m1",
-            "address": "m1:1",
-            "flavor": "plain",
-            "site": "north",
-            "loaners": False,
-            "tenure": 1,
-            "counter": 1,
-            "epoch": 0,
-            "reclaim_in_s": None,
-            "pieces": [],
-        }
-    ).encode()
+    raw = json.dumps(REPORT).encode()
     assert curio.run(handler.handle, "POST", "/v1/report", raw)[0] == 200
     assert "m1" in c.owner.machines
     c.gone(["m1"])
--- a/tests/troubles.py
+++ b/tests/troubles.py
@@ -99,6 +99,39 @@
                 world.broken.append(f"left_waiting {job_id}")
 
 
+# -- machines that are out of reach for a while ------------------------------
+
+
+def busiest(world: World, share: float) -> list[Worker]:
+    """That share of the machines that have tasks, the fullest first; one at least."""
+    busy = sorted((w for w in world.workers.values() if w.on()), key=lambda w: -len(w.on()))
+    return busy[: max(1, int(share * len(busy)))]
+
+
+async def last_missed_s(
+    world: World,
+    out_of_reach: set[str],
+    chosen: list[Worker],
+    for_s: float,
+    leader_ends: bool,
+    watched_s: float,
+) -> float:
+    """Put the machines among those out of reach for a while, and end the owner of the first, if
+    asked to: seconds until all tasks that were on them run on some machine for good."""
+    tasks = {k[0] for w in chosen for k in w.on()}
+    out_of_reach.update(w.name for w in chosen)
+    if leader_ends:
+        await again(world, world.controllers["c0"].generation.place(chosen[0].name))
+    since = missed = world.clock()
+    while world.clock() < since + watched_s:
+        await curio.sleep(0.5)
+        if world.clock() > since + for_s:
+            out_of_reach.clear()
+        if not tasks <= {k[0] for w in world.workers.values() for k in w.on()}:
+            missed = world.clock()
+    return missed - since
+
+
 # -- troubles and the jobs that they need -------------------------------------
 
 
