--- a/bench/passes.py
+++ b/bench/passes.py
@@ -99,6 +99,7 @@
 
 
 def main() -> None:
+    """Time whole placement passes for a given number of waiting jobs and print the times."""
     args = argparse.ArgumentParser(description="Time a placer's passes.")
     args.add_argument("--jobs", type=int, default=10_000)
     args.add_argument("--machines", type=int, default=639)
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -83,6 +83,7 @@
 
 
 def main() -> None:
+    """Run the pyperf benchmarks of the room index against the plain search."""
     runner = pyperf.Runner(processes=3, values=3, program_args=("-m", "bench.placement"))
     if not runner.parse_args().worker:
         memory()
--- a/bench/rebuild.py
+++ b/bench/rebuild.py
@@ -29,6 +29,7 @@
 
 
 def description(number: int) -> dict[str, Any]:
+    """Build one live record as the state service stores it."""
     job = msgspec.convert(
         {
             "id": f"j-{number:06d}",
@@ -55,16 +56,19 @@
 
 
 def peak_mb() -> float:
+    """Return the peak resident memory of this process in MiB."""
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
 
 
 def timed(what: str, began: float) -> float:
+    """Print the seconds since `began` under the name `what` and return the present time."""
     now = time.perf_counter()
     print(f"{what}: {now - began:.2f} s")
     return time.perf_counter()
 
 
 def main() -> int:
+    """Time the pure steps of a rebuild; return the exit status."""
     args = argparse.ArgumentParser(description="What a rebuild computes, at a size.")
     args.add_argument("--jobs", type=int, default=10_000)
     args.add_argument("--controllers", type=int, default=5)
--- a/bench/rebuild_day.py
+++ b/bench/rebuild_day.py
@@ -38,6 +38,7 @@
         self.where: dict[str, str] = {}
 
     def entered(self, worker: Any, key: tuple[str, int]) -> None:
+        """Count a task that has started and note it if it runs elsewhere too."""
         self.launches += 1
         other = self.where.get(key[0])
         if (
@@ -49,6 +50,7 @@
         self.where[key[0]] = worker.name
 
     def cloud(self, method: str, path: str, body: Any) -> tuple[int, Any]:
+        """Answer a request to the cloud; nothing can be rented."""
         if path == "/hosts" and method == "POST":
             return 503, {"error": "no capacity"}
         if path.startswith("/hosts?"):
@@ -113,6 +115,7 @@
 
 
 async def until(clock: Clock, done: Any, most_s: float) -> float:
+    """Wait until `done()` is true, at most `most_s` seconds; return the seconds waited."""
     began = clock()
     while not done() and clock() - began < most_s:
         await curio.sleep(0.1)
@@ -120,6 +123,7 @@
 
 
 async def day(clock: Clock, chosen: argparse.Namespace) -> None:
+    """Run the simulated deployment, lose its records and report the rebuild."""
     world = Large(clock, chosen.controllers)
     furnish(world, chosen.machines, chosen.jobs, chosen.tasks)
     for label in world.labels:
@@ -184,6 +188,7 @@
 
 
 def main() -> int:
+    """Parse the arguments, run the simulated day and return the exit status."""
     args = argparse.ArgumentParser(description="A whole rebuild in simulated time, at a size.")
     args.add_argument("--machines", type=int, default=600)
     args.add_argument("--jobs", type=int, default=5000)
--- a/bench/scaled_site.py
+++ b/bench/scaled_site.py
@@ -100,6 +100,7 @@
 
 
 def main() -> int:
+    """Write a scaled copy of a deployment's files; return the exit status."""
     args = argparse.ArgumentParser(description="A deployment of another size, under target/.")
     args.add_argument("site", type=Path)
     args.add_argument("factor", type=float)
--- a/bench/served.py
+++ b/bench/served.py
@@ -78,6 +78,7 @@
 
     @property
     def words(self) -> str:
+        """Describe the aim in words, as it is printed."""
         bound = (
             f" {self.within_s:g} s"
             if self.within_s is not None
@@ -175,6 +176,7 @@
 
 
 def main() -> int:
+    """Print the served shares of the reports; return 1 if one lies below the least, 2 on errors."""
     args = argparse.ArgumentParser(description="The share served of each class and team.")
     args.add_argument("report", type=Path, nargs="+", help="what fleetbench run --report wrote")
     args.add_argument("--log", type=Path, help="what the run of the one report printed")
--- a/clayport/cli.py
+++ b/clayport/cli.py
@@ -14,6 +14,7 @@
 
 
 def parser() -> argparse.ArgumentParser:
+    """Build the parser of the command line."""
     p = argparse.ArgumentParser(
         prog="clayport",
         description="Run one controller of clayport.",
@@ -30,6 +31,7 @@
 
 
 def main(argv: list[str] | None = None) -> int:
+    """Run the controller, or a snapshot command; return the exit status."""
     given = sys.argv[1:] if argv is None else argv
     if given and given[0] in ("snapshot", "restore"):
         try:
--- a/clayport/cloud.py
+++ b/clayport/cloud.py
@@ -27,7 +27,7 @@
     """Refused or unanswered; a rental or return may still be executed."""
 
 
-class NoCapacity(Exception):
+class NoCapacityError(Exception):
     """None of this type, zone and kind is to be had now."""
 
 
@@ -101,11 +101,21 @@
             raise CloudError(f"malformed answer: {exc}") from None
 
     async def catalogue(self) -> list[MachineType]:
+        """Return the machine types with their present prices.
+
+        Raises:
+            CloudError: The cloud refused, did not answer, or answered something else.
+        """
         status, payload = await self._call("GET", "/catalog")
         found: list[MachineType] = self._decode(status, payload, _Catalogue).types
         return found
 
     async def machines(self) -> list[Listed]:
+        """Return the machines in the cloud's list, page after page; the list lags.
+
+        Raises:
+            CloudError: A page was refused or not answered.
+        """
         found: list[Listed] = []
         since = ""
         while True:
@@ -119,10 +129,18 @@
             since = page.machines[-1].id
 
     async def rent(self, rental: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
+        """Rent up to `count` machines and return the names of those that were rented.
+
+        A `rental` name is never used for another request.
+
+        Raises:
+            NoCapacityError: None of this type, zone and kind is available.
+            CloudError: Refused or unanswered; it may still be executed.
+        """
         body = {"rental": rental, "flavor": kind, "site": zone, "loaners": spot, "number": count}
         status, payload = await self._call("POST", "/hosts", body)
         if status == 503 and b"no capacity" in payload:
-            raise NoCapacity
+            raise NoCapacityError
         names: list[str] = self._decode(status, payload, _Rented).machines
         return names
 
--- a/clayport/config.py
+++ b/clayport/config.py
@@ -21,12 +21,16 @@
 
 
 class Member(msgspec.Struct, frozen=True):
+    """Another controller: its label, its zone and its `host:port` for peers."""
+
     label: Name
     location: str
     address: str
 
 
 class Services(msgspec.Struct, frozen=True):
+    """The `host:port` of the cloud's API and of the state service."""
+
     cloud: str
     state: str
 
@@ -42,6 +46,12 @@
 
 
 class Objective(msgspec.Struct, frozen=True):
+    """One aim on a class of jobs.
+
+    `kind` is for example `wait` or `finished`; `within_s` is its bound in seconds, `share` the
+    share of the jobs that have to meet it, and `times` a multiple of a job's own deadline.
+    """
+
     kind: str
     job_class: str | None = msgspec.field(name="class", default=None)
     within_s: float | None = None
@@ -50,6 +60,8 @@
 
 
 class WorkerSettings(msgspec.Struct, frozen=True):
+    """Intervals and leases of the workers' protocol, in seconds."""
+
     report_s: Positive
     lease_s: Positive
     gang_wait_s: Positive
@@ -68,6 +80,10 @@
 
 
 class StateSettings(msgspec.Struct, frozen=True):
+    """Limits of the state service: requests and writes per second, KiB of a value, writes of a
+    transaction.
+    """
+
     rps: Positive
     write_rps: Positive
     value_kb: Positive
@@ -86,17 +102,23 @@
 
 
 class CloudSettings(msgspec.Struct, frozen=True):
+    """Requests per second that the cloud serves, and the lag of its machine list in seconds."""
+
     rps: Positive
     list_lag_s: NonNegative
 
 
 class Limits(msgspec.Struct, frozen=True):
+    """What a controller's process may use: a share of a core, MB of memory, sockets."""
+
     core_share: Positive = 1.0
     mem_mb: Positive = 146.0
     max_sockets: Annotated[int, msgspec.Meta(ge=16)] = 500
 
 
 class Cluster(msgspec.Struct, frozen=True):
+    """The settings that all controllers of a deployment share."""
+
     size: Count
     zones: list[Name]
     teams: list[Team]
@@ -109,6 +131,8 @@
 
 
 class Settings(msgspec.Struct, frozen=True):
+    """The whole settings file of one controller."""
+
     label: Name
     bind: str
     peer_bind: str
--- a/clayport/limits/__init__.py
+++ b/clayport/limits/__init__.py
@@ -8,17 +8,17 @@
 """
 
 from .door import Door
-from .gate import Closed, Gate, Patience
+from .gate import Gate, GateClosedError, Patience
 from .inflight import Inflight
 from .retry import Attempt, Budget, Deadline, Retries
 
 __all__ = [
     "Attempt",
     "Budget",
-    "Closed",
     "Deadline",
     "Door",
     "Gate",
+    "GateClosedError",
     "Inflight",
     "Patience",
     "Retries",
--- a/clayport/limits/gate.py
+++ b/clayport/limits/gate.py
@@ -13,7 +13,7 @@
 from .retry import Attempt, Deadline, Retries
 
 
-class Closed(Exception):
+class GateClosedError(Exception):
     """The turn would not come in time: nothing was sent."""
 
 
@@ -50,7 +50,7 @@
 class Passage:
     """What a request says of how it went, before it leaves the gate."""
 
-    __slots__ = ("served", "began")
+    __slots__ = ("began", "served")
 
     def __init__(self, began: float) -> None:
         self.began = began
@@ -70,7 +70,7 @@
     async def passing(
         self, ahead: float = 0.0, deadline: Deadline | None = None
     ) -> AsyncIterator[Passage]:
-        """Closed if no turn comes; `served` is to be set once an answer has come."""
+        """GateClosedError if no turn comes; `served` is to be set once an answer has come."""
         if self.inflight.full:
             await self._wait(ahead, deadline or Deadline())
         else:
@@ -100,7 +100,7 @@
                 self.line.remove(entry)
                 heapq.heapify(self.line)
             if isinstance(exc, curio.TaskTimeout):
-                raise Closed(f"no turn in {limit:.1f} s") from None
+                raise GateClosedError(f"no turn in {limit:.1f} s") from None
             raise
 
     async def _admit(self) -> None:
--- a/clayport/limits/inflight.py
+++ b/clayport/limits/inflight.py
@@ -26,9 +26,11 @@
 
     @property
     def full(self) -> bool:
+        """Whether no further request may be sent now."""
         return self.flying >= int(self.bound)
 
     def enter(self) -> None:
+        """Count a request that is being sent."""
         self.flying += 1
 
     def leave(self, now: float, took_s: float, served: bool) -> None:
--- a/clayport/limits/retry.py
+++ b/clayport/limits/retry.py
@@ -15,6 +15,7 @@
 
     @staticmethod
     def within(now: float, seconds: float) -> Deadline:
+        """Return the deadline `seconds` after `now`."""
         return Deadline(now + seconds)
 
     def left(self, now: float, most_s: float = math.inf) -> float:
@@ -22,6 +23,7 @@
         return max(0.0, min(most_s, self.at - now))
 
     def allows(self, now: float, needs_s: float = 0.0) -> bool:
+        """Whether something that takes `needs_s` seconds ends before the deadline."""
         return now + needs_s < self.at
 
     def part(self, now: float, share: float) -> Deadline:
@@ -85,7 +87,7 @@
 class Attempt:
     """One request and its retries."""
 
-    __slots__ = ("retries", "deadline", "last_s")
+    __slots__ = ("deadline", "last_s", "retries")
 
     def __init__(self, retries: Retries, deadline: Deadline) -> None:
         self.retries, self.deadline = retries, deadline
--- a/clayport/membership.py
+++ b/clayport/membership.py
@@ -23,7 +23,7 @@
 class Generation:
     """The member list as committed; `rev` fences every commit made under it."""
 
-    __slots__ = ("number", "members", "rev", "provisioner", "_places")
+    __slots__ = ("_places", "members", "number", "provisioner", "rev")
 
     def __init__(self, number: int, members: dict[str, str], rev: int) -> None:
         self.number, self.members, self.rev = number, members, rev
@@ -32,14 +32,21 @@
 
     @staticmethod
     def parse(value: Any, rev: int) -> Generation:
+        """Build a generation from its record and the record's revision.
+
+        Raises:
+            KeyError, TypeError, ValueError, AttributeError: The value has another shape.
+        """
         members = {str(k): str(v) for k, v in value["members"].items()}
         return Generation(int(value["number"]), members, rev)
 
     def value(self) -> dict[str, Any]:
+        """Return the value that is stored under the generation's key."""
         return {"number": self.number, "members": self.members}
 
     @property
     def base_token(self) -> int:
+        """The least fencing token of this generation; the machines' counters lie above it."""
         return self.number << COUNTER_BITS
 
     def place(self, key: str) -> str:
--- a/clayport/operator.py
+++ b/clayport/operator.py
@@ -32,6 +32,8 @@
 
 @dataclass(frozen=True)
 class Operator:
+    """What the operator's file switches on or changes; the defaults are those of no file."""
+
     refresh: Refresh = Refresh()
     rebuild: bool = False  # whether records that the state service loses are rebuilt
     directory: str = ""  # where this controller keeps snapshots of them; none: nowhere
@@ -98,6 +100,11 @@
 
 
 def load(path: str) -> Operator:
+    """Read the operator's file (protobuf text format).
+
+    Raises:
+        ConfigError: The file can't be read, or something in it is invalid.
+    """
     try:
         with open(path, encoding="utf-8") as file:
             return parse(file.read())
--- a/clayport/pipelines.py
+++ b/clayport/pipelines.py
@@ -24,7 +24,7 @@
 class Link:
     """A live job in its pipelines."""
 
-    __slots__ = ("job", "submitted", "needs", "ready", "due", "rank")
+    __slots__ = ("due", "job", "needs", "rank", "ready", "submitted")
 
     def __init__(self, job: Job, submitted: float) -> None:
         self.job, self.submitted = job, submitted
--- a/clayport/provisioning.py
+++ b/clayport/provisioning.py
@@ -54,7 +54,7 @@
 class Boot:
     """A machine that has been rented and has not reported yet."""
 
-    __slots__ = ("name", "kind", "since")
+    __slots__ = ("kind", "name", "since")
 
     def __init__(self, name: str, kind: Kind, since: float) -> None:
         self.name, self.kind, self.since = name, kind, since
@@ -68,6 +68,7 @@
         self.seen: dict[str, deque[tuple[float, float]]] = {}
 
     def note(self, kind: MachineType, took_s: float, now: float) -> None:
+        """Record that a machine of the type took `took_s` seconds to come up."""
         self.seen.setdefault(kind.name, deque(maxlen=SEEN_MOST)).append(
             (now, took_s / max(kind.boot_s, 1.0))
         )
@@ -107,6 +108,7 @@
 
 
 def empty_room(kind: MachineType, name: str, zone: str, spot: bool) -> Room:
+    """Return the room of a machine of the type on which nothing runs."""
     return Room(
         name,
         "",
@@ -130,6 +132,7 @@
 
 
 def price_of(kind: MachineType, spot: bool) -> float:
+    """Return the type's price per hour, as a spot machine or an ordinary one."""
     return kind.spot_price if spot else kind.price
 
 
@@ -196,6 +199,7 @@
         self.seen: dict[str, deque[tuple[float, Job]]] = {}
 
     def note(self, job: Job, now: float) -> None:
+        """Record the arrival of a job."""
         if now < self.began:
             return
         # As many as come within the span: a bound of two hundred made a flood look like
@@ -390,14 +394,18 @@
     """What could be rented for a job: price, how many of its tasks one machine holds, zone,
     type and whether it is a spot machine."""
     dear = policy.dear_types(job)
-    found = []
+    found: list[tuple[float, int, str, MachineType, bool]] = []
     for kind in types:
         if not fits(job, kind) or (kind.name in dear and time_left < ready_s(job, kind)):
             continue
         most = capacity(job, empty_room(kind, "", "", False))
         late = max(1.0, kind.boot_s / boot_s[kind.name]) if boot_s else 1.0
         for zone in kind.zones:
-            for spot in (True, False) if job.spot else (False,):
-                if most > 0 and job.zone in (None, zone) and (kind.name, zone, spot) not in refused:
-                    found.append((price_of(kind, spot) * late, most, zone, kind, spot))
+            if most <= 0 or job.zone not in (None, zone):
+                continue
+            found += [
+                (price_of(kind, spot) * late, most, zone, kind, spot)
+                for spot in ((True, False) if job.spot else (False,))
+                if (kind.name, zone, spot) not in refused
+            ]
     return found
--- a/clayport/queueing/line.py
+++ b/clayport/queueing/line.py
@@ -46,7 +46,7 @@
 class Lane:
     """Jobs of a group that belong to one class and team."""
 
-    __slots__ = ("job_class", "team", "bands")
+    __slots__ = ("bands", "job_class", "team")
 
     def __init__(self, job_class: str, team: str) -> None:
         self.job_class, self.team = job_class, team
@@ -67,7 +67,7 @@
 class Group:
     """Jobs that can use the same room: what one found none for, none does."""
 
-    __slots__ = ("lanes", "nap", "fresh", "example", "size")
+    __slots__ = ("example", "fresh", "lanes", "nap", "size")
 
     def __init__(self, example: HomeJob) -> None:
         self.lanes: dict[tuple[str, str], Lane] = {}
@@ -160,14 +160,8 @@
             if pending != known.pending:
                 self.marks[name] = known._replace(pending=pending)
             return
-        back = (
-            known is not None
-            and known.group is group
-            and pending <= known.pending
-            or known is None
-            and flown is not None
-            and flown[0] is hj
-            and pending <= flown[1]
+        back = (known is not None and known.group is group and pending <= known.pending) or (
+            known is None and flown is not None and flown[0] is hj and pending <= flown[1]
         )
         self._drop(name, known, group)
         if group is None:
--- a/clayport/queueing/shares.py
+++ b/clayport/queueing/shares.py
@@ -61,7 +61,7 @@
 class Account:
     """What a class, or a team, runs here and waits for, in CPUs."""
 
-    __slots__ = ("running", "waiting", "ages", "jobs", "standing", "comes", "came", "backlog")
+    __slots__ = ("ages", "backlog", "came", "comes", "jobs", "running", "standing", "waiting")
 
     def __init__(self) -> None:
         self.running = self.waiting = 0.0
@@ -114,7 +114,7 @@
         if known == row:
             return
         if known is not None:
-            self._take(name, known)
+            self._take(known)
         self.rows[name] = row
         for which in row.names:
             account = self.accounts.get(which)
@@ -133,11 +133,12 @@
                 account.comes += work
 
     def forget(self, name: str) -> None:
+        """Remove a job, by its id, from the accounts of its class and team."""
         row = self.rows.pop(name, None)
         if row is not None:
-            self._take(name, row)
+            self._take(row)
 
-    def _take(self, name: str, row: Row) -> None:
+    def _take(self, row: Row) -> None:
         for which in row.names:
             account = self.accounts[which]
             account.running -= row.running
@@ -157,6 +158,8 @@
         account = self.accounts[which]
         if not account.ages:
             return 0.0
+        since: float
+        name: str
         since, name = account.ages[0]
         row = self.rows[name]
         used = (now - since) / max(self._bears(row.names[0]), 1e-3)
--- a/clayport/rebuild/commands.py
+++ b/clayport/rebuild/commands.py
@@ -29,11 +29,12 @@
 BY = "clayport restore"
 
 
-class Refused(Exception):
+class RestoreRefusedError(Exception):
     """It can't be done; the message says why."""
 
 
 def parser() -> argparse.ArgumentParser:
+    """Build the parser of the `snapshot` and `restore` commands."""
     p = argparse.ArgumentParser(
         prog="clayport", description="Snapshots of the records, and putting them back."
     )
@@ -73,16 +74,20 @@
 
 
 def main(argv: list[str]) -> int:
+    """Run a `snapshot` or `restore` command; return the exit status."""
     args = parser().parse_args(argv)
+    status: int
     try:
         if args.verb == "restore":
-            return curio.run(_restore, load(args.config), args.directory, args.write)
+            status = curio.run(_restore, load(args.config), args.directory, args.write)
+            return status
         if args.action == "take":
-            return curio.run(_take, load(args.config), args.directory)
+            status = curio.run(_take, load(args.config), args.directory)
+            return status
         if args.action == "verify":
             return _verify(args.directory)
         return _show(args.directory, load(args.config) if args.config else None)
-    except (ConfigError, SnapshotError, Refused) as exc:
+    except (ConfigError, SnapshotError, RestoreRefusedError) as exc:
         print(f"clayport: {exc}", file=sys.stderr)
     except OSError as exc:
         print(f"clayport: {exc}", file=sys.stderr)
@@ -149,6 +154,7 @@
 
 
 def counts(found: Found) -> str:
+    """Describe how many records of each kind a snapshot holds."""
     kinds = Counter(
         k.partition("/")[0] if not k.startswith("c/") else k.split("/")[1]
         for k in found.records
@@ -199,10 +205,12 @@
     records, _ = await read_all(store)
     here = sorted(k[len("c/node/") :] for k in records if k.startswith("c/node/"))
     if here:
-        raise Refused(f"controllers are running ({', '.join(here)}): they rebuild by themselves")
+        raise RestoreRefusedError(
+            f"controllers are running ({', '.join(here)}): they rebuild by themselves"
+        )
     head = records.get(HEAD_KEY)
     if head is not None and int(head[0]["n"]) > found.header.number + (head[0].get("by") == BY):
-        raise Refused(
+        raise RestoreRefusedError(
             f"the snapshot is of history {found.header.number}, the records of "
             f"{head[0]['n']}: they have been rebuilt since"
         )
@@ -265,7 +273,7 @@
         except Conflict:
             if unsure:
                 return
-            raise Refused("the records have changed meanwhile: begin again") from None
+            raise RestoreRefusedError("the records have changed meanwhile: begin again") from None
         except Unknown:
             unsure = True
         except Unavailable:
--- a/clayport/rebuild/files.py
+++ b/clayport/rebuild/files.py
@@ -52,10 +52,13 @@
 
 
 class End(msgspec.Struct):
+    """The last block of a base: how many rows came before it."""
+
     count: int
 
 
 def name_of(header: Header) -> str:
+    """Return the file name that belongs to a header; names sort by history and revision."""
     return f"{header.kind}-{header.number:08d}-{header.rev:016d}.rec"
 
 
@@ -67,6 +70,7 @@
         self.zip = zstandard.ZstdCompressor(level=3)
 
     def block(self, value: Any) -> None:
+        """Write one value as a block; it is not synced yet."""
         raw = self.zip.compress(msgspec.msgpack.encode(value))
         head = BLOCK.pack(len(raw), zlib.crc32(raw, self.count), self.count)
         self.file.write(head + raw)
@@ -74,6 +78,7 @@
         self.bytes += len(head) + len(raw)
 
     def sync(self) -> None:
+        """Return once all blocks written are on the disk."""
         self.file.flush()
         os.fsync(self.file.fileno())
 
@@ -124,6 +129,7 @@
 
     @property
     def bytes(self) -> int:
+        """Bytes written to the log so far."""
         return self.writer.bytes
 
     def append(self, rows: list[Row]) -> None:
@@ -132,6 +138,7 @@
         self.writer.sync()
 
     def close(self) -> None:
+        """Close the file."""
         self.file.close()
 
 
@@ -170,6 +177,11 @@
 
 
 def read_header(path: Path) -> Header:
+    """Return the header of a base or log.
+
+    Raises:
+        SnapshotError: The file is empty or damaged.
+    """
     for raw in _blocks(path):
         header: Header = _decode(path, raw, Header)
         return header
@@ -268,5 +280,6 @@
 
 
 def rows_of(records: Values) -> Iterator[Row]:
+    """Yield the records as rows in the order of their keys."""
     for key, (value, rev) in sorted(records.items()):
         yield Row(key, value, rev)
--- a/clayport/rebuild/history.py
+++ b/clayport/rebuild/history.py
@@ -21,6 +21,7 @@
 
 
 def anchor_key(prefix: str, name: str) -> str:
+    """Return the key that marks a prefix as belonging to the named history."""
     return f"{prefix}~{name}"
 
 
--- a/clayport/rebuild/merge.py
+++ b/clayport/rebuild/merge.py
@@ -180,7 +180,7 @@
             if name not in ended:
                 known = found.get(name)
                 # The first to have seen it: urgency and age count from the submission.
-                if known is None or live_key(name) not in records and at < known[1]:
+                if known is None or (live_key(name) not in records and at < known[1]):
                     found[name] = (desc, at)
     return found
 
@@ -303,7 +303,7 @@
     if live_key(name) in records:
         changes[live_key(name)] = None
     stored = records.get(end_key(name))
-    if stored is None or stored[0]["s"] != status or carry and "j" not in stored[0]:
+    if stored is None or stored[0]["s"] != status or (carry and "j" not in stored[0]):
         value = end_value(status, at, desc if carry else None)
         if not at:
             del value["t"]
--- a/clayport/rebuild/recovery.py
+++ b/clayport/rebuild/recovery.py
@@ -55,7 +55,7 @@
     seen: int  # up to which revision it holds the records under `c/` in memory
 
 
-class Again(Exception):
+class ConcurrentChangeError(Exception):
     """Somebody else has changed something: look anew."""
 
 
@@ -238,7 +238,7 @@
             try:
                 await self._step()
                 attempt.served()
-            except Again:
+            except ConcurrentChangeError:
                 await curio.sleep(core.jitter(core.ttl_s / 16))
             except (Unavailable, Unknown, Conflict) as exc:
                 log.debug("event=rebuild-waits cause=%s", exc)
@@ -491,7 +491,7 @@
         return anchor
 
     async def _write(self, txn: Txn) -> int:
-        """Commit until it is known whether; Again if somebody else came first."""
+        """Commit until it is known whether; ConcurrentChangeError if somebody else came first."""
         core = self.core
         attempt = core.store.begin()
         unsure = False
@@ -500,7 +500,7 @@
                 return await core.store.commit(txn, ahead_s=LEASE_S, doubtful=True)
             except Conflict as exc:
                 log.info("event=rebuild-overtaken keys=%s", exc.failed[:3])
-                raise Again from None
+                raise ConcurrentChangeError from None
             except Unknown:
                 unsure = True
             except Unavailable:
@@ -537,8 +537,10 @@
         try:
             count, part = await peer.call(peerwire.EVIDENCE, (name, 0))
             parts.append(part)
-            for number in range(1, count):
-                parts.append((await peer.call(peerwire.EVIDENCE, (name, number)))[1])
+            parts += [
+                (await peer.call(peerwire.EVIDENCE, (name, number)))[1]
+                for number in range(1, count)
+            ]
             return evidence.unpack(parts)
         except (PeerError, ValueError) as exc:
             log.info("event=no-evidence label=%s cause=%s", label, exc)
@@ -570,7 +572,7 @@
         rev = await self._write(txn.put(HEAD_KEY, head).put(anchor[0], anchor_value(name)))
         anchors = await self._anchors(name)
         if len(anchors) < len(PREFIXES):
-            raise Again  # lost in the very moment
+            raise ConcurrentChangeError  # lost in the very moment
         await self._join(Entry(HEAD_KEY, head, rev), anchors)
 
     async def _present(self, members: dict[str, str]) -> dict[str, str]:
--- a/clayport/renting.py
+++ b/clayport/renting.py
@@ -11,7 +11,7 @@
 import curio
 
 from . import peerwire
-from .cloud import RETURN_MOST, CloudError, NoCapacity
+from .cloud import RETURN_MOST, CloudError, NoCapacityError
 from .index import Index
 from .model import RANKS, Listed, MachineType, fits
 from .placement import Policy, Room
@@ -373,7 +373,7 @@
             name = f"r-{core.generation.number}-{core.label}-{self.sequence}"
             try:
                 got = await core.cloud.rent(name, *kind, min(count, RENT_MOST))
-            except NoCapacity:
+            except NoCapacityError:
                 got = []
             log.info("event=rented kind=%s wanted=%d got=%d", kind, count, len(got))
             if len(got) < min(count, RENT_MOST):
--- a/clayport/server.py
+++ b/clayport/server.py
@@ -221,6 +221,7 @@
     # -- small services for the routines ---------------------------------
 
     def job_of(self, job: str) -> Job | None:
+        """Return the description of a live job, or of an ended one that may be on machines."""
         known = self.live.get(job)
         return known[0] if known else self.descs.get(job)
 
@@ -301,6 +302,7 @@
         )
 
     def room_changed(self) -> None:
+        """Wake the placer if the room of our machines has changed since its last picture."""
         if self.owner.room_rev != self.picture.own_rev:
             self.signal("place")
 
@@ -335,9 +337,11 @@
 
     @property
     def member(self) -> bool:
+        """Whether the generation known here contains this process."""
         return self.generation.members.get(self.label) == self.incarnation
 
     def state_lost(self, now: float) -> bool:
+        """Whether the state service has not answered for longer than our key's lease."""
         return not self.store.ok and now - self.store.last_ok > self.ttl_s
 
     def healthy(self) -> bool:
@@ -389,6 +393,7 @@
     # -- generations -----------------------------------------------------
 
     def begin(self, generation: Generation) -> None:
+        """Act under a new generation: drop what belonged to the old one and load our share."""
         self.generation = generation
         self.serving = False
         log.info(
@@ -469,6 +474,7 @@
             await self.store.rest(attempt)
 
     def home(self, job: Job, rev: int, chunks: dict[tuple[int, int], Chunk], ended: str) -> None:
+        """Become home to a job, with the chunks that were read for it."""
         hj = HomeJob(
             job,
             rev,
--- a/clayport/statestore.py
+++ b/clayport/statestore.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from . import http
-from .limits import Budget, Closed, Deadline, Gate, Inflight, Patience, Retries
+from .limits import Budget, Deadline, Gate, GateClosedError, Inflight, Patience, Retries
 
 if TYPE_CHECKING:
     from .rebuild.history import History
@@ -258,13 +258,13 @@
             async with self.gate.passing(ahead_s, deadline) as passage:
                 left = deadline.left(time.monotonic(), self.timeout_s)
                 if left <= 0:
-                    raise Closed("its time is over")
+                    raise GateClosedError("its time is over")
                 status, payload = await self._send(
                     method, path, raw, left, self.client, doubtful, changes > 0
                 )
                 passage.served = True
                 return status, payload
-        except Closed as exc:
+        except GateClosedError as exc:
             raise Unavailable(str(exc), self.timeout_s) from None
 
     async def _send(
