--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the cloud and for the workers on its machines."""
+"""Stand-ins for the cloud and for the workers on its machines; the cases submit no gangs."""
 
 from __future__ import annotations
 
@@ -202,12 +202,6 @@
         self.wake.set()
         if job["shape"] == "daemon":
             return
-        if job["shape"] == "ensemble":
-            task.state = "waiting"
-            if not await self._gang_complete(key, task, job):
-                return
-            task.state = "running"
-            self.wake.set()
         if key[0] not in self.fleet.results:
             await asyncio.sleep(self.fleet.run_s[job["id"]])
             await self._while_hung()
@@ -217,25 +211,6 @@
             task.state, task.cause = "exited", "done"
             self.wake.set()
 
-    async def _gang_complete(self, key: TaskKey, task: Task, job: dict[str, Any]) -> bool:
-        """Wait for the other tasks of the gang's attempt; return whether all are there."""
-        end = time.monotonic() + self.fleet.gang_wait_s
-        while self.tasks.get(key) is task and task.on_machine:
-            present = sum(
-                k[0].partition("/")[0] == job["id"] and k[1] == key[1] and t.on_machine
-                for worker in self.fleet.machines.values()
-                for k, t in worker.tasks.items()
-            )
-            if present == job["pieces"]:
-                return True
-            if time.monotonic() > end:
-                self._leave(key, "alone")
-                task.state, task.cause = "exited", "alone"
-                self.wake.set()
-                return False
-            await asyncio.sleep(0.05)
-        return False
-
     def _leave(self, key: TaskKey, why: str) -> None:
         if self.tasks[key].on_machine:
             self.fleet.record("task-off", task=key[0], attempt=key[1], machine=self.name, why=why)
@@ -277,7 +252,6 @@
     ) -> None:
         self.kinds, self.capacity, self.record = kinds, capacity, record
         self.report_s, self.lease_s = workers["report_s"], workers["lease_s"]
-        self.gang_wait_s = workers["gang_wait_s"]
         self.random = random.Random(seed)
         self.labels: list[str] = []
         self.nodes: dict[str, web.Client] = {}
