Review: a mistake of a case ends it with 2

An exception that a case did not expect ended its script with 1, which stands for a broken rule. Now any such end is reported as a case that couldn't run. A script that raises an error and one that is terminated were run: both ended with 2 and left no process.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -202,7 +202,7 @@
             "asked",
             sent=sent_at,
             node=node,
-            request=f"{method} {path}" + (f" {body['id']}" if body else ""),
+            request=f"{method} {path}" + (f" {body.get('id')}" if body else ""),
             answer=list(answer) if answer else None,
         )
         if answer is not None and answer[0] == 200 and answer[1].get("status") == "cancelled":
@@ -289,7 +289,8 @@
             for fault in faults[:20]:
                 print(" ", fault)
             return BROKEN if faults else HELD
-        except (TimeoutError, CouldNotRunError) as exc:
+        except (Exception, asyncio.CancelledError) as exc:
+            # A mistake of the case itself says nothing about the rule either.
             deployment.record("could-not-run", cause=repr(exc))
             print(f"could not run: {exc!r}")
             return COULD_NOT_RUN
@@ -298,6 +299,10 @@
                 task.cancel()
             deployment.end()
 
-    status = asyncio.new_event_loop().run_until_complete(main())
+    try:
+        status = asyncio.new_event_loop().run_until_complete(main())
+    except Exception as exc:
+        print(f"could not run: {exc!r}")
+        status = COULD_NOT_RUN
     sys.stdout.flush()
     os._exit(status)  # without waiting for the stand-ins' open connections
