Review: held start commands of cancelled jobs are obeyed after cancel_s

A controller loses the network while start commands are on their way, their jobs are cancelled through the others, and the state service is out. The others renew the leases under the old token, so the held commands are still valid when they arrive, and the tasks of cancelled jobs start 38.9 to 39.0 s after their users were told; cancel_s is 35 s.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -34,6 +34,9 @@
 
     Attributes:
         hung: Whether the machine hangs: it executes and answers nothing until it goes on.
+        cut_from: The node to which the network is interrupted. What that node sends over an open
+            connection is held, and is delivered when the network is back, although nobody waits
+            for an answer any more. New connections don't come about.
     """
 
     def __init__(self, fleet: Fleet, name: str, kind: dict[str, Any], zone: str) -> None:
@@ -47,6 +50,8 @@
         self.images: set[str] = set()
         self.server: asyncio.Server | None = None
         self.target = ""  # the node that it reports to
+        self.cut_from, self.cut_at = "", 0.0
+        self.restored = asyncio.Event()
         self.wake = asyncio.Event()
         self.resumed = asyncio.Event()
 
@@ -76,9 +81,13 @@
         """Send one report; return the node for the next one and the pause before it."""
         await self._while_hung()
         labels, session, sent_at = self.fleet.labels, self.session, time.monotonic()
-        answer = await self.fleet.nodes[target].request(
-            "POST", "/v1/report", self.report(), REPORT_TIMEOUT_S
-        )
+        if target == self.cut_from:
+            await asyncio.sleep(REPORT_TIMEOUT_S)
+            answer = None
+        else:
+            answer = await self.fleet.nodes[target].request(
+                "POST", "/v1/report", self.report(), REPORT_TIMEOUT_S
+            )
         await self._while_hung()
         if self.gone:
             return target, 0.0
@@ -149,6 +158,14 @@
             return 200, self.report()
         if "epoch" not in body or "tenure" not in body:
             return 400, {}
+        if self.cut_from:
+            # While the network is interrupted, no other node sends commands to this machine.
+            if web.CONNECTED_AT.get() > self.cut_at:
+                await asyncio.sleep(3600)
+            await self.restored.wait()
+            self._end_lease_if_over()
+            obeyed = body["epoch"] >= self.token and body["tenure"] == self.session
+            self.fleet.record("held-command", machine=self.name, body=body, obeyed=obeyed)
         if body["epoch"] < self.token or body["tenure"] != self.session:
             return 409, self.report()
         self.token = body["epoch"]
@@ -215,6 +232,18 @@
         if self.tasks[key].on_machine:
             self.fleet.record("task-off", task=key[0], attempt=key[1], machine=self.name, why=why)
 
+    def interrupt(self, node: str) -> None:
+        """Interrupt the network between the machine and a node."""
+        self.cut_from, self.cut_at = node, time.monotonic()
+        self.restored.clear()
+        self.fleet.record("interrupted", machine=self.name, node=node)
+
+    def restore(self) -> None:
+        """Restore the network between the machine and the node, and deliver what was held."""
+        self.cut_from = ""
+        self.restored.set()
+        self.fleet.record("restored", machine=self.name)
+
     def hang(self) -> None:
         """Stop executing and answering."""
         self.hung = True
--- a/review/lib/web.py
+++ b/review/lib/web.py
@@ -5,13 +5,18 @@
 import asyncio
 import json
 import socket
+import time
 from collections.abc import Awaitable, Callable
+from contextvars import ContextVar
 from typing import Any
 
 # Takes the method, the path with its query, and the decoded body. Returns the status and the body
 # of the answer; None closes the connection without an answer.
 Handler = Callable[[str, str, Any], Awaitable[tuple[int, Any] | None]]
 
+# When the connection of the request in hand was opened, on the monotonic clock.
+CONNECTED_AT: ContextVar[float] = ContextVar("connected_at")
+
 
 def free_ports(count: int) -> list[int]:
     """Return loopback ports that are free now, all different."""
@@ -40,6 +45,7 @@
     """Serve requests on a loopback port; return the server and its port."""
 
     async def connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        CONNECTED_AT.set(time.monotonic())
         try:
             while True:
                 first, body = await _read_message(reader)
