Answers without a machine's owner void the owner's launches on their way

Cause: a launch that the network holds is on no machine, so no report lists it and no kill can name it. Controllers other than the owner answered the machines' reports under the reported token, which renewed the lease and kept the launch valid. Only an owner known to have ended by another process under its label had its token raised.

Change: such an answer carries a token above all that the owner sends launches under (machines.tokens). An owner sends a launch directly only under a token that the worker has reported, or the first of its epoch, so the reported token plus one suffices, whether the owner is dead, cut off or silent. A command refused for a raised token is sent again at once under the new one. While versions are mixed the token stays, since production refuses tokens that it hasn't issued. The case of an owner known to have ended is one of these now, and its code is gone.

--- a/clayport/controller.py
+++ b/clayport/controller.py
@@ -213,8 +213,8 @@
             routines=self.routines,
             settings=self.settings,
             stalls=self.stalls,
+            upgrade=self.upgrade,
             view=self.view,
-            watermark=self.watermark,
         )
         self.routing = Routing(self.membership, self.machines, self.peers, self.store, self.fleet)
 
--- a/clayport/leases/watermark.py
+++ b/clayport/leases/watermark.py
@@ -22,7 +22,6 @@
             here.
         valid_until: By peer, until when its promises are relied on.
         incarnations: By peer, the process that gave the last promise.
-        promise_requested_at: By peer, when the request for its last promise was sent.
         required_read_at: By peer, the time after which the records must have been read for its
             promises to be relied on.
     """
@@ -33,7 +32,6 @@
         self.records_read_at = -math.inf
         self.valid_until = dict.fromkeys(peers, -math.inf)
         self.incarnations = dict.fromkeys(self.valid_until, "")
-        self.promise_requested_at = dict.fromkeys(self.valid_until, -math.inf)
         self.required_read_at = dict.fromkeys(self.valid_until, math.inf)
 
     def note_records_read(self, at: float) -> None:
@@ -56,7 +54,7 @@
         """
         if received > self.valid_until[peer] and incarnation != self.incarnations[peer]:
             self.required_read_at[peer] = received
-        self.incarnations[peer], self.promise_requested_at[peer] = incarnation, sent
+        self.incarnations[peer] = incarnation
         self.valid_until[peer] = max(self.valid_until[peer], sent + self.duration_s)
 
     def disclosures_known_until(self) -> float:
--- a/clayport/machines/command_sender.py
+++ b/clayport/machines/command_sender.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from clayport.leases.renewal import LeaseRenewal
-from clayport.machines.machine import Machine
+from clayport.machines.machine import NEVER, Machine
 from clayport.machines.table import MachineTable
 from clayport.membership.state import MembershipState
 from clayport.model import WorkerHeartbeat
@@ -97,6 +97,7 @@
         if (
             machine is not None
             and machine.has_urgent_commands
+            and machine.has_direct_commands
             and not machine.request_in_flight
             and machine.known
             and time.monotonic() >= machine.direct_paused_until
@@ -117,7 +118,7 @@
         epoch_number = self.membership.epoch.number
         try:
             while (
-                machine.has_commands
+                machine.has_direct_commands
                 and self.membership.epoch.number == epoch_number
                 and self.membership.serving
                 and self.renewal.may_renew(time.monotonic())
@@ -130,11 +131,10 @@
         self.cached_state.note_own_room()
 
     async def _send(self, machine: Machine, client: http.Client, epoch_number: int) -> bool:
-        """Send the commands queued now, and return whether the worker has executed them."""
-        orders, launches = self.machines.commands_to_send(machine)
-        body = msgspec.json.encode(
-            {"epoch": machine.token, "tenure": machine.session, "orders": orders}
-        )
+        """Send the commands queued now, and return whether to send the next ones at once."""
+        orders, launches = self.machines.commands_to_send(machine, direct=True)
+        token = machine.token
+        body = msgspec.json.encode({"epoch": token, "tenure": machine.session, "orders": orders})
         try:
             status, raw = await client.request("POST", "/do", body, self.command_s)
         except http.NoAnswerError as exc:
@@ -149,14 +149,18 @@
             self.machines.answered(machine, orders, launches)
         else:
             self.machines.unanswered(machine, launches, False, time.monotonic())
-        if status in (200, 409):
-            self._apply_answer(machine, raw)
-        if status != 200:
             log.info(
                 "machine=%s event=refused status=%d the worker refused the commands",
                 machine.name,
                 status,
             )
+        if status in (200, 409):
+            self._apply_answer(machine, raw)
+        if machine.token > token:
+            # A peer that answered a report of the machine has raised the token. Commands refused
+            # for that reason are sent again under the new token.
+            machine.direct_paused_until = NEVER
+            return True
         return status == 200
 
     def _apply_answer(self, machine: Machine, raw: bytes) -> None:
--- a/clayport/machines/commands.py
+++ b/clayport/machines/commands.py
@@ -32,13 +32,25 @@
     return {"verb": "launch", "piece": key[0], "try": key[1]}
 
 
-def take_orders(table: CommandTable, machine: Machine) -> tuple[list[Order], list[TaskKey]]:
-    """Return the commands to send now and the launches among them, whose tasks become SENT."""
+def take_orders(
+    table: CommandTable, machine: Machine, direct: bool
+) -> tuple[list[Order], list[TaskKey]]:
+    """Return the commands to send now and the launches among them, whose tasks become SENT.
+
+    Args:
+        table: The table of machines.
+        machine: The machine.
+        direct: Whether the commands are sent in a request to the worker. Such a request may arrive
+            late, so it contains launches only under a token that can be voided
+            (`machines.tokens`).
+    """
     orders = [clear_order(key) for key in list(machine.pending_clears)[:MAX_COMMANDS]]
     orders += [
         kill_order(key, grace_s)
         for key, grace_s in list(machine.pending_kills.items())[:MAX_COMMANDS]
     ]
+    if direct and not machine.may_launch_directly:
+        return orders, []
     launches = []
     queued = [key for key, desired in machine.desired.items() if desired.phase is QUEUED]
     for key in queued[:MAX_COMMANDS]:
--- a/clayport/machines/fleet.py
+++ b/clayport/machines/fleet.py
@@ -6,7 +6,6 @@
 
 from clayport.jobs.registry import JobRegistry
 from clayport.leases.renewal import LeaseRenewal
-from clayport.leases.watermark import CancellationWatermark
 from clayport.machines.command_sender import CommandSender, WorkerClients
 from clayport.machines.evacuation import ReplicaEvacuation, ReplicaPlacement
 from clayport.machines.event_delivery import EventDelivery, EventHandler
@@ -18,6 +17,7 @@
 from clayport.membership.stalls import StallDetector
 from clayport.membership.state import MembershipState
 from clayport.rebuild.support import RebuildSupport
+from clayport.records.upgrade import UpgradeState
 from clayport.routines import Routines
 from clayport.scheduling.cached_state import CachedState
 from clayport.scheduling.view import ClusterView
@@ -66,8 +66,8 @@
         routines: Routines,
         settings: Settings,
         stalls: StallDetector,
+        upgrade: UpgradeState,
         view: ClusterView,
-        watermark: CancellationWatermark,
     ) -> None:
         workers = settings.cluster.workers
         self.silent_s = SILENCE_LEASE_FRACTION * workers.lease_s
@@ -102,8 +102,8 @@
             renewal=renewal,
             routines=routines,
             silent_s=self.silent_s,
+            upgrade=upgrade,
             view=view,
-            watermark=watermark,
         )
         self.answer_report = self.report_answers.answer_report
         self.answer_owned_machine = self.report_answers.answer_owned_machine
--- a/clayport/machines/machine.py
+++ b/clayport/machines/machine.py
@@ -74,6 +74,8 @@
 
     def __init__(self, name: str, token: int, now: float) -> None:
         self.name, self.token = name, token
+        # The highest token that the worker has reported, or the first token of the epoch.
+        self.confirmed_token = token
         self.address = self.type = self.zone = ""
         self.spot = False
         # The incarnation of the worker, and the number of the newest report within it.
@@ -123,6 +125,22 @@
         """Whether any command is to be sent."""
         return bool(self.pending_clears) or self.has_urgent_commands
 
+    @property
+    def may_launch_directly(self) -> bool:
+        """Whether launches may be sent in a request to the worker (`machines.tokens`).
+
+        A raised token has to reach the worker with the answer to a report first. That answer may
+        contain launches, because the worker drops an answer that is late.
+        """
+        return self.token <= self.confirmed_token
+
+    @property
+    def has_direct_commands(self) -> bool:
+        """Whether any command is to be sent that may be sent in a request to the worker."""
+        if self.may_launch_directly:
+            return self.has_commands
+        return bool(self.pending_clears or self.pending_kills)
+
     def has_exited(self, key: TaskKey) -> bool:
         """Return whether the newest report lists the task as exited."""
         status = self.reported_tasks.get(key)
@@ -136,8 +154,14 @@
         """Return whether room on the machine is held for another job that preempted tasks."""
         return now < self.held_until and self.held_for_job != job
 
-    def reset_for_epoch(self) -> None:
-        """Clear the desired tasks, emitted statuses and commands of an earlier epoch."""
+    def reset_for_epoch(self, token: int) -> None:
+        """Clear the desired tasks, emitted statuses and commands of an earlier epoch.
+
+        Args:
+            token: The first token to issue in the new epoch.
+        """
+        self.token = self.confirmed_token = token
+        self.fenced = False
         self.launches_in_response = []
         self.desired.clear()
         self.emitted.clear()
--- a/clayport/machines/report_answers.py
+++ b/clayport/machines/report_answers.py
@@ -11,14 +11,15 @@
 
 from clayport.jobs.registry import JobRegistry
 from clayport.leases.renewal import LeaseRenewal
-from clayport.leases.watermark import CancellationWatermark
 from clayport.machines.commands import MAX_COMMANDS, Order
 from clayport.machines.machine import NEVER, Machine
 from clayport.machines.table import MachineTable
-from clayport.membership.epoch import TOKEN_COUNTER_BITS, Epoch
+from clayport.machines.tokens import epoch_of, void_token
+from clayport.membership.epoch import Epoch
 from clayport.membership.state import MembershipState
 from clayport.model import WorkerHeartbeat
 from clayport.rebuild.support import RebuildSupport
+from clayport.records.upgrade import UpgradeState
 from clayport.routines import Routines
 from clayport.scheduling.cached_state import CachedState
 from clayport.scheduling.view import ClusterView
@@ -34,21 +35,6 @@
 Answer: TypeAlias = tuple[int, dict[str, Any]]
 
 
-def void_token(epoch: Epoch, token: int) -> int:
-    """Return a token above all tokens issued in an epoch, and below those of the next epoch.
-
-    The token fences a machine whose owner has ended. During an outage of the state service no
-    new epoch begins, and the other controllers keep renewing the machine's lease. Without the
-    higher token, a delayed launch command of the ended owner could start a task of a job that
-    was cancelled long before. The machine may not have seen any token of the epoch, if the
-    answer to its report was lost. A token of a later epoch is returned unchanged, because only
-    the owner of that epoch may raise it.
-    """
-    if token >> TOKEN_COUNTER_BITS > epoch.number:
-        return token
-    return max(token, epoch.first_token | 1 << (TOKEN_COUNTER_BITS - 1))
-
-
 class ReportAnswers:
     """Answers the reports of workers, whichever controller owns their machines.
 
@@ -63,8 +49,8 @@
         renewal: Tells whether the leases of workers may be renewed.
         routines: Runs the sending of commands.
         silent_s: The seconds without a report after which a machine is silent.
+        upgrade: Tells whether all controllers accept tokens that a peer has raised.
         view: The rooms of all known machines.
-        watermark: Knows the process that last answered under each label.
 
     Attributes:
         forwarded: The time of the last report here of each machine of another owner, in
@@ -84,8 +70,8 @@
         renewal: LeaseRenewal,
         routines: Routines,
         silent_s: float,
+        upgrade: UpgradeState,
         view: ClusterView,
-        watermark: CancellationWatermark,
     ) -> None:
         self.cached_state = cached_state
         self.jobs = jobs
@@ -97,8 +83,8 @@
         self.renewal = renewal
         self.routines = routines
         self.silent_s = silent_s
+        self.upgrade = upgrade
         self.view = view
-        self.watermark = watermark
         self.forwarded: dict[str, float] = {}
 
     async def answer_report(self, body: bytes) -> Answer:
@@ -140,7 +126,11 @@
             # Exited tasks take no room, so clearing them can wait for the answer to a report.
             # That needs no extra request, and the command is repeated until the tasks are no
             # longer listed.
-            if now < machine.direct_paused_until or not machine.has_urgent_commands:
+            if (
+                now < machine.direct_paused_until
+                or not machine.has_urgent_commands
+                or not machine.may_launch_directly
+            ):
                 answer["orders"], machine.launches_in_response = self.machines.commands_to_send(
                     machine
                 )
@@ -181,12 +171,18 @@
             if answer is not None:
                 return answer
         if self.renewal.may_renew(time.monotonic()) and not self._has_unknown_jobs(report):
-            # The answer renews the lease and contains only kills, so it starts nothing and does
-            # not interfere with the owner. If the owner has ended, the raised token voids
-            # its commands that are still in flight.
-            ended = self._owner_ended(epoch, owner)
-            token = void_token(epoch, report.token) if ended else report.token
-            return 200, {"epoch": token, "orders": []}
+            # The answer contains only kills, so it starts nothing.
+            token = self._token_without_owner(report)
+            if token is not None:
+                log.debug(
+                    "machine=%s epoch=%d event=answered-without-owner owner=%s token=%d raised=%d",
+                    report.machine,
+                    epoch.number,
+                    owner,
+                    report.token,
+                    token - report.token,
+                )
+                return 200, {"epoch": token, "orders": []}
         if owner and owner != self.membership.label:
             return 421, {"upstream": owner}
         return 503, {}
@@ -252,25 +248,27 @@
 
     def _no_later_owner(self, report: WorkerHeartbeat) -> bool:
         """Return whether a machine has had no commands of a later owner than this controller."""
-        epoch, number = self.membership.epoch, report.token >> TOKEN_COUNTER_BITS
+        epoch, number = self.membership.epoch, epoch_of(report.token)
         return number < epoch.number or (
             number == epoch.number and epoch.member_for(report.machine) == self.membership.label
         )
 
-    def _owner_ended(self, epoch: Epoch, owner: str) -> bool:
-        """Return whether the process that an epoch names as the owner is known to have ended.
+    def _token_without_owner(self, report: WorkerHeartbeat) -> int | None:
+        """Return the token under which a lease may be renewed without the machine's owner.
 
-        It has ended if another process has answered under its label. Only an answer to a
-        request sent after this controller learned of the epoch counts, because an earlier
-        answer may come from the predecessor of the named process.
+        The owner may have sent launches that the network still holds, of jobs that have been
+        cancelled since or will be. They would stay valid as long as the lease is renewed, and
+        nobody else knows of them, so the token voids them. Until all controllers have the
+        current version, the token stays as it is: the version before refuses a token that it has
+        not issued. There are no promises then, so leases are not renewed for too long.
+
+        Returns:
+            The token; None if the lease must not be renewed.
         """
-        watermark, named = self.watermark, epoch.members.get(owner)
-        heard = watermark.incarnations.get(owner)
-        return (
-            epoch is self.membership.epoch
-            and bool(named and heard and named != heard)
-            and watermark.promise_requested_at[owner] > self.membership.epoch_started_at
-        )
+        if not self.upgrade.promises_enabled:
+            return report.token
+        newest = max((peer.epoch for peer in self.peers.values()), default=0)
+        return void_token(report.token, max(self.membership.epoch.number, newest))
 
     def _has_unknown_jobs(self, report: WorkerHeartbeat) -> bool:
         """Return whether a machine has tasks of jobs that are unknown here.
--- a/clayport/machines/reports.py
+++ b/clayport/machines/reports.py
@@ -111,6 +111,7 @@
     machine.notice_at = None if report.notice_s is None else now + report.notice_s
     # Older commands are known to be void only if the worker reports the current token.
     machine.token = max(machine.token, report.token)
+    machine.confirmed_token = max(machine.confirmed_token, report.token)
     machine.fenced = report.token == machine.token
 
 
--- a/clayport/machines/table.py
+++ b/clayport/machines/table.py
@@ -23,7 +23,8 @@
     job_id,
 )
 from clayport.machines.room import build_room
-from clayport.membership.epoch import TOKEN_COUNTER_BITS, Epoch
+from clayport.machines.tokens import epoch_of, initial_token
+from clayport.membership.epoch import Epoch
 from clayport.model import Job, MachineType, WorkerHeartbeat, split_task_id
 from clayport.scheduling.room import Room
 
@@ -87,9 +88,8 @@
         for name in [n for n in self.machines if epoch.member_for(n) != own_label]:
             del self.machines[name]
         for machine in self.machines.values():
-            machine.token = epoch.first_token + 1
-            machine.fenced = machine.fencing = False
-            machine.reset_for_epoch()
+            machine.fencing = False
+            machine.reset_for_epoch(initial_token(epoch.number))
         self.mark_all_changed()
 
     def exclude_stall(self, gap_s: float) -> None:
@@ -106,7 +106,7 @@
         assert self.epoch is not None
         found = self.machines.get(name)
         if found is None:
-            found = self.machines[name] = Machine(name, self.epoch.first_token + 1, now)
+            found = self.machines[name] = Machine(name, initial_token(self.epoch.number), now)
         return found
 
     def remove_machines(self, names: Iterable[str]) -> None:
@@ -160,11 +160,11 @@
     def accepts_token(self, report: WorkerHeartbeat) -> bool:
         """Return whether the report's token is not one of a later epoch.
 
-        A higher token of the current epoch is accepted, because a peer that considered this
-        controller ended may have issued it.
+        A higher token of the current epoch is accepted, because a peer that answered a report
+        without this controller has issued it.
         """
         assert self.epoch is not None
-        return report.token >> TOKEN_COUNTER_BITS <= self.epoch.number
+        return epoch_of(report.token) <= self.epoch.number
 
     def take_report(
         self, report: WorkerHeartbeat, now: float, renews_lease: bool
@@ -317,9 +317,17 @@
 
     # -- commands --------------------------------------------------------
 
-    def commands_to_send(self, machine: Machine) -> tuple[list[Order], list[TaskKey]]:
-        """Return the commands to send now and the launches among them, whose tasks become SENT."""
-        return commands.take_orders(self, machine)
+    def commands_to_send(
+        self, machine: Machine, direct: bool = False
+    ) -> tuple[list[Order], list[TaskKey]]:
+        """Return the commands to send now and the launches among them, whose tasks become SENT.
+
+        Args:
+            machine: The machine.
+            direct: Whether the commands are sent in a request to the worker rather than in the
+                answer to a report.
+        """
+        return commands.take_orders(self, machine, direct)
 
     def answered(self, machine: Machine, orders: list[Order], launches: list[TaskKey]) -> None:
         """Record that the worker has executed the commands."""
--- a/clayport/membership/epoch.py
+++ b/clayport/membership/epoch.py
@@ -51,11 +51,6 @@
         """Return the value that is stored under the epoch's key."""
         return {"number": self.number, "members": self.members}
 
-    @property
-    def first_token(self) -> int:
-        """The lowest fencing token of this epoch, to which a machine's counter is added."""
-        return self.number << TOKEN_COUNTER_BITS
-
     def member_for(self, key: str) -> str:
         """Return the leader of a job, or the owner of a machine.
 
--- a/tests/world/deployment.py
+++ b/tests/world/deployment.py
@@ -41,6 +41,9 @@
         # Disconnected endpoints, and disconnected directed links in the form "SOURCE>TARGET".
         self.partitioned: set[str] = set()
         self.held_senders: set[str] = set()  # controllers whose requests to workers are held
+        # Commands held for an unlimited time, in the order in which they were sent, by the label of
+        # the sender.
+        self.interrupted_senders: dict[str, list[Callable[[], Any]]] = {}
         self.hold_s = (1.0, 40.0)  # range of the time for which a held message is in flight
         self.duplicated_frame_kinds: set[int] = set()  # a copy of such frames arrives late
         self.loss = 0.0  # share of requests that are lost or lose their answer
--- a/tests/world/network.py
+++ b/tests/world/network.py
@@ -71,6 +71,10 @@
             http.NoAnswerError: No answer arrives.
         """
         delay = self.rng.uniform(0.001, 0.01)
+        if target in self.workers and hold and source in self.interrupted_senders:
+            self.interrupted_senders[source].append(serve)
+            await curio.sleep(timeout_s)
+            raise http.NoAnswerError("held until the network is back")
         if target == "state" and self.slow_s:
             await curio.sleep(self.rng.uniform(0.0, self.slow_s))
         if target == "state" and hold and self.late_writes and self.rng.random() < self.late_writes:
@@ -121,11 +125,25 @@
         await curio.sleep(delay)
         return answer
 
+    def interrupt_commands(self, sender: str) -> None:
+        """Hold all commands of a controller from now on, until `restore_commands` is called."""
+        self.interrupted_senders.setdefault(sender, [])
+
+    async def restore_commands(self, sender: str) -> None:
+        """Deliver the held commands of a controller in order, although it has given them up."""
+        for serve in self.interrupted_senders.pop(sender, []):
+            await self._execute_unanswered(serve)
+
     async def _deliver_late(
         self, serve: Callable[[], Any], within_s: tuple[float, float] | None = None
     ) -> None:
         """Execute a held request after a random time, and drop the answer."""
         await curio.sleep(self.rng.uniform(*(within_s or self.hold_s)))
+        await self._execute_unanswered(serve)
+
+    @staticmethod
+    async def _execute_unanswered(serve: Callable[[], Any]) -> None:
+        """Execute a held request, and drop the answer."""
         try:
             answer = serve()
             if hasattr(answer, "__await__"):
