A controller that forwards a report passes on no launch of a cancelled job

Found while looking for paths on which an order outlives a cancellation that somebody knows of; not seen by users. An owner that has not learned of a cancellation may answer a forwarded report with the job's launch. The controller between them knew of the cancellation and added kills, but only for tasks that the report listed, so the task started and was killed a report later.

The forwarding controller now drops such launches. The owner queues a launch again that the next report doesn't list, so nothing is lost if it should be right.

--- a/clayport/machines/report_answers.py
+++ b/clayport/machines/report_answers.py
@@ -11,7 +11,7 @@
 
 from clayport.jobs.registry import JobRegistry
 from clayport.leases.renewal import LeaseRenewal
-from clayport.machines.commands import MAX_COMMANDS, Order
+from clayport.machines.commands import MAX_COMMANDS, Order, kill_order
 from clayport.machines.machine import NEVER, Machine
 from clayport.machines.table import MachineTable
 from clayport.machines.tokens import epoch_of, void_token
@@ -35,6 +35,12 @@
 Answer: TypeAlias = tuple[int, dict[str, Any]]
 
 
+def _job_of(order: Order) -> str:
+    """Return the id of the job that a command is for."""
+    job: str = order["piece"].partition("/")[0]
+    return job
+
+
 class ReportAnswers:
     """Answers the reports of workers, whichever controller owns their machines.
 
@@ -205,11 +211,25 @@
             try:
                 status, raw = await peer.call(frames.REPORT, (epoch.number, body))
                 if status == 200:
-                    return 200, msgspec.json.decode(raw)
+                    answer = msgspec.json.decode(raw)
+                    answer["orders"] = self._without_cancelled_launches(answer["orders"])
+                    return 200, answer
             except (PeerError, msgspec.DecodeError):
                 pass
         return None
 
+    def _without_cancelled_launches(self, orders: list[Order]) -> list[Order]:
+        """Return an owner's commands without the launches of jobs known here to be cancelled.
+
+        The owner may not have learned of the cancellation yet. It queues a launch again that the
+        next report does not list, so the launch is only delayed if the owner knows better.
+        """
+        return [
+            order
+            for order in orders
+            if order["verb"] != "launch" or not self.jobs.is_cancelled(_job_of(order))
+        ]
+
     def _kill_cancelled(self, report: WorkerHeartbeat, orders: list[Order]) -> None:
         """Add kills for the reported tasks of jobs that are known to be cancelled.
 
@@ -218,7 +238,7 @@
         """
         ordered = {(order["piece"], order["try"]) for order in orders if order["verb"] == "kill"}
         orders += [
-            {"verb": "kill", "piece": task.task, "try": task.attempt, "wind_down_s": 0.0}
+            kill_order((task.task, task.attempt), 0.0)
             for task in report.tasks
             if task.state != "exited"
             and (task.task, task.attempt) not in ordered
