A rebuild keeps the description of an ended job whose live record is stored

Cause: the state service lost the transaction that ended a job, so its live record and a chunk with assigned tasks were back. The merge took descriptions from final records and evidence, not from the stored live record, and removed that. Without a description nobody leads the job, and its usage stays charged.

--- a/clayport/rebuild/merge.py
+++ b/clayport/rebuild/merge.py
@@ -23,7 +23,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
 import msgspec
@@ -33,7 +33,7 @@
 from clayport.rebuild.chunk_merge import Records, change_chunks, chunk_sources, merge_chunks
 from clayport.rebuild.evidence import Evidence, Task
 from clayport.rebuild.history import is_anchor
-from clayport.records.keys import end_key, live_key, quota_key
+from clayport.records.keys import LIVE_PREFIX, end_key, live_key, quota_key
 from clayport.records.values import end_value, parse_quota
 
 QuotaLimits = Mapping[str, tuple[float, float]]  # team: maximum CPUs, maximum GPUs (0: no limit)
@@ -157,21 +157,30 @@
             if known is None or known.status == value["s"]:
                 description = value.get("j", known.description if known else None)
                 found[name] = JobEnd(value["s"], float(value.get("t", 0.0)), description)
-    for item in evidence:
-        for name, (description, _) in item.live.items():
-            if name in found and found[name].description is None:
-                found[name] = found[name]._replace(description=description)
+    # The state service may have lost the end of a job, and still have its live record and chunks.
+    live = [(name, value["j"]) for name, value in _stored_live_records(records)]
+    live += [(name, job) for item in evidence for name, (job, _) in item.live.items()]
+    for name, description in live:
+        if name in found and found[name].description is None:
+            found[name] = found[name]._replace(description=description)
     return found
 
 
+def _stored_live_records(records: Records) -> Iterator[tuple[str, Any]]:
+    """Yield the name of each job with a live record, and the record's value."""
+    for key, (value, _) in records.items():
+        if key.startswith(LIVE_PREFIX):
+            yield key.removeprefix(LIVE_PREFIX), value
+
+
 def _live_records(
     records: Records, evidence: Iterable[Evidence], ended: Mapping[str, JobEnd]
 ) -> dict[str, LiveJob]:
     """Return the jobs that were accepted and are not known to have ended."""
     found: dict[str, LiveJob] = {}
-    for key, (value, _) in records.items():
-        if key.startswith("c/live/") and key[len("c/live/") :] not in ended:
-            found[key[len("c/live/") :]] = LiveJob(value["j"], float(value.get("t", 0.0)))
+    for name, value in _stored_live_records(records):
+        if name not in ended:
+            found[name] = LiveJob(value["j"], float(value.get("t", 0.0)))
     for item in evidence:
         for name, (description, submitted_at) in item.live.items():
             if name not in ended:
--- a/tests/rebuild/test_merge.py
+++ b/tests/rebuild/test_merge.py
@@ -223,6 +223,24 @@
         assert Chunk.parse(after[chunk_key(name, 0)][0], 1).last_attempt == (2 if loaded else 5)
 
 
+@pytest.mark.parametrize("status", ["done", "cancelled"])
+def test_an_ended_job_with_assigned_tasks_keeps_its_description(status: str) -> None:
+    """Guards against ended jobs whose usage stays charged, as nobody leads one without it.
+
+    The state service has lost the end of the job, and a controller knows of the end alone.
+    """
+    name, chunk = NAMES[0], Chunk()
+    chunk.assigned, chunk.last_attempt = {0: (1, "m1"), 1: (1, "m1")}, 1
+    stored = {
+        f"c/live/{name}": ({"j": JOBS[0], "t": 1.0}, 3),
+        chunk_key(name, 0): (chunk.value(), 4),
+    }
+    evidence = Evidence("c0", "c0", 1, {"c0": "c0"}, ended={name: (status, 9.0, None)})
+    changes = merge(stored, {"c0": evidence}, [], LIMITS, SIZE).changes
+    assert changes[f"end/{name}"] == {"s": status, "t": 9.0, "j": JOBS[0]}
+    assert changes["quota/tight"]["g"] == 2.0
+
+
 def test_truncated_evidence_is_rejected() -> None:
     e = Evidence("c0", "x", live={NAMES[0]: (JOBS[0], 3.5)}, remembered=Evidence("d", ""))
     parts = pack(e)
