A job cancelled while a controller loads an epoch is led

Cause: the load lists the jobs with chunks that aren't live, reads the final record of each, and then takes over the live jobs. A job that ends during the reads is in neither set, so nobody commits the ends of its tasks, and its team's usage is never credited.

The list is now made again after the reads, until every job with chunks is live or has been read; nothing awaits between that and the takeover.

--- a/clayport/membership/failover.py
+++ b/clayport/membership/failover.py
@@ -158,21 +158,41 @@
     async def _ended_jobs(self, chunks: dict[str, Chunks]) -> dict[str, EndedJob]:
         """Return the jobs among `chunks` that have ended.
 
+        On return, each job among `chunks` either is live or has been looked up. More jobs may end
+        during each read.
+
         Raises:
             UnavailableError: The state service does not answer.
             MsgspecError, KeyError, TypeError, ValueError: A record is malformed.
         """
         ended: dict[str, EndedJob] = {}
-        for job_id in [job_id for job_id in chunks if job_id not in self.jobs.live]:
-            entry = await self.store.get(end_key(job_id))
-            if entry is None:
-                continue
-            self.lifecycle.note_end(job_id, *parse_end(entry.value), entry.rev)
-            if "j" in entry.value:
-                job = self.objectives.job_from_description(msgspec.convert(entry.value["j"], Job))
-                ended[job_id] = EndedJob(job, entry.value["s"])
+        unread = chunks.keys() - self.jobs.live.keys()
+        read: set[str] = set()
+        while unread:
+            for job_id in sorted(unread):
+                found = await self._read_ended_job(job_id)
+                if found is not None:
+                    ended[job_id] = found
+            read |= unread
+            unread = chunks.keys() - self.jobs.live.keys() - read
         return ended
 
+    async def _read_ended_job(self, job_id: str) -> EndedJob | None:
+        """Return a job that has ended, or None if its description is not in a final record.
+
+        Raises:
+            UnavailableError: The state service does not answer.
+            MsgspecError, KeyError, TypeError, ValueError: The record is malformed.
+        """
+        entry = await self.store.get(end_key(job_id))
+        if entry is None:
+            return None
+        self.lifecycle.note_end(job_id, *parse_end(entry.value), entry.rev)
+        if "j" not in entry.value:
+            return None
+        job = self.objectives.job_from_description(msgspec.convert(entry.value["j"], Job))
+        return EndedJob(job, entry.value["s"])
+
     def start_leading(self, job: Job, rev: int, chunks: Chunks, ended: str) -> None:
         """Become the leader of a job and start its routine.
 
--- a/tests/system/test_model.py
+++ b/tests/system/test_model.py
@@ -320,6 +320,7 @@
             break
     if not world.violations:
         await curio.sleep(40.0)  # long enough for a cancelled task to be seen
+        await world.check_records_settle()
     return world
 
 
--- a/tests/troubles.py
+++ b/tests/troubles.py
@@ -291,6 +291,7 @@
         ]
     if not world.violations:
         await curio.sleep(CANCEL_S + 5.0)  # long enough for a cancelled task to be seen
+        await world.check_records_settle()
     return unfinished
 
 
--- a/tests/world/rules.py
+++ b/tests/world/rules.py
@@ -6,6 +6,9 @@
 
 import curio
 
+from clayport.membership.epoch import Epoch
+from clayport.records.keys import EPOCH_KEY, is_anchor
+
 from .machine import Worker
 
 
@@ -95,6 +98,44 @@
                     if since is not None and now - since > 35.0:
                         self.violations.append(f"ran_cancelled {task} on {worker.name}")
 
+    async def check_records_settle(self, within_s: float = 60.0) -> None:
+        """Note a violation if the records of assigned tasks are not in order once all is calm."""
+        end = self.clock() + within_s
+        while found := self.unsettled_records():
+            if self.clock() >= end:
+                self.violations += found
+                return
+            await curio.sleep(1.0)
+
+    def unsettled_records(self) -> list[str]:
+        """Return what is wrong with the records of assigned tasks.
+
+        The recorded usage of a team has to be that of its assigned tasks, and each job with such a
+        record has to be led by the controller to which the epoch assigns it.
+        """
+        keys = {key: value for key, (value, _, _) in self.state.keys.items()}
+        epoch = Epoch.parse(keys[EPOCH_KEY], 0)
+        found = []
+        used = dict.fromkeys((key for key in keys if key.startswith("quota/")), (0.0, 0.0))
+        for key, value in keys.items():
+            if not key.startswith("run/") or is_anchor(key):
+                continue
+            name = key.split("/")[1]
+            leader = self.controllers.get(epoch.member_for(name))
+            if leader is None or name not in leader.jobs.managed:
+                found.append(f"led_by_nobody {key}")
+            job = self.jobs[name]
+            team = f"quota/{job['owner']}"
+            if job["cards"] and team in used:
+                count = len(value["a"])
+                cpus, gpus = used[team]
+                used[team] = (cpus + count * job["vcpus"], gpus + count * job["cards"])
+        for key, usage in used.items():
+            recorded = (keys[key]["c"], keys[key]["g"])
+            if any(abs(a - b) > 1e-6 for a, b in zip(recorded, usage, strict=True)):
+                found.append(f"usage {key}: {recorded} recorded, {usage} assigned")
+        return found
+
     def record_commands(self, orders: list[dict[str, Any]]) -> None:
         """Note launches that a controller issues for jobs confirmed as cancelled."""
         for order in orders:
