--- a/tests/jobs/test_dispatch.py
+++ b/tests/jobs/test_dispatch.py
@@ -82,8 +82,12 @@
                 await coro
 
         curio.run(run)
+        self.discard_routines()  # commands to workers, which don't exist here
+
+    def discard_routines(self) -> None:
+        """Drop the routines and signals that the controller has recorded and not started."""
         for coro in self.c.routines.pending_coroutines:
-            coro.close()  # commands to workers, which don't exist here
+            coro.close()
         self.c.routines.pending_coroutines.clear()
         self.c.routines.pending_signals.clear()
 
--- a/tests/machines/test_forwarded_reports.py
+++ b/tests/machines/test_forwarded_reports.py
@@ -22,6 +22,7 @@
     harness = SingleController(monkeypatch)
     c = harness.c
     c.transition.begin_epoch(Epoch(4, {"c0": c.membership.incarnation, "c1": "first"}, 7))
+    harness.discard_routines()  # the load of the epoch
     c.membership.records_loaded = True
     monkeypatch.setattr(c.renewal, "may_renew", lambda now: True)
     c.jobs.ended["j-000001"] = "cancelled"
--- a/tests/machines/test_tokens.py
+++ b/tests/machines/test_tokens.py
@@ -32,6 +32,7 @@
     """
     c = harness.c
     c.transition.begin_epoch(Epoch(4, {"c1": "first"}, 7))
+    harness.discard_routines()  # the load of the epoch
     c.membership.records_loaded = True
     c.peers["c1"].epoch = peer_epoch
     c.fleet.report_answers.forwarded["m1"] = harness.now
--- a/tests/system/test_meetings.py
+++ b/tests/system/test_meetings.py
@@ -12,7 +12,7 @@
 from clayport.machines.machine import SENT
 from tests.system.test_model import JOBS_A_DAY, submit_daily_jobs, wait_until_jobs_end
 from tests.system.test_restarts import restart_controller
-from tests.troubles import CANCEL_S, LEASE_S, LONG_S, busiest, time_to_recover_s
+from tests.troubles import CANCEL_S, LEASE_S, LONG_S, busiest, end_faults, time_to_recover_s
 from tests.world import Clock, World, job, simulate
 
 KINDS: dict[str, dict[str, Any]] = {
@@ -418,15 +418,7 @@
     await submit_daily_jobs(world)
     for fault in faults:
         await fault.join()
-    world.late_reports = world.late_writes = world.slow_s = 0.0
-    for holder in (
-        world.partitioned,
-        world.held_senders,
-        world.replies_blocked,
-        world.state.refused,
-    ):
-        holder.clear()
-    world.faults_end_at = world.clock()
+    end_faults(world)
     await wait_until_jobs_end(world)
     for name in sorted(world.accepted):
         for label in world.labels:
--- a/tests/world/machine.py
+++ b/tests/world/machine.py
@@ -37,7 +37,6 @@
         self.up_at = world.clock() + world.rng.uniform(*world.boot_s)
         self.gone = False
         self.hung_until = 0.0
-        self.cut_from: set[str] = set()
         self.session, self.report_counter, self.token = 1, 0, 0
         self.answered = self.up_at
         self.tasks: dict[tuple[str, int], Task] = {}
