Log the token of each command, why a task is gone, and what an epoch was read from

After a task had run on two machines at once, the controllers' logs could not tell under which token its start and its clear had been sent, why a task counted as gone, nor which revision of the records its leader had read. No behaviour changes.

--- a/clayport/machines/assignments.py
+++ b/clayport/machines/assignments.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from clayport.machines.command_log import log_gone
 from clayport.machines.machine import LIVE, QUEUED, RESERVED, DesiredTask
 from clayport.machines.reports import GONE_STATUS, emit_status
 from clayport.machines.table_parts import AssignmentTable
@@ -109,6 +110,7 @@
             # No launch has been sent, so the task cannot run and is gone without a report.
             del machine.desired[key]
             table.mark_room_changed(name)
+            log_gone(machine, key, "not-launched")
             table.emit_gone(name, key)
         elif clear:
             machine.desired.pop(key, None)
@@ -140,4 +142,5 @@
         if key in machine.reported_tasks:
             emit_status(table, machine, key, machine.reported_tasks[key])
         elif machine.known and machine.fenced and machine.desired[key].phase is LIVE:
+            log_gone(machine, key, "not-listed")
             emit_status(table, machine, key, GONE_STATUS)
--- a/clayport/machines/command_sender.py
+++ b/clayport/machines/command_sender.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from clayport.leases.renewal import LeaseRenewal
+from clayport.machines.command_log import log_sent
 from clayport.machines.machine import NEVER, Machine
 from clayport.machines.table import MachineTable
 from clayport.membership.state import MembershipState
@@ -134,6 +135,7 @@
         """Send the commands queued now, and return whether to send the next ones at once."""
         orders, launches = self.machines.commands_to_send(machine, direct=True)
         token = machine.token
+        log_sent(machine, "request", orders)
         body = msgspec.json.encode({"epoch": token, "tenure": machine.session, "orders": orders})
         try:
             status, raw = await client.request("POST", "/do", body, self.command_s)
@@ -150,8 +152,10 @@
         else:
             self.machines.unanswered(machine, launches, False, time.monotonic())
             log.info(
-                "machine=%s event=refused status=%d the worker refused the commands",
+                "machine=%s session=%d token=%d event=refused status=%d",
                 machine.name,
+                machine.session,
+                token,
                 status,
             )
         if status in (200, 409):
--- a/clayport/machines/event_delivery.py
+++ b/clayport/machines/event_delivery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Protocol
@@ -17,6 +18,8 @@
 from clayport.transport import frames
 from clayport.transport.peers import Peer, PeerError
 
+log = logging.getLogger(__name__)
+
 # The most events in one request to a leader.
 MAX_EVENTS = 500
 
@@ -128,6 +131,10 @@
         elif state == GONE:
             self.machines.confirm_gone(machine, key)
         elif verdict == Verdict.KILL:
+            log.info(
+                "machine=%s task=%s attempt=%d state=%s event=unassigned-task-killed",
+                *event[:4],
+            )
             self.machines.stop([(machine, task, attempt, 0.0, False)])
         elif verdict == Verdict.CLEAR:
             self.machines.stop([(machine, task, attempt, 0.0, True)])
--- a/clayport/machines/report_answers.py
+++ b/clayport/machines/report_answers.py
@@ -11,6 +11,7 @@
 
 from clayport.jobs.registry import JobRegistry
 from clayport.leases.renewal import LeaseRenewal
+from clayport.machines.command_log import log_sent
 from clayport.machines.commands import MAX_COMMANDS, Order, kill_order
 from clayport.machines.machine import NEVER, Machine
 from clayport.machines.table import MachineTable
@@ -140,6 +141,7 @@
                 answer["orders"], machine.launches_in_response = self.machines.commands_to_send(
                     machine
                 )
+                log_sent(machine, "answer", answer["orders"])
             else:
                 self.routines.spawn(self.send_until_empty(machine))
         self.cached_state.note_own_room()
--- a/clayport/machines/reports.py
+++ b/clayport/machines/reports.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from clayport.machines.command_log import log_gone
 from clayport.machines.events import GONE, TaskEvent
 from clayport.machines.machine import (
     LIVE,
@@ -179,6 +180,7 @@
         if desired.phase is LIVE and key not in machine.reported_tasks:
             emitted = machine.emitted.get(key)
             if emitted is None or emitted.state != GONE:
+                log_gone(machine, key, "not-listed")
                 emit_status(table, machine, key, GONE_STATUS)
 
 
--- a/clayport/machines/table.py
+++ b/clayport/machines/table.py
@@ -12,6 +12,7 @@
 
 from clayport.machines import assignments, commands, eviction, reports
 from clayport.machines.changes import ChangeLog
+from clayport.machines.command_log import log_gone
 from clayport.machines.commands import Order
 from clayport.machines.events import GONE, TaskEvent
 from clayport.machines.health import FaultRecord, log_unhealthy
@@ -122,6 +123,7 @@
                 # here after it learned of the return, and would otherwise wait forever.
                 for key, desired in machine.desired.items():
                     if desired.phase is not RESERVED:
+                        log_gone(machine, key, "returned")
                         self.emit_gone(name, key)
 
     def jobs_on(self, name: str) -> set[str]:
--- a/clayport/membership/failover.py
+++ b/clayport/membership/failover.py
@@ -112,7 +112,7 @@
             UnavailableError, OutcomeUnknownError: The state service does not answer.
             MsgspecError, KeyError, TypeError, ValueError: A record is malformed.
         """
-        entries, _ = await self.store.scan("run/")
+        entries, rev = await self.store.scan("run/")
         if self.rebuild.recovery is not None and not self.rebuild.recovery.history.check_prefix(
             "run/", [entry.key for entry in entries]
         ):
@@ -132,7 +132,7 @@
             self.jobs.ended_descriptions[job_id] = job
             self.start_leading(job, 0, loaded.chunks[job_id], status)
         self.membership.serving = True
-        log.info("epoch=%d event=serving jobs=%d", epoch.number, len(self.jobs.managed))
+        log.info("epoch=%d event=serving jobs=%d rev=%d", epoch.number, len(self.jobs.managed), rev)
         for name in ("place", "starved", "demand", "prereqs"):
             self.routines.signal(name)
         await self.routines.flush()
--- a/clayport/membership/transition.py
+++ b/clayport/membership/transition.py
@@ -50,9 +50,10 @@
         self.membership.epoch, self.membership.epoch_started_at = epoch, time.monotonic()
         self.membership.serving = False
         log.info(
-            "epoch=%d event=epoch-started members=%s",
+            "epoch=%d event=epoch-started members=%s rev=%d",
             epoch.number,
             ",".join(sorted(epoch.members)),
+            epoch.rev,
         )
         if self.rebuild.recovery is not None:
             # Other members may have seen higher revisions than the records show, so histories are
