Clear a task only under a token that voids its launch

Cause: a worker ignores a launch of a task that it lists, and starts it again once it has been told to forget the task. Commands to /do are valid as long as token and session match, and the owner cleared an exited task under the same token under which it had launched it. So a copy of the answered request that arrived after the clear started the task again, wherever its leader had placed it meanwhile, or although its job was cancelled. A check was made on one path only: the token was raised after a command without an answer, not after an answered one.

Change: an owner notes session and token of each direct launch, and sends the clear of a task only under a higher token, with which it raises the token at most once for all that it clears. A worker that executes the clear refuses every copy from then on; until then it lists the attempt, so that a copy has no effect. A launch does not wait for that: clears that need a raise are left to the next request without launches or to the answer to a report, and a launch that follows a raise is preceded by a request that confirms the token, not by a report.

TokenSimulation in test_tokens.py asked machine.has_direct_commands before it sent; that property is gone, and it asks has_commands, which lets it send in more states than before.

--- a/clayport/machines/assignments.py
+++ b/clayport/machines/assignments.py
@@ -116,7 +116,9 @@
             machine.desired.pop(key, None)
             table.mark_room_changed(name)
             if machine.has_exited(key):
-                machine.pending_clears[key] = None
+                machine.pending_clears.setdefault(
+                    key, desired.launch_fence if desired else machine.last_launch_fence
+                )
         else:
             if desired is not None and desired.phase is QUEUED:
                 # An earlier launch was sent and not answered. The task is not launched
--- a/clayport/machines/command_sender.py
+++ b/clayport/machines/command_sender.py
@@ -98,7 +98,6 @@
         if (
             machine is not None
             and machine.has_urgent_commands
-            and machine.has_direct_commands
             and not machine.request_in_flight
             and machine.known
             and time.monotonic() >= machine.direct_paused_until
@@ -107,7 +106,9 @@
             self.routines.spawn(self.send_until_empty(machine, True))
 
     async def send_until_empty(self, machine: Machine, already_marked: bool = False) -> None:
-        """Send one request at a time to a machine, until no command is queued for it.
+        """Send one request at a time to a machine, until no task is to be launched or stopped.
+
+        Clears go with these requests, or else with the answer to the next report.
 
         Args:
             machine: The machine.
@@ -119,7 +120,7 @@
         epoch_number = self.membership.epoch.number
         try:
             while (
-                machine.has_direct_commands
+                machine.has_urgent_commands
                 and self.membership.epoch.number == epoch_number
                 and self.membership.serving
                 and self.renewal.may_renew(time.monotonic())
@@ -165,7 +166,7 @@
             # for that reason are sent again under the new token.
             machine.direct_paused_until = NEVER
             return True
-        return status == 200
+        return status == 200 and machine.may_launch_directly
 
     def _apply_answer(self, machine: Machine, raw: bytes) -> None:
         """Apply the report in a worker's answer to a command, which does not renew its lease."""
--- a/clayport/machines/commands.py
+++ b/clayport/machines/commands.py
@@ -10,6 +10,7 @@
 from clayport.machines.machine import LIVE, QUEUED, SENT, Machine, TaskKey, job_id
 from clayport.machines.reports import settle_launches
 from clayport.machines.table_parts import CommandTable
+from clayport.machines.tokens import LaunchFence, raised_token
 
 # The most commands of each kind in one request, so that a request always fits into 64 KiB.
 MAX_COMMANDS = 300
@@ -37,21 +38,32 @@
 ) -> tuple[list[Order], list[TaskKey]]:
     """Return the commands to send now and the launches among them, whose tasks become SENT.
 
+    The commands are to be sent under the token that the machine has after this call.
+
     Args:
         table: The table of machines.
         machine: The machine.
         direct: Whether the commands are sent in a request to the worker. Such a request may arrive
-            late, so it contains launches only under a token that can be voided
+            late or again, so it contains launches only under a token that can be voided
             (`machines.tokens`).
     """
-    orders = [clear_order(key) for key in list(machine.pending_clears)[:MAX_COMMANDS]]
+    launches: list[TaskKey] = []
+    if not direct or machine.may_launch_directly:
+        launches = _take_launches(table, machine, direct)
+    # A raised token has to be confirmed before the next direct launch, so the clears that need
+    # one wait for a request without launches or for the answer to a report.
+    orders = _take_clears(machine, may_raise=not (direct and launches))
     orders += [
         kill_order(key, grace_s)
         for key, grace_s in list(machine.pending_kills.items())[:MAX_COMMANDS]
     ]
-    if direct and not machine.may_launch_directly:
-        return orders, []
+    return orders + [launch_order(key) for key in launches], launches
+
+
+def _take_launches(table: CommandTable, machine: Machine, direct: bool) -> list[TaskKey]:
+    """Return the queued launches to send now, and mark their tasks as SENT."""
     launches = []
+    fence = LaunchFence(machine.session, machine.token)
     queued = [key for key, desired in machine.desired.items() if desired.phase is QUEUED]
     for key in queued[:MAX_COMMANDS]:
         if table.is_cancelled(job_id(key)):
@@ -60,10 +72,29 @@
             table.stop([(machine.name, *key, 0.0, False)])
             continue
         launches.append(key)
-        machine.desired[key].phase = SENT
-        machine.desired[key].launch_sent = True
-        orders.append(launch_order(key))
-    return orders, launches
+        desired = machine.desired[key]
+        desired.phase = SENT
+        desired.launch_sent = True
+        if direct:
+            desired.launch_fence = machine.last_launch_fence = fence
+    return launches
+
+
+def _take_clears(machine: Machine, may_raise: bool) -> list[Order]:
+    """Return the clears to send now, and raise the token if one of them needs it.
+
+    Once a worker has forgotten a task, a copy of the task's launch would start it again. So a
+    task is cleared only under a token that voids its launch.
+
+    Args:
+        machine: The machine.
+        may_raise: Whether the token may be raised; otherwise clears that need it are left out.
+    """
+    clears = list(machine.pending_clears.items())[:MAX_COMMANDS]
+    may_raise = may_raise and raised_token(machine.token) is not None
+    if may_raise and not all(machine.voids(fence) for _, fence in clears):
+        machine.raise_token()
+    return [clear_order(key) for key, fence in clears if machine.voids(fence)]
 
 
 def note_answered(machine: Machine, orders: list[Order], launches: list[TaskKey]) -> None:
@@ -93,6 +124,5 @@
     """
     settle_launches(machine, launches)
     if sent:
-        machine.token += 1
-        machine.fenced = False
+        machine.raise_token()
     machine.direct_paused_until = paused_until
--- a/clayport/machines/machine.py
+++ b/clayport/machines/machine.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import NamedTuple, TypeAlias
 
+from clayport.machines.tokens import NOT_LAUNCHED, LaunchFence
 from clayport.scheduling.room import Room
 
 # A task's id and the number of the attempt. It is a plain tuple, because each report creates
@@ -54,13 +55,15 @@
         phase: The progress of the launch.
         since: The time of the reservation or adoption, in seconds of the monotonic clock.
         launch_sent: Whether a launch has been sent at least once.
+        launch_fence: What the newest launch in a request to the worker was sent under.
     """
 
-    __slots__ = ("launch_sent", "phase", "since")
+    __slots__ = ("launch_fence", "launch_sent", "phase", "since")
 
     def __init__(self, phase: Phase, since: float) -> None:
         self.phase, self.since = phase, since
         self.launch_sent = False
+        self.launch_fence = NOT_LAUNCHED
 
 
 class Machine:
@@ -96,9 +99,11 @@
         self.emitted: dict[TaskKey, TaskStatus] = {}
         self.desired: dict[TaskKey, DesiredTask] = {}
         # Commands to send: tasks to stop, with the seconds that each has to save a checkpoint,
-        # and exited tasks that the worker may forget.
+        # and exited tasks that the worker may forget, with what each was launched under.
         self.pending_kills: dict[TaskKey, float] = {}
-        self.pending_clears: dict[TaskKey, None] = {}
+        self.pending_clears: dict[TaskKey, LaunchFence] = {}
+        # What the newest launch in a request to the worker was sent under, whichever task it was.
+        self.last_launch_fence = NOT_LAUNCHED
         self.images: OrderedDict[str, float] = OrderedDict()
         self.idle_since = now
         # Until when commands are sent only in responses to reports, because a /do request failed.
@@ -129,17 +134,20 @@
     def may_launch_directly(self) -> bool:
         """Whether launches may be sent in a request to the worker (`machines.tokens`).
 
-        A raised token has to reach the worker with the answer to a report first. That answer may
-        contain launches, because the worker drops an answer that is late.
+        A raised token has to reach the worker first, with the answer to a report or with a
+        request without launches. The answer to a report may contain launches, because the
+        worker drops an answer that is late.
         """
         return self.token <= self.confirmed_token
 
-    @property
-    def has_direct_commands(self) -> bool:
-        """Whether any command is to be sent that may be sent in a request to the worker."""
-        if self.may_launch_directly:
-            return self.has_commands
-        return bool(self.pending_clears or self.pending_kills)
+    def voids(self, fence: LaunchFence) -> bool:
+        """Return whether a worker with the current session and token refuses a launch."""
+        return (self.session, self.token) > fence
+
+    def raise_token(self) -> None:
+        """Raise the token; the machine is fenced again once its worker has reported the new one."""
+        self.token += 1
+        self.fenced = False
 
     def has_exited(self, key: TaskKey) -> bool:
         """Return whether the newest report lists the task as exited."""
--- a/clayport/machines/report_answers.py
+++ b/clayport/machines/report_answers.py
@@ -141,6 +141,7 @@
                 answer["orders"], machine.launches_in_response = self.machines.commands_to_send(
                     machine
                 )
+                answer["epoch"] = machine.token
                 log_sent(machine, "answer", answer["orders"])
             else:
                 self.routines.spawn(self.send_until_empty(machine))
--- a/clayport/machines/reports.py
+++ b/clayport/machines/reports.py
@@ -67,9 +67,9 @@
         for key in [k for k in machine.emitted if k not in reported and k not in machine.desired]:
             del machine.emitted[key]
     if machine.pending_clears:
-        machine.pending_clears = dict.fromkeys(
-            key for key in machine.pending_clears if key in reported
-        )
+        machine.pending_clears = {
+            key: fence for key, fence in machine.pending_clears.items() if key in reported
+        }
     if changed or state_before != (True, table.accepts_work(machine)):
         _note_change(table, machine, now)
     return machine
--- a/tests/machines/test_tokens.py
+++ b/tests/machines/test_tokens.py
@@ -194,7 +194,7 @@
     def send(self) -> None:
         """Send the queued commands directly."""
         owner, machine = self.bench.owner, self.bench.machine
-        if not machine.has_direct_commands:
+        if not machine.has_commands:
             return
         orders, launches = owner.commands_to_send(machine, direct=True)
         self.direct_launches += len(launches)
--- a/tests/system/test_model.py
+++ b/tests/system/test_model.py
@@ -59,6 +59,9 @@
     "kept_reports": 0.4,
     "late_commands": 0.4,
     "cancelled_at_end": 0.3,
+    "repeated_commands": 0.5,
+    "repeated_requests": 0.2,
+    "failing_tasks": 0.33,
     "slow_s": 0.8,
     "link_s": 0.2,
 }
--- /dev/null
+++ b/tests/system/test_repeated_commands.py
@@ -0,0 +1,154 @@
+"""Tests that a copy of an answered command, which arrives late, starts no task again.
+
+A worker forgets a task that it is told to clear. A copy of the task's launch would start the task
+again, although its leader may have placed it on another machine or its job is cancelled.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import curio
+import pytest
+
+from tests.system.test_model import (
+    JOBS,
+    JOBS_A_DAY,
+    start_world,
+    submit_daily_jobs,
+    wait_until_jobs_end,
+)
+from tests.system.test_restarts import restart_controller
+from tests.troubles import CANCEL_S, end_faults
+from tests.world import Clock, Worker, World, job, simulate
+
+TASK = "j-000001/0"
+FAULTS_S = 60.0
+
+
+def machines_with_task(world: World) -> list[Worker]:
+    """Return the machines that the first task of the first job is on."""
+    return [w for w in world.workers.values() if any(k[0] == TASK for k in w.occupying_tasks())]
+
+
+def listing_machines(world: World) -> set[str]:
+    """Return the names of the machines whose reports list the first task of the first job."""
+    return {w.name for w in world.workers.values() if any(k[0] == TASK for k in w.tasks)}
+
+
+def tasks_of(world: World, name: str) -> int:
+    """Return how many tasks of a job are on machines."""
+    return sum(
+        k[0].startswith(f"{name}/") for w in world.workers.values() for k in w.occupying_tasks()
+    )
+
+
+async def until(condition: Callable[[], bool], clock: Clock) -> None:
+    """Wait until a condition holds, for three minutes at most."""
+    end = clock() + 180.0
+    while not condition():
+        await curio.sleep(0.05)
+        assert clock() < end, "the condition never held"
+
+
+async def task_fails(world: World, worker: Worker) -> None:
+    """Let the task exit with an error, and wait until it runs on another machine."""
+    for key in worker.occupying_tasks():
+        if key[0] == TASK:
+            worker.tasks[key].fails_at = world.clock()
+    await until(lambda: machines_with_task(world) not in ([], [worker]), world.clock)
+
+
+async def task_is_stopped(world: World, worker: Worker) -> None:
+    """Let the owner stop the task for another job, and wait until it runs on another machine."""
+    owner = next(
+        c.machines
+        for c in world.controllers.values()
+        if c.membership.epoch.member_for(worker.name) == c.membership.label
+    )
+    machine = owner.machines[worker.name]
+    machine.held_for_job, machine.held_until = "other", world.clock() + 1000.0
+    owner.mark_room_changed(worker.name)
+    key = next(k for k in worker.occupying_tasks() if k[0] == TASK)
+    owner.stop([(worker.name, *key, 0.0, False)])
+    await until(lambda: machines_with_task(world) not in ([], [worker]), world.clock)
+
+
+async def job_is_cancelled(world: World, worker: Worker) -> None:
+    """Let the user cancel the job, and wait until its tasks must be gone."""
+    await world.abort("j-000001")
+    await curio.sleep(CANCEL_S + 1.0)
+
+
+Scene = Callable[[World, Worker], Coroutine[Any, Any, None]]
+
+
+async def simulate_copies(clock: Clock, scene: Scene, restarts: bool, seed: int) -> World:
+    """Let all answered commands arrive once more after a task has left its machine."""
+    world = await start_world(clock, seed, job(1, pieces=1, shape="daemon", loaners=False))
+    await until(lambda: len(machines_with_task(world)) == 1, clock)
+    # The tasks of the second job fit no machine with another task, so each machine has room left.
+    await world.submit(job(2, pieces=3, vcpus=5.0, loaners=False), 1e9)
+    await until(lambda: tasks_of(world, "j-000002") == 3, clock)
+    worker = machines_with_task(world)[0]
+    await scene(world, worker)
+    await until(lambda: worker.name not in listing_machines(world), clock)
+    if restarts:
+        await restart_controller(world, world.rng.choice(world.labels))
+    await world.repeat_answered_commands()
+    await curio.sleep(5.0)
+    assert worker.alive()
+    return world
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("restarts", [False, True])
+@pytest.mark.parametrize("scene", [task_fails, task_is_stopped, job_is_cancelled])
+def test_a_copy_of_an_answered_launch_starts_no_moved_or_cancelled_task(
+    monkeypatch: pytest.MonkeyPatch, scene: Scene, restarts: bool, seed: int
+) -> None:
+    world = simulate(monkeypatch, lambda clock: simulate_copies(clock, scene, restarts, seed))
+    assert world.violations == []
+    assert len(machines_with_task(world)) == (scene is not job_is_cancelled)
+
+
+async def day_of_copies(clock: Clock, seed: int, controllers: int, restarts: bool) -> World:
+    """Run a day on which tasks fail and half of the answered commands arrive once more."""
+    world = World(clock, seed, controllers)
+    await world.open()
+    world.repeated_commands, world.failing_tasks, world.repeated_requests = 0.5, 0.33, 0.2
+
+    async def faults() -> None:
+        end = clock() + FAULTS_S
+        while clock() < end:
+            await curio.sleep(world.rng.uniform(3.0, 12.0))
+            if restarts:
+                await restart_controller(world, world.rng.choice(world.labels))
+        end_faults(world)
+
+    await curio.spawn(faults, daemon=True)
+    await submit_daily_jobs(world)
+    return await wait_until_jobs_end(world)
+
+
+@pytest.mark.parametrize(
+    "seed, controllers, restarts", [(1, 3, False), (2, 3, True), (3, 5, True), (4, 3, False)]
+)
+def test_rules_hold_while_tasks_fail_and_answered_commands_are_repeated(
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+    seed: int,
+    controllers: int,
+    restarts: bool,
+) -> None:
+    world = simulate(monkeypatch, lambda clock: day_of_copies(clock, seed, controllers, restarts))
+    assert world.violations == []
+    assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
+    assert len(world.accepted) == JOBS_A_DAY and len(JOBS) <= world.launches
+    assert {
+        i: world.last_status.get(i)
+        for i in world.accepted
+        if world.jobs[i]["shape"] != "daemon"
+        and world.last_status.get(i) not in ("done", "cancelled")
+    } == {}
--- a/tests/troubles.py
+++ b/tests/troubles.py
@@ -252,7 +252,8 @@
     """End all faults."""
     world.late_reports = world.late_writes = world.slow_s = world.link_s = world.loss = 0.0
     world.lost_answers = world.kept_reports = world.late_commands = 0.0
-    world.cancelled_at_end = 0.0
+    world.cancelled_at_end = world.failing_tasks = 0.0
+    world.repeated_commands = world.repeated_requests = 0.0
     world.isolated_zone = ""
     for holder in (
         world.partitioned,
--- a/tests/world/deployment.py
+++ b/tests/world/deployment.py
@@ -57,6 +57,11 @@
         # 2 to 16 s later, and `cancelled_at_end` the share of jobs that a user cancels when their
         # last task completes.
         self.lost_answers = self.kept_reports = self.late_commands = self.cancelled_at_end = 0.0
+        # `repeated_commands` is the share of answered direct commands that arrive once more 1 to
+        # 9 s later, `repeated_requests` the same of all other requests that change something, and
+        # `failing_tasks` the share of started tasks that soon exit with an error.
+        self.repeated_commands = self.repeated_requests = self.failing_tasks = 0.0
+        self.answered_commands: list[Callable[[], Any]] = []
         self.report_copies: list[tuple[str, bytes]] = []  # machine and body of each kept report
         self.reports_blocked: set[str] = (
             set()
--- a/tests/world/machine.py
+++ b/tests/world/machine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -20,12 +21,14 @@
 
     Attributes:
         until: The time at which the image is fetched, or at which the running task is done.
+        fails_at: The time at which the started task exits with an error.
         cause: Why the task has exited.
         snapshot_stored: Whether the task stored a snapshot before it exited.
     """
 
     def __init__(self, state: str, until: float) -> None:
         self.state, self.until, self.cause, self.snapshot_stored = state, until, "", False
+        self.fails_at = math.inf
 
 
 class Worker:
@@ -115,6 +118,8 @@
         task.state = "waiting" if job["shape"] == "ensemble" else "running"
         task.until = now + self.world.run_s[job_id] * (1 + self.world.run_time_spread * int(number))
         self.world.entered(self, key)
+        if self.world.draw_fault("failing_tasks"):
+            task.fails_at = now + self.world.rng.uniform(0.2, 3.0)
         if int(number) in self.world.results[job_id]:
             self.complete_task(key, task)
 
@@ -134,11 +139,29 @@
             job = self.world.jobs[job_id]
             if task.state == "pulling" and now >= task.until:
                 self.start_task(key, task, now)
+            elif task.state in ("running", "waiting") and now >= task.fails_at:
+                self.world.stop_gang_mates(self, key)
+                task.state, task.cause = "exited", "error"
             elif task.state == "waiting":
                 self.world.start_complete_gang(job_id, key[1], now)
             elif task.state == "running" and job["shape"] != "daemon" and now >= task.until:
                 self.complete_task(key, task)
 
+    def restart(self, keeps_fence: bool) -> None:
+        """Let the machine end and be back at once, without its tasks.
+
+        Args:
+            keeps_fence: Whether the worker still knows its session and the highest token that it
+                has seen; otherwise both begin anew, and so does the counter of its reports.
+        """
+        for key in self.occupying_tasks():
+            self.world.stop_gang_mates(self, key)
+        self.tasks.clear()
+        self.images.clear()
+        self.answered = self.world.clock()
+        if not keeps_fence:
+            self.session, self.report_counter, self.token = 1, 0, 0
+
     def complete_task(self, key: tuple[str, int], task: Task) -> None:
         """Let a task exit as done."""
         job_id, _, number = key[0].partition("/")
--- a/tests/world/network.py
+++ b/tests/world/network.py
@@ -123,6 +123,11 @@
             await curio.sleep(timeout_s)
             raise http.NoAnswerError("answer lost")
         await curio.sleep(delay)
+        if hold and target in self.workers:
+            self.answered_commands.append(serve)
+        repeated = "repeated_commands" if target in self.workers else "repeated_requests"
+        if hold and self.draw_fault(repeated):
+            await curio.spawn(self._deliver_late(serve, (1.0, 9.0)), daemon=True)
         return answer
 
     def interrupt_commands(self, sender: str) -> None:
@@ -134,6 +139,11 @@
         for serve in self.interrupted_senders.pop(sender, []):
             await self._execute_unanswered(serve)
 
+    async def repeat_answered_commands(self) -> None:
+        """Deliver every direct command that has been answered once more, the oldest first."""
+        for serve in self.answered_commands.copy():
+            await self._execute_unanswered(serve)
+
     async def _deliver_late(
         self, serve: Callable[[], Any], within_s: tuple[float, float] | None = None
     ) -> None:
