Reserve no room for an attempt that a leader has asked to launch before

An owner starts a task if room is reserved for it, and drops the task once it has been cleared or is gone. From then on it knew nothing of the attempt, so a late copy of the leader's request to reserve room, followed by a copy of the request to launch, launched the attempt again under the current token, although the leader had placed the task elsewhere.

Change: within an epoch the attempts of a job rise. An owner notes the newest attempt of each live job that it was asked to launch, with the places, and reserves no room for it there again, nor for an earlier one; replacements of a waiting gang, which keep the attempt number, go to other machines. The note ends with the job or the epoch: requests of other epochs are refused already, and room is now reserved for live jobs only.

--- a/clayport/machines/assignments.py
+++ b/clayport/machines/assignments.py
@@ -41,6 +41,7 @@
         # dropping the reservation would count a task as gone whose launch may have been sent.
         fits = (
             machine is not None
+            and table.launched_attempts.may_reserve(job.id, number, attempt, name)
             and key not in machine.desired
             and key not in machine.reported_tasks
             and rooms[name].fits(job)
@@ -76,7 +77,7 @@
 
     Only a task whose reservation still exists is launched. A launch request may be delayed
     in the network and arrive after its leader has learned that the attempt is gone and has
-    placed the task elsewhere.
+    placed the task elsewhere. For the same reason no room is reserved for the attempt again.
 
     Returns:
         For each item 1, or 0 if there is no reservation, so that this request never starts
@@ -84,6 +85,7 @@
     """
     answers = []
     for name, task, attempt in items:
+        table.launched_attempts.note(name, task, attempt)
         machine = table.machines.get(name)
         desired = machine.desired.get((task, attempt)) if machine is not None else None
         if desired is not None and desired.phase is RESERVED:
--- a/clayport/machines/table.py
+++ b/clayport/machines/table.py
@@ -16,6 +16,7 @@
 from clayport.machines.commands import Order
 from clayport.machines.events import GONE, TaskEvent
 from clayport.machines.health import FaultRecord, log_unhealthy
+from clayport.machines.launched_attempts import LaunchedAttempts
 from clayport.machines.machine import (
     LIVE,
     RESERVED,
@@ -57,6 +58,7 @@
         changes: The log of changes to rooms, so that a refresh of a cached state builds only
             the rooms that have changed.
         faults: The verdicts of the jobs' leaders on the causes of errors.
+        launched_attempts: The attempts for which no room is reserved again.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self.epoch: Epoch | None = None
         self.changes = ChangeLog()
         self.faults = FaultRecord()
+        self.launched_attempts = LaunchedAttempts()
 
     # -- ownership -------------------------------------------------------
 
@@ -86,6 +89,7 @@
         does not count as fenced until it reports the new token.
         """
         self.epoch = epoch
+        self.launched_attempts.forget_all()
         for name in [n for n in self.machines if epoch.member_for(n) != own_label]:
             del self.machines[name]
         for machine in self.machines.values():
@@ -234,12 +238,13 @@
             self.mark_room_changed(name)
 
     def job_ended(self, job: str, status: str) -> None:
-        """Drop the verdict on a job that has ended.
+        """Drop the verdict on a job that has ended, and its launched attempts.
 
         The errors of a cancelled job no longer count against machines, because users often
         cancel jobs that are faulty.
         """
         self.faults.forget(job)
+        self.launched_attempts.forget_job(job)
         if status == "cancelled":
             self._remove_errors(job)
 
--- a/clayport/machines/table_parts.py
+++ b/clayport/machines/table_parts.py
@@ -11,6 +11,7 @@
 
 from clayport.machines.events import TaskEvent
 from clayport.machines.health import FaultRecord
+from clayport.machines.launched_attempts import LaunchedAttempts
 from clayport.machines.machine import Machine, TaskKey
 from clayport.model import Job, MachineType
 from clayport.scheduling.room import Room
@@ -83,10 +84,12 @@
     Attributes:
         machines: The machines, by name.
         reservation_s: The seconds after which a reservation that is not launched expires.
+        launched_attempts: The attempts for which no room is reserved again.
     """
 
     machines: dict[str, Machine]
     reservation_s: float
+    launched_attempts: LaunchedAttempts
 
     def machine(self, name: str, now: float) -> Machine:
         """Return the machine of that name, and add it if it is unknown."""
--- a/clayport/peer_requests.py
+++ b/clayport/peer_requests.py
@@ -221,11 +221,11 @@
     async def reserve(
         self, _epoch: int, job: str, attempt: int, places: list[ReservationRecord]
     ) -> Answer:
-        """RESERVE: reserve room for tasks of a job on machines of this owner."""
-        description = self.jobs.description(job)
-        if description is None:
+        """RESERVE: reserve room for tasks of a live job on machines of this owner."""
+        live = self.jobs.live.get(job)
+        if live is None:
             return NO_RESERVATIONS
-        grants = self.machines.reserve(description, places, attempt, time.monotonic())
+        grants = self.machines.reserve(live[0], places, attempt, time.monotonic())
         return frames.RESERVED, (True, [(granted,) for granted in grants])
 
     async def launch(self, _epoch: int, tasks: list[TaskRecord]) -> Answer:
--- a/tests/system/test_repeated_commands.py
+++ b/tests/system/test_repeated_commands.py
@@ -12,6 +12,7 @@
 import curio
 import pytest
 
+from clayport.transport import frames
 from tests.system.test_model import (
     JOBS,
     JOBS_A_DAY,
@@ -113,11 +114,23 @@
     assert len(machines_with_task(world)) == (scene is not job_is_cancelled)
 
 
-async def day_of_copies(clock: Clock, seed: int, controllers: int, restarts: bool) -> World:
-    """Run a day on which tasks fail and half of the answered commands arrive once more."""
+async def day_of_copies(
+    clock: Clock, seed: int, controllers: int, restarts: bool, of_frames: bool = False
+) -> World:
+    """Run a day on which tasks fail and answered requests arrive once more.
+
+    Args:
+        of_frames: Whether all reservations and launches between controllers are repeated, rather
+            than half of the commands and a fifth of the other requests.
+    """
     world = World(clock, seed, controllers)
     await world.open()
-    world.repeated_commands, world.failing_tasks, world.repeated_requests = 0.5, 0.33, 0.2
+    world.failing_tasks = 0.33
+    if of_frames:
+        world.hold_s = (1.0, 9.0)
+        world.duplicated_frame_kinds = {frames.RESERVE, frames.LAUNCH}
+    else:
+        world.repeated_commands, world.repeated_requests = 0.5, 0.2
 
     async def faults() -> None:
         end = clock() + FAULTS_S
@@ -132,17 +145,31 @@
     return await wait_until_jobs_end(world)
 
 
-@pytest.mark.parametrize(
-    "seed, controllers, restarts", [(1, 3, False), (2, 3, True), (3, 5, True), (4, 3, False)]
-)
-def test_rules_hold_while_tasks_fail_and_answered_commands_are_repeated(
+DAYS = [
+    # Seed, controllers, whether they restart, and whether only frames are repeated.
+    (1, 3, False, False),
+    (2, 3, True, False),
+    (3, 5, True, False),
+    (4, 3, False, False),
+    (8, 3, False, False),
+    (2, 3, False, True),
+    (13, 3, True, True),
+    (3, 5, False, True),
+]
+
+
+@pytest.mark.parametrize("seed, controllers, restarts, of_frames", DAYS)
+def test_rules_hold_while_tasks_fail_and_answered_requests_are_repeated(
     monkeypatch: pytest.MonkeyPatch,
     caplog: pytest.LogCaptureFixture,
     seed: int,
     controllers: int,
     restarts: bool,
+    of_frames: bool,
 ) -> None:
-    world = simulate(monkeypatch, lambda clock: day_of_copies(clock, seed, controllers, restarts))
+    world = simulate(
+        monkeypatch, lambda clock: day_of_copies(clock, seed, controllers, restarts, of_frames)
+    )
     assert world.violations == []
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
     assert len(world.accepted) == JOBS_A_DAY and len(JOBS) <= world.launches
--- a/tests/troubles.py
+++ b/tests/troubles.py
@@ -254,6 +254,7 @@
     world.lost_answers = world.kept_reports = world.late_commands = 0.0
     world.cancelled_at_end = world.failing_tasks = 0.0
     world.repeated_commands = world.repeated_requests = 0.0
+    world.duplicated_frame_kinds.clear()
     world.isolated_zone = ""
     for holder in (
         world.partitioned,
