A task that a report omits is gone only once its launch is void

Found by the question of the incident, held against every path on which a task counts as gone: can a command that was sent before still start it there?

Cause, of the class of the incident: a report under the present token that does not list a task made it count as gone. That was proof only because a worker never forgets a task within a session without a clear. A machine that is back at once without its tasks, and still knows session and token, omits them too, and a copy of an answered launch starts them there again.

Change: the task counts as gone only if the session is newer or the token higher than those of its direct launch. Otherwise the token is raised, the answer to the report carries it, and the next report decides. The path of the adoption by a new leader asks the same.

--- a/clayport/machines/assignments.py
+++ b/clayport/machines/assignments.py
@@ -145,6 +145,11 @@
         machine.emitted.pop(key, None)
         if key in machine.reported_tasks:
             emit_status(table, machine, key, machine.reported_tasks[key])
-        elif machine.known and machine.fenced and machine.desired[key].phase is LIVE:
+        elif (
+            machine.known
+            and machine.fenced
+            and machine.desired[key].phase is LIVE
+            and machine.voids(machine.desired[key].launch_fence)
+        ):
             log_gone(machine, key, "not-listed")
             emit_status(table, machine, key, GONE_STATUS)
--- a/clayport/machines/reports.py
+++ b/clayport/machines/reports.py
@@ -175,13 +175,24 @@
 
 
 def _emit_missing(table: ReportTable, machine: Machine) -> None:
-    """Emit that desired tasks are gone if a report under the current token omits them."""
+    """Emit that desired tasks are gone if a report under the current token omits them.
+
+    A machine that has restarted may omit a task whose answered launch is still valid, so that a
+    copy of it would start the task. Then the token is raised, and a later report decides.
+    """
+    launch_is_valid = False
     for key, desired in machine.desired.items():
         if desired.phase is LIVE and key not in machine.reported_tasks:
             emitted = machine.emitted.get(key)
-            if emitted is None or emitted.state != GONE:
-                log_gone(machine, key, "not-listed")
-                emit_status(table, machine, key, GONE_STATUS)
+            if emitted is not None and emitted.state == GONE:
+                continue
+            if not machine.voids(desired.launch_fence):
+                launch_is_valid = True
+                continue
+            log_gone(machine, key, "not-listed")
+            emit_status(table, machine, key, GONE_STATUS)
+    if launch_is_valid:
+        machine.raise_token()
 
 
 def _note_change(table: ReportTable, machine: Machine, now: float) -> None:
--- a/tests/machines/test_workers.py
+++ b/tests/machines/test_workers.py
@@ -78,6 +78,14 @@
     [
         # The launch is answered, and a later report does not list the task.
         (["launch", "send", "answer", "report"], True),
+        # The launch was sent directly, and a restarted worker would obey a copy of it. It is void
+        # in the next session, or once the worker has reported the token that was raised for it.
+        (["launch", "send_directly", "answer", "report"], False),
+        (["launch", "send_directly", "answer", "report", "report"], True),
+        (["launch", "send_directly", "answer", "session"], True),
+        # The same task is adopted by a new leader in the same epoch.
+        (["launch", "send_directly", "answer", "report", "adopt_again", "old_report"], False),
+        (["launch", "send_directly", "answer", "report", "adopt_again", "report"], True),
         # The launch is not answered yet, so the command may still arrive.
         (["launch", "send", "report"], False),
         # The launch is not answered, and the report carries a token before the raised one.
@@ -115,6 +123,10 @@
         elif step == "adopt":
             bench.machine.fenced = False
             bench.owner.adopt([("m1", *KEY)], 0.0)
+        elif step == "adopt_again":
+            bench.owner.adopt([("m1", *KEY)], 0.0)
+        elif step == "send_directly":
+            sent = bench.owner.commands_to_send(bench.machine, direct=True)
         elif step == "send":
             sent = bench.owner.commands_to_send(bench.machine)
         elif step == "answer":
--- a/tests/system/test_model.py
+++ b/tests/system/test_model.py
@@ -113,6 +113,7 @@
                 "outage",
                 "hang",
                 "die",
+                "machine_restart",
                 "worker_cut",
                 "held",
                 "held",
@@ -146,6 +147,8 @@
                 worker.hung_until = world.clock() + rng.uniform(1.0, 14.0)
             elif fault == "die" and rng.random() < 0.4:
                 world.kill(worker)
+            elif fault == "machine_restart" and worker.alive():
+                worker.restart(keeps_fence=True)
     world.loss = 0.0
     world.partitioned.clear()
     world.held_senders.clear()
