--- a/tests/rebuild/test_rebuild.py
+++ b/tests/rebuild/test_rebuild.py
@@ -72,15 +72,6 @@
     return lambda world: world.state.lose_keys(name)
 
 
-def unfinished_jobs(world: World) -> dict[str, Any]:
-    return {
-        i: world.last_status.get(i)
-        for i in world.accepted
-        if world.jobs[i]["shape"] != "daemon"
-        and world.last_status.get(i) not in ("done", "cancelled")
-    }
-
-
 LOSSES: list[tuple[str, Loss]] = [
     ("0.1 s", lose_last(0.1)),
     ("0.5 s", lose_last(0.5)),
@@ -107,7 +98,7 @@
     world = simulate(monkeypatch, lambda clock: day_with_losses(clock, seed, loss, outage_s, False))
     assert world.violations == []
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
-    assert len(world.accepted) == JOBS_A_DAY and unfinished_jobs(world) == {}
+    assert len(world.accepted) == JOBS_A_DAY and world.unfinished_jobs() == {}
 
 
 # -- losses together with a further failure --------------------------------------
@@ -237,7 +228,7 @@
     )
     assert world.violations == []
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
-    assert len(world.accepted) == JOBS_A_DAY and unfinished_jobs(world) == {}
+    assert len(world.accepted) == JOBS_A_DAY and world.unfinished_jobs() == {}
 
 
 @pytest.mark.parametrize("seed", [1])
@@ -279,7 +270,7 @@
     )
     assert world.violations == [] and world.lost == set()
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
-    assert len(world.accepted) == JOBS_A_DAY and unfinished_jobs(world) == {}
+    assert len(world.accepted) == JOBS_A_DAY and world.unfinished_jobs() == {}
 
 
 async def submit_known_to_one_controller(
--- a/tests/system/test_meetings.py
+++ b/tests/system/test_meetings.py
@@ -432,12 +432,7 @@
     """Return the broken rules, the unfinished jobs, and a note if a job was not accepted."""
     return [
         *world.violations,
-        *(
-            f"waits {i}"
-            for i in sorted(world.accepted)
-            if world.jobs[i]["shape"] != "daemon"
-            and world.last_status.get(i) not in ("done", "cancelled")
-        ),
+        *(f"waits {i}" for i in sorted(world.unfinished_jobs())),
         *(["not all were accepted"] if len(world.accepted) != JOBS_A_DAY else []),
     ]
 
--- a/tests/system/test_model.py
+++ b/tests/system/test_model.py
@@ -265,10 +265,7 @@
     end = clock() + 400.0
     while clock() < end and not world.violations:
         await curio.sleep(2.0)
-        finite = [i for i in world.accepted if world.jobs[i]["shape"] != "daemon"]
-        if all(t.terminated for t in pipelines) and all(
-            world.last_status.get(i) in ("done", "cancelled") for i in finite
-        ):
+        if all(t.terminated for t in pipelines) and not world.unfinished_jobs():
             break
     if not world.violations:
         await curio.sleep(40.0)
@@ -304,13 +301,7 @@
     assert ("c/lineage" in world.state.keys) == rebuild
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
     assert world.rejected_writes == [] and len(world.accepted) == 16 + 4 * PIPELINES_A_DAY
-    waiting = {
-        i: world.last_status.get(i)
-        for i in world.accepted
-        if world.jobs[i]["shape"] != "daemon"
-        and world.last_status.get(i) not in ("done", "cancelled")
-    }
-    assert waiting == {}, "all finite jobs end after the faults"
+    assert world.unfinished_jobs() == {}, "all finite jobs end after the faults"
     assert any(".0" in k for k in world.sized_chunk_keys), "no chunk was resized"
 
 
@@ -319,9 +310,9 @@
     end = world.clock() + 260.0
     while world.clock() < end and not world.violations:
         await curio.sleep(2.0)
-        finite = [i for i in world.accepted if world.jobs[i]["shape"] != "daemon"]
-        if len(world.accepted) + len(world.lost or ()) == JOBS_A_DAY and all(
-            world.last_status.get(i) in ("done", "cancelled") for i in finite
+        if (
+            len(world.accepted) + len(world.lost or ()) == JOBS_A_DAY
+            and not world.unfinished_jobs()
         ):
             break
     if not world.violations:
@@ -389,13 +380,7 @@
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
     assert len(world.accepted) == JOBS_A_DAY
     assert world.launches > 0
-    waiting = {
-        i: world.last_status.get(i)
-        for i in world.accepted
-        if world.jobs[i]["shape"] != "daemon"
-        and world.last_status.get(i) not in ("done", "cancelled")
-    }
-    assert waiting == {}, "all finite jobs end after the faults"
+    assert world.unfinished_jobs() == {}, "all finite jobs end after the faults"
 
 
 # Each of the following days tests one safeguard and breaks a rule if that safeguard is removed.
--- a/tests/system/test_repeated_commands.py
+++ b/tests/system/test_repeated_commands.py
@@ -173,9 +173,4 @@
     assert world.violations == []
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
     assert len(world.accepted) == JOBS_A_DAY and len(JOBS) <= world.launches
-    assert {
-        i: world.last_status.get(i)
-        for i in world.accepted
-        if world.jobs[i]["shape"] != "daemon"
-        and world.last_status.get(i) not in ("done", "cancelled")
-    } == {}
+    assert world.unfinished_jobs() == {}
--- a/tests/system/test_restarted_machines.py
+++ b/tests/system/test_restarted_machines.py
@@ -49,9 +49,4 @@
     world = simulate(monkeypatch, lambda clock: day_of_restarts(clock, seed, keeps_fence))
     assert world.violations == []
     assert len(world.accepted) == JOBS_A_DAY
-    assert {
-        i: world.last_status.get(i)
-        for i in world.accepted
-        if world.jobs[i]["shape"] != "daemon"
-        and world.last_status.get(i) not in ("done", "cancelled")
-    } == {}
+    assert world.unfinished_jobs() == {}
--- a/tests/system/test_restarts.py
+++ b/tests/system/test_restarts.py
@@ -118,12 +118,7 @@
     assert world.violations == []
     assert [r.getMessage() for r in caplog.records if r.levelname == "ERROR"] == []
     assert len(world.accepted) == JOBS_A_DAY and world.launches > 0
-    assert {
-        i: world.last_status.get(i)
-        for i in world.accepted
-        if world.jobs[i]["shape"] != "daemon"
-        and world.last_status.get(i) not in ("done", "cancelled")
-    } == {}
+    assert world.unfinished_jobs() == {}
     # A start leaves no records but the controller's own two.
     assert len([k for k in world.state.keys if k.startswith("c/node/")]) <= controllers
     assert len([k for k in world.state.keys if k.startswith("c/version/")]) == controllers
--- a/tests/world/users.py
+++ b/tests/world/users.py
@@ -110,6 +110,19 @@
                 return
             await curio.sleep(1.0)
 
+    def unfinished_jobs(self) -> dict[str, str | None]:
+        """Return the accepted jobs, services apart, whose users were not told of their end.
+
+        Returns:
+            The status that the job's user was last told, by job.
+        """
+        return {
+            name: self.last_status.get(name)
+            for name in self.accepted
+            if self.jobs[name]["shape"] != "daemon"
+            and self.last_status.get(name) not in FINAL_STATUSES
+        }
+
     async def ask(self, job_id: str, label: str) -> None:
         """Query the status of an accepted job, and check the answer."""
         # An answer may be as old as the query. If another status was told meanwhile, only a final
