A relaunch on its machine follows the clear; adopted tasks take the machine's launch fence

Two corners of clears under a raised token, found by reading the change again; not seen by users.

A task that is launched again on the machine where its earlier attempt is still listed had the clear of that attempt in the same request. The clear may need a raised token now, and was left to a later request, so that the worker could refuse the launch as busy. Such a launch now follows the clear.

A leader may adopt a task in the epoch in which the owner has dropped it, for example by a copy of its request. The owner then knew no launch of it and would have cleared it under the present token. It now takes the fence of the newest direct launch on the machine.

One test for each in tests/machines/test_repeated_launches.py, both red before.

--- a/clayport/machines/assignments.py
+++ b/clayport/machines/assignments.py
@@ -139,6 +139,7 @@
         key = (task, attempt)
         if key not in machine.desired:
             machine.desired[key] = DesiredTask(LIVE, now)
+            machine.desired[key].launch_fence = machine.last_launch_fence
             table.mark_room_changed(name)
         elif machine.desired[key].phase is RESERVED:
             machine.desired[key].phase = LIVE
--- a/clayport/machines/commands.py
+++ b/clayport/machines/commands.py
@@ -48,7 +48,7 @@
             (`machines.tokens`).
     """
     launches: list[TaskKey] = []
-    if not direct or machine.may_launch_directly:
+    if not direct or (machine.may_launch_directly and not _relaunch_needs_clear(machine)):
         launches = _take_launches(table, machine, direct)
     # A raised token has to be confirmed before the next direct launch, so the clears that need
     # one wait for a request without launches or for the answer to a report.
@@ -60,6 +60,22 @@
     return orders + [launch_order(key) for key in launches], launches
 
 
+def _relaunch_needs_clear(machine: Machine) -> bool:
+    """Return whether a queued launch is of a task whose earlier attempt has to be cleared first.
+
+    Otherwise the worker might refuse the launch because of the other attempt. The clear needs a
+    raised token, so the launch cannot be sent with it.
+    """
+    if raised_token(machine.token) is None:
+        return False
+    uncleared = {
+        key[0] for key, fence in machine.pending_clears.items() if not machine.voids(fence)
+    }
+    return any(
+        desired.phase is QUEUED and key[0] in uncleared for key, desired in machine.desired.items()
+    )
+
+
 def _take_launches(table: CommandTable, machine: Machine, direct: bool) -> list[TaskKey]:
     """Return the queued launches to send now, and mark their tasks as SENT."""
     launches = []
--- a/tests/machines/test_repeated_launches.py
+++ b/tests/machines/test_repeated_launches.py
@@ -74,6 +74,25 @@
     assert send_directly(harness) == (raised, ["launch"])
 
 
+def test_a_task_is_launched_again_on_its_machine_after_the_clear_of_its_earlier_attempt() -> None:
+    harness, launched_under = launched_and_exited("stopped")
+    again = (KEY[0], 2)
+    assert harness.owner.reserve(JOB, [("m1", 0)], 2, 0.0) == [True]
+    harness.owner.launch([("m1", *again)])
+    assert send_directly(harness) == (launched_under + 1, ["clear"])
+    harness.report(token=launched_under + 1)
+    assert send_directly(harness) == (launched_under + 1, ["launch"])
+
+
+def test_an_adopted_task_is_cleared_under_a_token_that_voids_every_launch_so_far() -> None:
+    """A leader may adopt a task again that the owner has dropped meanwhile."""
+    harness, launched_under = launched_and_exited("error")
+    harness.machine.pending_clears.clear()
+    harness.owner.adopt([("m1", *KEY)], 0.0)
+    harness.owner.stop([("m1", *KEY, 0.0, True)])
+    assert send_directly(harness) == (launched_under + 1, ["clear"])
+
+
 def test_tasks_launched_under_an_earlier_token_are_cleared_without_a_raise() -> None:
     harness = OwnerHarness()
     harness.report()
