--- a/clayport/machines/event_delivery.py
+++ b/clayport/machines/event_delivery.py
@@ -13,6 +13,7 @@
 from clayport.machines.routing import Routing
 from clayport.machines.table import MachineTable
 from clayport.membership.state import MembershipState
+from clayport.model import job_of_task
 from clayport.routines import Routines
 from clayport.scheduling.cached_state import CachedState
 from clayport.transport import frames
@@ -126,7 +127,7 @@
             self.machines.emit_again(machine, key)
         elif verdict in (Verdict.JOB_AT_FAULT, Verdict.MACHINE_AT_FAULT):
             self.machines.record_verdict(
-                machine, task.partition("/")[0], verdict == Verdict.JOB_AT_FAULT
+                machine, job_of_task(task), verdict == Verdict.JOB_AT_FAULT
             )
         elif state == GONE:
             self.machines.confirm_gone(machine, key)
--- a/clayport/machines/machine.py
+++ b/clayport/machines/machine.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple, TypeAlias
 
 from clayport.machines.tokens import NOT_LAUNCHED, LaunchFence
+from clayport.model import job_of_task
 from clayport.scheduling.room import Room
 
 # A task's id and the number of the attempt. It is a plain tuple, because each report creates
@@ -45,7 +46,7 @@
 
 def job_id(key: TaskKey) -> str:
     """Return the id of the job that a task belongs to."""
-    return key[0].partition("/")[0]
+    return job_of_task(key[0])
 
 
 class DesiredTask:
--- a/clayport/machines/report_answers.py
+++ b/clayport/machines/report_answers.py
@@ -18,7 +18,7 @@
 from clayport.machines.tokens import epoch_of, void_token
 from clayport.membership.epoch import Epoch
 from clayport.membership.state import MembershipState
-from clayport.model import WorkerHeartbeat
+from clayport.model import WorkerHeartbeat, job_of_task
 from clayport.rebuild.support import RebuildSupport
 from clayport.records.upgrade import UpgradeState
 from clayport.routines import Routines
@@ -36,12 +36,6 @@
 Answer: TypeAlias = tuple[int, dict[str, Any]]
 
 
-def _job_of(order: Order) -> str:
-    """Return the id of the job that a command is for."""
-    job: str = order["piece"].partition("/")[0]
-    return job
-
-
 class ReportAnswers:
     """Answers the reports of workers, whichever controller owns their machines.
 
@@ -230,7 +224,7 @@
         return [
             order
             for order in orders
-            if order["verb"] != "launch" or not self.jobs.is_cancelled(_job_of(order))
+            if order["verb"] != "launch" or not self.jobs.is_cancelled(job_of_task(order["piece"]))
         ]
 
     def _kill_cancelled(self, report: WorkerHeartbeat, orders: list[Order]) -> None:
@@ -245,7 +239,7 @@
             for task in report.tasks
             if task.state != "exited"
             and (task.task, task.attempt) not in ordered
-            and self._known_to_be_over(report, task.task.partition("/")[0])
+            and self._known_to_be_over(report, job_of_task(task.task))
         ][: MAX_COMMANDS - len(ordered)]
 
     def _known_to_be_over(self, report: WorkerHeartbeat, job: str) -> bool:
@@ -300,6 +294,6 @@
         the records.
         """
         return not self._no_later_owner(report) and any(
-            task.state != "exited" and self._absent_from_records(task.task.partition("/")[0])
+            task.state != "exited" and self._absent_from_records(job_of_task(task.task))
             for task in report.tasks
         )
--- a/clayport/machines/tokens.py
+++ b/clayport/machines/tokens.py
@@ -19,7 +19,8 @@
 
 from typing import NamedTuple
 
-from clayport.membership.epoch import TOKEN_COUNTER_BITS
+# How many low bits of a token hold the counter; the epoch's number is above them.
+TOKEN_COUNTER_BITS = 24
 
 
 class LaunchFence(NamedTuple):
@@ -47,6 +48,11 @@
     return (epoch_number << TOKEN_COUNTER_BITS) + 1
 
 
+def token_above_epoch(epoch_number: int) -> int:
+    """Return a token above all that are issued in an epoch, under which nothing is launched."""
+    return (epoch_number + 1) << TOKEN_COUNTER_BITS
+
+
 def raised_token(token: int) -> int | None:
     """Return the next token of the same epoch; None if the epoch has no higher one."""
     raised = token + 1
--- a/clayport/membership/epoch.py
+++ b/clayport/membership/epoch.py
@@ -13,9 +13,6 @@
 
 from clayport.membership.rendezvous import rendezvous
 
-# A fencing token holds the epoch's number in its high bits, and in these low bits a counter that
-# the owner keeps for each machine.
-TOKEN_COUNTER_BITS = 24
 # The number of keys (jobs and machines) whose member an epoch caches.
 MAX_CACHED_KEYS = 20_000
 
--- a/clayport/model.py
+++ b/clayport/model.py
@@ -248,6 +248,11 @@
     return JOB_ID_PATTERN.fullmatch(name) is not None
 
 
+def job_of_task(task: str) -> str:
+    """Return the id of the job that a task belongs to."""
+    return task.partition("/")[0]
+
+
 def split_task_id(task: str) -> tuple[str, int]:
     """Split the id of a task into the job id and the task number.
 
--- a/clayport/rebuild/inventory.py
+++ b/clayport/rebuild/inventory.py
@@ -16,8 +16,8 @@
 import curio
 import msgspec
 
-from clayport.membership.epoch import TOKEN_COUNTER_BITS
-from clayport.model import WorkerHeartbeat, split_task_id
+from clayport.machines.tokens import epoch_of, token_above_epoch
+from clayport.model import WorkerHeartbeat, job_of_task, split_task_id
 from clayport.rebuild.evidence import Evidence, Task
 from clayport.scaling.cloud import MAX_MACHINES_PER_RETURN, CloudError
 from clayport.transport import http
@@ -52,8 +52,8 @@
         self.controller = controller
         self.machines = machines
         self.known_jobs = {n for e in evidence_by_label.values() for n in (*e.live, *e.ended)}
-        self.token = (
-            max((e.epoch for e in evidence_by_label.values()), default=0) + 1 << TOKEN_COUNTER_BITS
+        self.token = token_above_epoch(
+            max((e.epoch for e in evidence_by_label.values()), default=0)
         )
         self.tasks_by_machine: dict[str, list[Task]] = {}
         self.returned: set[str] = set()
@@ -121,7 +121,7 @@
         for machine, task in asked.items():
             highest_token, tasks = task.result
             if highest_token > self.token:
-                self.token = (highest_token >> TOKEN_COUNTER_BITS) + 1 << TOKEN_COUNTER_BITS
+                self.token = token_above_epoch(epoch_of(highest_token))
             if tasks is not None:
                 self.tasks_by_machine[machine] = tasks
             if highest_token:
@@ -143,7 +143,7 @@
             report = await self._report(client, "GET", "/inspect", None)
             if report.token > token:
                 return report.token, None
-            unknown = [p for p in report.tasks if p.task.partition("/")[0] not in known_jobs]
+            unknown = [p for p in report.tasks if job_of_task(p.task) not in known_jobs]
             orders = [
                 {
                     "verb": "clear" if p.state == "exited" else "kill",
@@ -161,13 +161,13 @@
         if unknown:
             log.info("machine=%s event=stopped-unknown tasks=%d", machine, len(unknown))
         if report.token != token or any(
-            p.task.partition("/")[0] not in known_jobs and p.state != "exited" for p in report.tasks
+            job_of_task(p.task) not in known_jobs and p.state != "exited" for p in report.tasks
         ):
             return report.token, None
         return report.token, [
             Task(*split_task_id(p.task), p.attempt, machine)
             for p in report.tasks
-            if p.task.partition("/")[0] in known_jobs
+            if job_of_task(p.task) in known_jobs
         ]
 
     async def _report(self, client: Any, method: str, path: str, body: Any) -> WorkerHeartbeat:
--- a/clayport/rebuild/rebuilder.py
+++ b/clayport/rebuild/rebuilder.py
@@ -12,7 +12,8 @@
 
 import curio
 
-from clayport.membership.epoch import TOKEN_COUNTER_BITS, Epoch
+from clayport.machines.tokens import epoch_of
+from clayport.membership.epoch import Epoch
 from clayport.rebuild import evidence, plan
 from clayport.rebuild.evidence import Evidence, Task
 from clayport.rebuild.history import (
@@ -264,7 +265,7 @@
         controller = self.controller
         stored = current.get(EPOCH_KEY)
         epoch_number = 1 + max(
-            highest_token >> TOKEN_COUNTER_BITS,
+            epoch_of(highest_token),
             int(stored[0]["number"]) if stored else 0,
             *(e.epoch for e in evidence_by_label.values()),
         )
--- a/tests/machines/test_tokens.py
+++ b/tests/machines/test_tokens.py
@@ -9,8 +9,8 @@
 import msgspec
 import pytest
 
-from clayport.machines.tokens import epoch_of, initial_token, void_token
-from clayport.membership.epoch import TOKEN_COUNTER_BITS, Epoch
+from clayport.machines.tokens import TOKEN_COUNTER_BITS, epoch_of, initial_token, void_token
+from clayport.membership.epoch import Epoch
 from clayport.model import Job
 from tests.jobs.test_dispatch import SingleController
 from tests.machines.test_workers import JOB, OwnerHarness
--- a/tests/machines/test_workers.py
+++ b/tests/machines/test_workers.py
@@ -8,7 +8,8 @@
 import pytest
 
 from clayport.machines.table import MachineTable
-from clayport.membership.epoch import TOKEN_COUNTER_BITS, Epoch
+from clayport.machines.tokens import TOKEN_COUNTER_BITS
+from clayport.membership.epoch import Epoch
 from clayport.model import Job, MachineType, ReportedTask, WorkerHeartbeat
 from tests.world import TYPES
 from tests.world import job as wire_job
