A job that needs one cancelled long ago is no longer called queued

Cause: an answer from half of the knowledge. An answer looked at the job's own live record alone, which stays unchanged until a leader has committed the job's cancellation, one by one and not in an outage. That the job can never run is known at every controller (DependencyGraph.to_cancel).

Change: the graph keeps since when a job is to be cancelled. From half of cancel_s after that on, JobStatus.describe answers 503 until the cancellation is committed, for polls and for repeated submissions. 'cancelled' would be true as well, but a controller that does not know of it yet could then give an older answer.

--- a/clayport/jobs/status.py
+++ b/clayport/jobs/status.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Mapping
 from typing import Any
 
@@ -30,6 +31,8 @@
     """Finds a job's state, and builds the bodies of answers to users about it.
 
     Attributes:
+        live_after_cancellation_s: For how long a job is still called live, in seconds, after a job
+            before it was cancelled. Its own cancellation is usually committed at once.
         counts_timeout_s: The timeout of a request for task counts to a job's leader.
     """
 
@@ -45,6 +48,7 @@
         disclosure: CancellationDisclosure,
         lifecycle: JobLifecycle,
         store: StateStore,
+        live_after_cancellation_s: float,
         counts_timeout_s: float,
     ) -> None:
         self.dispatcher = dispatcher
@@ -56,6 +60,7 @@
         self.disclosure = disclosure
         self.lifecycle = lifecycle
         self.store = store
+        self.live_after_cancellation_s = live_after_cancellation_s
         self.counts_timeout_s = counts_timeout_s
 
     async def find(self, job: str, deadline: Deadline) -> str | None:
@@ -126,7 +131,8 @@
         """Return the body of an answer about a job in the state `status`.
 
         Raises:
-            UnavailableError: The job is cancelled, and users may not be told before the deadline.
+            UnavailableError: The job is cancelled, and users may not be told before the deadline;
+                or the job is to be cancelled because of a prerequisite.
         """
         if status != LIVE:
             known = self.jobs.live.get(job)
@@ -140,6 +146,9 @@
             # The job ended during the request to the leader, and another user may have been told
             # so already.
             return await self.describe(job, self.jobs.ended[job], deadline)
+        since = self.jobs.dependencies.to_cancel.get(job)
+        if since is not None and time.monotonic() - since > self.live_after_cancellation_s:
+            raise UnavailableError("a job before it is cancelled")
         # The counts are for display only, so an unreachable leader must not fail the request.
         done, running = counts or (0, 0)
         return {
--- a/clayport/scheduling/dependencies.py
+++ b/clayport/scheduling/dependencies.py
@@ -72,7 +72,8 @@
         nodes: The live jobs by id.
         dependents: For the id of a prerequisite, the live jobs that depend on it.
         ends: Status and time of the latest ended jobs, by id.
-        to_cancel: The live jobs that are to be cancelled.
+        to_cancel: The live jobs that are to be cancelled, with the time of the first cancellation
+            of a job before them that is known.
         unknown_prerequisites: Prerequisites of live jobs that are neither live nor in `ends`
             (an ordered set).
     """
@@ -89,7 +90,7 @@
         self.nodes: dict[str, DependencyNode] = {}
         self.dependents: dict[str, set[str]] = {}
         self.ends: OrderedDict[str, tuple[str, float]] = OrderedDict()
-        self.to_cancel: set[str] = set()
+        self.to_cancel: dict[str, float] = {}
         self.unknown_prerequisites: dict[str, None] = {}
 
     def expected_duration_s(self, job: Job) -> float:
@@ -111,15 +112,16 @@
                 node.unfinished_prerequisites.add(prerequisite)
                 if not status and prerequisite not in self.nodes:
                     self.unknown_prerequisites[prerequisite] = None
-                if status or prerequisite in self.to_cancel:
-                    self.to_cancel.add(job.id)
+                since = ended_at if status else self.to_cancel.get(prerequisite)
+                if since is not None:
+                    self.to_cancel[job.id] = min(since, self.to_cancel.get(job.id, since))
         changed: set[str] = set()
         # Jobs become known in any order, so dependents of this job may be in the graph already.
         for dependent in self.dependents.get(job.id, ()):
             if dependent in self.nodes:
                 self._inherit(node, self.nodes[dependent])
                 if job.id in self.to_cancel:
-                    self._mark_to_cancel(dependent)
+                    self._mark_to_cancel(dependent, self.to_cancel[job.id])
         self._propagate_urgency(job.id, changed)
         return changed
 
@@ -169,13 +171,18 @@
                 changed.add(node.job.id)
                 todo += node.unfinished_prerequisites
 
-    def _mark_to_cancel(self, name: str) -> list[str]:
-        """Mark a job and its live dependents as to be cancelled; return the newly marked jobs."""
+    def _mark_to_cancel(self, name: str, since: float) -> list[str]:
+        """Mark a job and its live dependents as to be cancelled; return the newly marked jobs.
+
+        Args:
+            name: The job.
+            since: When a job before it was cancelled.
+        """
         marked, todo = [], [name]
         while todo:
             job = todo.pop()
             if job in self.nodes and job not in self.to_cancel:
-                self.to_cancel.add(job)
+                self.to_cancel[job] = since
                 marked.append(job)
                 todo += self.dependents.get(job, ())
         return marked
@@ -192,7 +199,7 @@
             self.ends.popitem(last=False)
         node = self.nodes.pop(name, None)
         self.unknown_prerequisites.pop(name, None)
-        self.to_cancel.discard(name)
+        self.to_cancel.pop(name, None)
         effects = self._apply_end_to_dependents(name, status, at)
         if node is not None:
             self._remove_from_dependents(node)
@@ -207,7 +214,7 @@
             if node is None or name not in node.unfinished_prerequisites:
                 continue
             if status != "done":
-                to_cancel += self._mark_to_cancel(dependent)
+                to_cancel += self._mark_to_cancel(dependent, at)
                 continue
             node.unfinished_prerequisites.discard(name)
             node.ready_at = max(node.ready_at, at)
--- a/clayport/user_api.py
+++ b/clayport/user_api.py
@@ -47,6 +47,9 @@
 # How long users wait for the answer to a submission and to a poll by the protocol, in seconds.
 SUBMIT_TIMEOUT_S = 5.0
 POLL_TIMEOUT_S = 2.0
+# For this fraction of `cancel_s` after the cancellation of a job, those that need it may be called
+# queued. The rest is for clocks that differ, and for answers on their way.
+LIVE_AFTER_CANCELLATION_FRACTION = 0.5
 # The largest Retry-After value of a refusal, in seconds.
 MAX_RETRY_AFTER_S = 30.0
 # The share of the user's timeout within which an answer must be ready. The rest is left for the
@@ -126,6 +129,9 @@
             disclosure=disclosure,
             lifecycle=lifecycle,
             store=store,
+            live_after_cancellation_s=(
+                LIVE_AFTER_CANCELLATION_FRACTION * settings.cluster.workers.cancel_s
+            ),
             counts_timeout_s=POLL_TIMEOUT_S / 4,
         )
         self.prerequisites = PrerequisiteCheck(jobs=jobs, store=store, upgrade=upgrade)
--- a/tests/jobs/test_pipelines.py
+++ b/tests/jobs/test_pipelines.py
@@ -77,7 +77,7 @@
     assert {n for n in dependencies.nodes if dependencies.is_waiting(n)} == {
         job_id(n) for n in waiting
     }
-    assert dependencies.to_cancel == {job_id(n) for n in doomed}
+    assert set(dependencies.to_cancel) == {job_id(n) for n in doomed}
 
 
 def test_cancellation_clears_a_wide_and_deep_graph() -> None:
