Silent machines with tasks of long-cancelled jobs are returned without the long wait

Cause: an owner most of whose machines are silent waits for cancel_s / 2 before it returns them, since the fault may be its own, and a new owner counts the silence from its own beginning.

Change: what has to be in time counts from the cancellation, which every controller knows. A silent machine that may have a task of a job cancelled for cancel_s / 4 is returned without that wait. Its owner and a peer still ask it first.

--- a/clayport/machines/fleet.py
+++ b/clayport/machines/fleet.py
@@ -131,6 +131,7 @@
         self.evacuate = self.evacuation.evacuate
 
         self.silence = SilenceWatch(
+            cancelled_for_s=jobs.cancelled_for_s,
             command_s=self.command_s,
             evacuate=self.evacuate,
             fencing=fencing,
--- a/clayport/machines/silence.py
+++ b/clayport/machines/silence.py
@@ -11,7 +11,7 @@
 
 from clayport.leases.renewal import LeaseRenewal
 from clayport.machines.fencing import MachineFencing
-from clayport.machines.machine import Machine
+from clayport.machines.machine import Machine, job_id
 from clayport.machines.table import MachineTable
 from clayport.membership.stalls import StallDetector
 from clayport.membership.state import MembershipState
@@ -25,6 +25,10 @@
 
 log = logging.getLogger(__name__)
 
+# A machine with a task of a job that has been cancelled for this fraction of `cancel_s` is returned
+# as soon as it is silent, also if the silence may have another cause than the machine.
+CANCELLED_FRACTION = 0.25
+
 # Consecutive checks that find a machine unhealthy before its replicas are moved off.
 UNHEALTHY_CHECKS = 3
 
@@ -42,6 +46,8 @@
     """Fences owned machines that are silent and do not answer a request.
 
     Args:
+        cancelled_for_s: Tells for how many seconds a job is known to be cancelled, by its id and
+            the present time; 0 if it is not cancelled.
         command_s: The timeout of a request to a worker, in seconds.
         evacuate: Starts moving replicas off a machine.
         fencing: Returns machines, if this controller is the provisioner.
@@ -60,6 +66,7 @@
     def __init__(
         self,
         *,
+        cancelled_for_s: Callable[[str, float], float],
         command_s: float,
         evacuate: Callable[[str, bool], bool],
         fencing: MachineFencing,
@@ -74,6 +81,7 @@
         view: ClusterView,
         workers: WorkerSettings,
     ) -> None:
+        self.cancelled_for_s = cancelled_for_s
         self.command_s = command_s
         self.evacuate = evacuate
         self.fencing = fencing
@@ -125,14 +133,27 @@
             and (machine.known or machine.desired)
         ]
         # If most machines are silent at once, this controller or a whole zone is probably
-        # disconnected. Returning all of them would destroy machines that still work.
+        # disconnected. Returning all of them would destroy machines that still work. Those with
+        # tasks of cancelled jobs have to be returned all the same. A previous owner may have waited
+        # for them already, so the wait counts from the cancellation.
         cut_off = len(silent) > 2 and len(silent) * 2 > len(owned)
         for machine in silent:
-            if not cut_off or now - machine.last_heard_at > self.workers.cancel_s / 2:
+            if (
+                not cut_off
+                or now - machine.last_heard_at > self.workers.cancel_s / 2
+                or self._has_cancelled_task(machine, now)
+            ):
                 machine.fencing = True
                 self.machines.mark_room_changed(machine.name)
                 self.routines.spawn(self._fence(machine))
 
+    def _has_cancelled_task(self, machine: Machine, now: float) -> bool:
+        """Return whether a machine may have a task of a job that was cancelled a while ago."""
+        return any(
+            self.cancelled_for_s(job_id(key), now) > CANCELLED_FRACTION * self.workers.cancel_s
+            for key in (*machine.desired, *machine.occupying())
+        )
+
     async def _fence(self, machine: Machine) -> None:
         """Return a silent machine to the cloud, unless it answers."""
         epoch = self.membership.epoch
--- a/tests/world/machine.py
+++ b/tests/world/machine.py
@@ -124,16 +124,19 @@
             self.complete_task(key, task)
 
     def advance(self) -> None:
-        """Advance the tasks to the current time, and drop all of them if the lease has expired."""
+        """Advance the tasks to the current time, and drop all of them if the lease has expired.
+
+        A machine that hangs does neither, so its tasks stay on it until it goes on or is returned.
+        """
         now = self.world.clock()
+        if now < self.hung_until:
+            return
         if now - self.answered > 10.0:
             for key in self.occupying_tasks():
                 self.world.stop_gang_mates(self, key)
             self.tasks.clear()
             self.session += 1
             self.answered = now
-        if now < self.hung_until:
-            return
         for key, task in list(self.tasks.items()):
             job_id = key[0].partition("/")[0]
             job = self.world.jobs[job_id]
