In an outage of the state service, silent machines with tasks of cancelled jobs are returned

Cause: a controller that has lost the state service returned no machine at all, because a newer epoch may exclude it. In an outage that holds for all controllers no epoch can begin.

If a peer reaches it, nothing is returned, as before.

--- a/clayport/machines/silence.py
+++ b/clayport/machines/silence.py
@@ -108,10 +108,15 @@
             if not self.stalls.confirm_no_stall(now) or not self.membership.serving:
                 continue
             self.machines.expire(now)
-            if self.membership.stepped_aside or self.renewal.state_service_lost(now):
+            if not self.renewal.healthy():
                 continue  # a newer epoch may exclude this controller: see `Provisioner.run`
             owned = list(self.machines.machines.values())
-            self._evacuate_unhealthy(owned)
+            if self.renewal.state_service_lost(now):
+                # No controller reaches the state service, so the owners stay the same. Returned
+                # machines are not replaced now, so only those are returned that have to be.
+                owned = [machine for machine in owned if self._has_cancelled_task(machine, now)]
+            else:
+                self._evacuate_unhealthy(owned)
             self._fence_silent(owned, now)
 
     def _evacuate_unhealthy(self, owned: list[Machine]) -> None:
--- a/tests/system/test_hung_machines.py
+++ b/tests/system/test_hung_machines.py
@@ -41,6 +41,12 @@
     world.partitioned.add(owner)
 
 
+async def outage_follows(world: World, owner: str) -> None:
+    """The state service is out from a second after the cancellations on."""
+    await curio.sleep(1.0)
+    world.state.outage(world.clock(), 2 * CANCEL_S)
+
+
 def owner_of(world: World, worker: Worker) -> str:
     """Return the label of the controller that owns a machine."""
     epoch = next(iter(world.controllers.values())).membership.epoch
@@ -68,7 +74,7 @@
     return world
 
 
-@pytest.mark.parametrize("fault", [no_fault, owner_restarts, owner_is_cut_off])
+@pytest.mark.parametrize("fault", [no_fault, owner_restarts, owner_is_cut_off, outage_follows])
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_cancelled_tasks_on_hung_machines_are_gone_in_time_when_the_owner_changes(
     monkeypatch: pytest.MonkeyPatch, fault: Fault, seed: int
