--- a/clayport/jobs/lifecycle.py
+++ b/clayport/jobs/lifecycle.py
@@ -10,7 +10,7 @@
 import curio
 import msgspec
 
-from clayport.jobs.registry import MAX_ENDED_JOBS, JobRegistry
+from clayport.jobs.registry import JobRegistry
 from clayport.leases.promises import Promises
 from clayport.machines.table import MachineTable
 from clayport.membership.state import MembershipState
@@ -30,6 +30,8 @@
 
 log = logging.getLogger(__name__)
 
+# Ended jobs that are kept in memory, so that users' polls for them need no read.
+MAX_ENDED_JOBS = 20_000
 # Descriptions of ended jobs that are kept, because their tasks may still be on machines.
 MAX_ENDED_DESCRIPTIONS = MAX_ENDED_JOBS // 10
 # Job classes of which an example is recorded.
@@ -271,9 +273,10 @@
         """
         if status == "cancelled":
             self.promises.note_end(job, rev)
-        ended_at = self.to_monotonic(at)
-        self.update_dependents(job, status, ended_at)
-        self.jobs.note_end(job, status, ended_at)
+        self.update_dependents(job, status, self.to_monotonic(at))
+        self.jobs.ended[job] = status
+        while len(self.jobs.ended) > MAX_ENDED_JOBS:
+            self.jobs.ended.popitem(last=False)
         self.machines.job_ended(job, status)
         known = self.jobs.live.pop(job, None)
         managed = self.jobs.managed.get(job)
--- a/clayport/jobs/registry.py
+++ b/clayport/jobs/registry.py
@@ -8,9 +8,6 @@
 from clayport.model import Job
 from clayport.scheduling.dependencies import DependencyGraph
 
-# Ended jobs that are kept in memory, so that users' polls for them need no read.
-MAX_ENDED_JOBS = 20_000
-
 
 class JobRegistry:
     """The jobs that this controller knows; does no I/O.
@@ -20,7 +17,6 @@
         live: Accepted jobs that have not ended, with the urgency that their dependents give
             them, and the revisions of their live records.
         ended: The final states of recently ended jobs, so that users' polls need no read.
-        cancelled_at: When the cancelled jobs among `ended` ended, on the monotonic clock.
         ended_descriptions: Descriptions of ended jobs whose tasks may still be on machines.
         classes: An example job of each class that needs GPUs. The examples are recorded and
             survive restarts, so that no GPU machine is filled with other work, or drained,
@@ -34,7 +30,6 @@
         self.dependencies = dependencies
         self.live: dict[str, tuple[Job, int]] = {}
         self.ended: OrderedDict[str, str] = OrderedDict()
-        self.cancelled_at: dict[str, float] = {}
         self.ended_descriptions: dict[str, Job] = {}
         self.classes: dict[str, Job] = {}
         self.managed: dict[str, ManagedJob] = {}
@@ -50,24 +45,10 @@
         known = self.live.get(job)
         return known[0] if known else self.ended_descriptions.get(job)
 
-    def note_end(self, job: str, status: str, at: float) -> None:
-        """Record the final state of a job, and forget the oldest one if there are many.
-
-        Args:
-            job: The job.
-            status: Its final state.
-            at: When it ended, on the monotonic clock.
-        """
-        self.ended[job] = status
-        if status == "cancelled":
-            self.cancelled_at.setdefault(job, at)
-        while len(self.ended) > MAX_ENDED_JOBS:
-            oldest, _ = self.ended.popitem(last=False)
-            self.cancelled_at.pop(oldest, None)
-
     def cancelled_for_s(self, job: str, now: float) -> float:
         """Return for how many seconds a job is known to be cancelled; 0 if it is not."""
-        return max(0.0, now - self.cancelled_at.get(job, now))
+        status, ended_at = self.dependencies.ends.get(job, ("", now))
+        return max(0.0, now - ended_at) if status == "cancelled" else 0.0
 
     def is_cancelled(self, job: str) -> bool:
         """Return whether a job is known to be cancelled."""
--- a/clayport/machines/assignments.py
+++ b/clayport/machines/assignments.py
@@ -6,7 +6,7 @@
 
 from clayport.machines.command_log import log_gone
 from clayport.machines.machine import LIVE, QUEUED, RESERVED, DesiredTask
-from clayport.machines.reports import GONE_STATUS, emit_status
+from clayport.machines.reports import emit_not_listed, emit_status
 from clayport.machines.table_parts import AssignmentTable
 from clayport.model import Job
 from clayport.scheduling.room import Room
@@ -138,19 +138,12 @@
         machine = table.machine(name, now)
         key = (task, attempt)
         if key not in machine.desired:
-            machine.desired[key] = DesiredTask(LIVE, now)
-            machine.desired[key].launch_fence = machine.last_launch_fence
+            machine.desired[key] = DesiredTask(LIVE, now, machine.last_launch_fence)
             table.mark_room_changed(name)
         elif machine.desired[key].phase is RESERVED:
             machine.desired[key].phase = LIVE
         machine.emitted.pop(key, None)
         if key in machine.reported_tasks:
             emit_status(table, machine, key, machine.reported_tasks[key])
-        elif (
-            machine.known
-            and machine.fenced
-            and machine.desired[key].phase is LIVE
-            and machine.voids(machine.desired[key].launch_fence)
-        ):
-            log_gone(machine, key, "not-listed")
-            emit_status(table, machine, key, GONE_STATUS)
+        elif machine.known and machine.fenced and machine.desired[key].phase is LIVE:
+            emit_not_listed(table, machine, key)
--- a/clayport/machines/machine.py
+++ b/clayport/machines/machine.py
@@ -61,10 +61,12 @@
 
     __slots__ = ("launch_fence", "launch_sent", "phase", "since")
 
-    def __init__(self, phase: Phase, since: float) -> None:
+    def __init__(
+        self, phase: Phase, since: float, launch_fence: LaunchFence = NOT_LAUNCHED
+    ) -> None:
         self.phase, self.since = phase, since
         self.launch_sent = False
-        self.launch_fence = NOT_LAUNCHED
+        self.launch_fence = launch_fence
 
 
 class Machine:
--- a/clayport/machines/reports.py
+++ b/clayport/machines/reports.py
@@ -87,6 +87,19 @@
     table.emit(job, event)
 
 
+def emit_not_listed(table: StatusTable, machine: Machine, key: TaskKey) -> bool:
+    """Emit that a desired task is gone, which a report under the current token does not list.
+
+    Returns:
+        Whether the task is gone; False if its launch is valid, so that a copy could start it.
+    """
+    if not machine.voids(machine.desired[key].launch_fence):
+        return False
+    log_gone(machine, key, "not-listed")
+    emit_status(table, machine, key, GONE_STATUS)
+    return True
+
+
 def settle_launches(machine: Machine, launches: list[TaskKey]) -> None:
     """Queue again the launches that are not known to have arrived.
 
@@ -186,11 +199,8 @@
             emitted = machine.emitted.get(key)
             if emitted is not None and emitted.state == GONE:
                 continue
-            if not machine.voids(desired.launch_fence):
+            if not emit_not_listed(table, machine, key):
                 launch_is_valid = True
-                continue
-            log_gone(machine, key, "not-listed")
-            emit_status(table, machine, key, GONE_STATUS)
     if launch_is_valid:
         machine.raise_token()
 
--- a/clayport/machines/silence.py
+++ b/clayport/machines/silence.py
@@ -111,13 +111,10 @@
             if not self.renewal.healthy():
                 continue  # a newer epoch may exclude this controller: see `Provisioner.run`
             owned = list(self.machines.machines.values())
-            if self.renewal.state_service_lost(now):
-                # No controller reaches the state service, so the owners stay the same. Returned
-                # machines are not replaced now, so only those are returned that have to be.
-                owned = [machine for machine in owned if self._has_cancelled_task(machine, now)]
-            else:
+            outage = self.renewal.state_service_lost(now)
+            if not outage:
                 self._evacuate_unhealthy(owned)
-            self._fence_silent(owned, now)
+            self._fence_silent(owned, now, outage)
 
     def _evacuate_unhealthy(self, owned: list[Machine]) -> None:
         """Start moving replicas off machines that stay unhealthy."""
@@ -128,8 +125,15 @@
             if machine.unhealthy_checks >= UNHEALTHY_CHECKS and machine.known:
                 self.evacuate(machine.name, True)
 
-    def _fence_silent(self, owned: list[Machine], now: float) -> None:
-        """Start fencing the silent machines among the owned ones."""
+    def _fence_silent(self, owned: list[Machine], now: float, outage: bool) -> None:
+        """Start fencing the silent machines among the owned ones.
+
+        Args:
+            owned: The machines owned here.
+            now: The present time.
+            outage: Whether no controller reaches the state service. The owners stay the same then,
+                and returned machines are not replaced, so only those are returned that have to be.
+        """
         silent = [
             machine
             for machine in owned
@@ -143,10 +147,9 @@
         # for them already, so the wait counts from the cancellation.
         cut_off = len(silent) > 2 and len(silent) * 2 > len(owned)
         for machine in silent:
-            if (
-                not cut_off
-                or now - machine.last_heard_at > self.workers.cancel_s / 2
-                or self._has_cancelled_task(machine, now)
+            long_silent = now - machine.last_heard_at > self.workers.cancel_s / 2
+            if self._has_cancelled_task(machine, now) or (
+                not outage and (not cut_off or long_silent)
             ):
                 machine.fencing = True
                 self.machines.mark_room_changed(machine.name)
--- a/tests/system/test_repeated_commands.py
+++ b/tests/system/test_repeated_commands.py
@@ -21,18 +21,14 @@
     wait_until_jobs_end,
 )
 from tests.system.test_restarts import restart_controller
-from tests.troubles import CANCEL_S, end_faults
+from tests.troubles import CANCEL_S, end_faults, running
 from tests.world import Clock, Worker, World, job, simulate
 
-TASK = "j-000001/0"
+JOB = "j-000001"
+TASK = f"{JOB}/0"
 FAULTS_S = 60.0
 
 
-def machines_with_task(world: World) -> list[Worker]:
-    """Return the machines that the first task of the first job is on."""
-    return [w for w in world.workers.values() if any(k[0] == TASK for k in w.occupying_tasks())]
-
-
 def listing_machines(world: World) -> set[str]:
     """Return the names of the machines whose reports list the first task of the first job."""
     return {w.name for w in world.workers.values() if any(k[0] == TASK for k in w.tasks)}
@@ -58,7 +54,7 @@
     for key in worker.occupying_tasks():
         if key[0] == TASK:
             worker.tasks[key].fails_at = world.clock()
-    await until(lambda: machines_with_task(world) not in ([], [worker]), world.clock)
+    await until(lambda: running(world, JOB) not in ([], [worker]), world.clock)
 
 
 async def task_is_stopped(world: World, worker: Worker) -> None:
@@ -73,12 +69,12 @@
     owner.mark_room_changed(worker.name)
     key = next(k for k in worker.occupying_tasks() if k[0] == TASK)
     owner.stop([(worker.name, *key, 0.0, False)])
-    await until(lambda: machines_with_task(world) not in ([], [worker]), world.clock)
+    await until(lambda: running(world, JOB) not in ([], [worker]), world.clock)
 
 
 async def job_is_cancelled(world: World, worker: Worker) -> None:
     """Let the user cancel the job, and wait until its tasks must be gone."""
-    await world.abort("j-000001")
+    await world.abort(JOB)
     await curio.sleep(CANCEL_S + 1.0)
 
 
@@ -88,11 +84,11 @@
 async def simulate_copies(clock: Clock, scene: Scene, restarts: bool, seed: int) -> World:
     """Let all answered commands arrive once more after a task has left its machine."""
     world = await start_world(clock, seed, job(1, pieces=1, shape="daemon", loaners=False))
-    await until(lambda: len(machines_with_task(world)) == 1, clock)
+    await until(lambda: len(running(world, JOB)) == 1, clock)
     # The tasks of the second job fit no machine with another task, so each machine has room left.
     await world.submit(job(2, pieces=3, vcpus=5.0, loaners=False), 1e9)
     await until(lambda: tasks_of(world, "j-000002") == 3, clock)
-    worker = machines_with_task(world)[0]
+    worker = running(world, JOB)[0]
     await scene(world, worker)
     await until(lambda: worker.name not in listing_machines(world), clock)
     if restarts:
@@ -111,7 +107,7 @@
 ) -> None:
     world = simulate(monkeypatch, lambda clock: simulate_copies(clock, scene, restarts, seed))
     assert world.violations == []
-    assert len(machines_with_task(world)) == (scene is not job_is_cancelled)
+    assert len(running(world, JOB)) == (scene is not job_is_cancelled)
 
 
 async def day_of_copies(
--- a/tests/system/test_restarted_machines.py
+++ b/tests/system/test_restarted_machines.py
@@ -12,7 +12,7 @@
 import pytest
 
 from tests.system.test_model import JOBS_A_DAY, submit_daily_jobs, wait_until_jobs_end
-from tests.troubles import end_faults
+from tests.troubles import end_faults, some_machines
 from tests.world import Clock, World, simulate
 
 FAULTS_S = 60.0
@@ -23,9 +23,8 @@
     end = world.clock() + FAULTS_S
     while world.clock() < end:
         await curio.sleep(world.rng.uniform(1.0, 4.0))
-        alive = sorted(name for name, worker in world.workers.items() if worker.alive())
-        if alive:
-            world.workers[world.rng.choice(alive)].restart(keeps_fence)
+        for name in some_machines(world, 0.0):  # one machine
+            world.workers[name].restart(keeps_fence)
     end_faults(world)
 
 
