--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A job of many small tasks makes a machine's reports too long; its lease expires over and over."""
+"""A replica fails once on the only machine that is up; nothing ever starts it again."""
 
 from __future__ import annotations
 
@@ -8,46 +8,37 @@
 
 from review.lib2.deployment import DELTA_S, ZONES, Deployment, cluster, job, main
 
-# How many tasks the job has. A report lists each of them with some fifty bytes.
-MANY, FEW = 2000, 400
-RUN_S = 15.0
-# One machine holds all tasks at once, so the job needs little more than one run.
-WITHIN_S = 90.0
+# A machine fails every task that it starts, for a few seconds.
+SICK_S = 5.0
+# The bound of the rule, in seconds, and how long the case watches.
+WAIT_S, WATCH_S = 90.0, 93.0
 
 
 def deployment() -> Deployment:
-    """Return a deployment whose cloud has a machine of the smallest type in each zone."""
-    capacity = {("delta-s", zone, False): 1 for zone in ZONES}
+    """Return a deployment whose cloud has three machines of the smallest type in each zone."""
+    capacity = {("delta-s", zone, False): 3 for zone in ZONES}
     return Deployment(Path(__file__).parent, [DELTA_S], capacity, cluster())
 
 
 async def case(world: Deployment, trouble: bool) -> list[str]:
     """Run the case; return what broke the rule."""
-    service = job(1, shape="daemon", vcpus=2.0, jobclass="buoy-ingest", rank="production")
-    await world.submit(service, 0.0)
-    await world.until(lambda: world.cloud.places("j-000001"), 30.0, "the replica runs")
-    probes = job(
-        2,
-        pieces=MANY if trouble else FEW,
-        vcpus=0.002,
-        ram_gb=0.01,
-        guess_s=RUN_S,
-        due_s=60.0,
-        bundle="img-02",
+    await world.submit(job(1, due_s=20.0, guess_s=1.0), 1.0)
+    await world.until(lambda: world.cloud.results.get("j-000001"), 30.0, "an array is done")
+    (machine,) = [m for m in world.cloud.machines.values() if m.up and not m.gone]
+    if trouble:
+        machine.sick = True
+        world.note("fails-tasks", machine=machine.name)
+    service = job(
+        2, shape="daemon", vcpus=2.0, jobclass="buoy-ingest", rank="production", bundle="img-02"
     )
-    await world.submit(probes, RUN_S)
-    status = ""
-    end = world.now() + WITHIN_S
-    while world.now() < end and status != "done":
-        await asyncio.sleep(5.0)
-        code, answer = await world.user("GET", "/api/jobs/j-000002")
-        status = answer["status"] if code == 200 else ""
-    expired = sum(m.tenure - 1 for m in world.cloud.machines.values())
-    too_long = sum(m.oversized for m in world.cloud.machines.values())
-    world.note("reports", too_long=too_long, leases_expired=expired)
-    if status == "done" and not expired:
+    await world.submit(service, 0.0)
+    await asyncio.sleep(SICK_S)
+    machine.sick = False
+    world.note("troubles-over")
+    waited_s = await world.watch_waiting(service, WATCH_S)
+    if waited_s <= WAIT_S:
         return []
-    return [f"{too_long} reports were too long, {expired} leases expired, the job is {status!r}"]
+    return [f"left_waiting: j-000002 waits for {waited_s:.0f} s while a machine has room"]
 
 
 if __name__ == "__main__":
--- a/review/lib2/web.py
+++ b/review/lib2/web.py
@@ -167,7 +167,10 @@
         except OSError:
             writer.transport.abort()
             return
-        await asyncio.gather(self._copy(reader, there[1]), self._copy(there[0], writer))
+        try:
+            await asyncio.gather(self._copy(reader, there[1]), self._copy(there[0], writer))
+        except asyncio.CancelledError:
+            pass
 
     async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
