--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -218,7 +218,8 @@
         return Path(self.directory.name) / f"{label}.log"
 
     def start(self, label: str) -> None:
-        """Start a controller with the command of the deploy file."""
+        """Start a controller with the command of the deploy file, in place of one that runs."""
+        self.kill(label)
         deploy = tomllib.loads((ROOT / "deploy" / "service.toml").read_text(encoding="utf-8"))
         with self.log_path(label).open("ab") as log:
             self.processes[label] = subprocess.Popen(
