--- a/clayport/controller.py
+++ b/clayport/controller.py
@@ -165,6 +165,7 @@
             lambda job, event: self.fleet.emit(job, event),
             0.5 * workers.lease_s,
             0.3 * workers.lease_s,
+            workers.lease_s,
         )
         self.catalogue = Catalogue(
             self.cloud, self.machines, self.jobs, self.routines, workers.lease_s
--- a/clayport/machines/assignments.py
+++ b/clayport/machines/assignments.py
@@ -8,7 +8,7 @@
 from clayport.machines.machine import LIVE, QUEUED, RESERVED, DesiredTask
 from clayport.machines.reports import emit_not_listed, emit_status
 from clayport.machines.table_parts import AssignmentTable
-from clayport.model import Job
+from clayport.model import GANG, Job
 from clayport.scheduling.room import Room
 
 
@@ -44,11 +44,15 @@
             and table.launched_attempts.may_reserve(job.id, number, attempt, name)
             and key not in machine.desired
             and key not in machine.reported_tasks
-            and rooms[name].fits(job)
+            and (rooms[name].fits(job) or rooms[name].fits_probe(job))
             and not machine.held_for_other(job.id, now)
         )
         if fits and machine is not None:
             machine.desired[key] = DesiredTask(RESERVED, now)
+            if rooms[name].on_probation:
+                machine.quarantine.probes[key] = None
+                # The tasks of a gang start together or not at all, so they count as one.
+                rooms[name].on_probation = job.kind == GANG
             rooms[name].allocate(job)
             if job.preemption_rank >= 0:
                 machine.idle_since = now
--- a/clayport/machines/machine.py
+++ b/clayport/machines/machine.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import NamedTuple, TypeAlias
 
+from clayport.machines.quarantine import Quarantine
 from clayport.machines.tokens import NOT_LAUNCHED, LaunchFence
 from clayport.model import job_of_task
 from clayport.scheduling.room import Room
@@ -113,6 +114,7 @@
         self.direct_paused_until = NEVER
         self.launches_in_response: list[TaskKey] = []  # sent in the last response to a report
         self.errors: dict[str, int] = {}  # by job, since a task last succeeded here
+        self.quarantine = Quarantine()  # in force while the machine is unhealthy
         self.unhealthy_checks = 0  # consecutive checks with an unhealthy result
         self.request_in_flight = False  # whether a /do request is in flight
         self.fencing = False
--- a/clayport/machines/reports.py
+++ b/clayport/machines/reports.py
@@ -82,7 +82,7 @@
     if status.cause == "error":
         table.faults.count_error(machine, job)
     elif status.cause == "done":
-        machine.errors.clear()
+        table.faults.mark_healthy(machine, "done")
     event = TaskEvent(machine.name, key[0], key[1], status.state, status.cause, status.saved)
     table.emit(job, event)
 
--- a/clayport/machines/table.py
+++ b/clayport/machines/table.py
@@ -15,7 +15,7 @@
 from clayport.machines.command_log import log_gone
 from clayport.machines.commands import Order
 from clayport.machines.events import GONE, TaskEvent
-from clayport.machines.health import FaultRecord, log_unhealthy
+from clayport.machines.health import FaultRecord
 from clayport.machines.launched_attempts import LaunchedAttempts
 from clayport.machines.machine import (
     LIVE,
@@ -49,6 +49,7 @@
         reservation_s: The seconds after which a reservation that is not launched expires.
         direct_pause_s: The seconds for which a machine that did not answer a command gets its
             commands in the responses to its reports.
+        lease_s: The duration of a worker's lease, in seconds.
 
     Attributes:
         machines: The machines, by name.
@@ -68,6 +69,7 @@
         emit: Callable[[str, TaskEvent], None],
         reservation_s: float,
         direct_pause_s: float,
+        lease_s: float,
     ) -> None:
         self.job_of, self.is_cancelled, self.emit = job_of, is_cancelled, emit
         self.reservation_s, self.direct_pause_s = reservation_s, direct_pause_s
@@ -76,7 +78,7 @@
         self.types: dict[str, MachineType] = {}
         self.epoch: Epoch | None = None
         self.changes = ChangeLog()
-        self.faults = FaultRecord()
+        self.faults = FaultRecord(lease_s)
         self.launched_attempts = LaunchedAttempts()
 
     # -- ownership -------------------------------------------------------
@@ -228,13 +230,7 @@
             log.info("job=%s event=job-failing", job)
             self._remove_errors(job)
         machine = self.machines.get(name)
-        if (
-            machine is not None
-            and not at_fault
-            and job in machine.errors
-            and self.is_unhealthy(machine)
-        ):
-            log_unhealthy(machine, job)
+        if machine is not None and not at_fault and self.faults.note_verdict(machine, job):
             self.mark_room_changed(name)
 
     def job_ended(self, job: str, status: str) -> None:
@@ -251,7 +247,7 @@
     def _remove_errors(self, job: str) -> None:
         """Remove a job's errors from all machines."""
         for machine in self.machines.values():
-            if machine.errors.pop(job, 0):
+            if self.faults.remove_errors(machine, job):
                 self.mark_room_changed(machine.name)
 
     # -- requests of leaders ---------------------------------------------
@@ -266,8 +262,11 @@
         return assignments.reserve(self, job, items, attempt, now)
 
     def expire(self, now: float) -> None:
-        """Drop reservations that were not launched in time, and expired holds of preempted room."""
+        """Drop expired reservations and holds of preempted room, and end quarantines."""
         assignments.expire(self, now)
+        for machine in self.machines.values():
+            if machine.errors and self.faults.check_quarantine(machine, now):
+                self.mark_room_changed(machine.name)
 
     def launch(self, items: Iterable[tuple[str, str, int]]) -> list[int]:
         """Queue launches of (machine, task, attempt); return 0 for each without a reservation."""
@@ -348,13 +347,28 @@
 
     def accepts_work(self, machine: Machine) -> bool:
         """Return whether the machine takes new tasks."""
+        return self._is_available(machine) and not (
+            machine.errors and self.faults.is_unhealthy(machine)
+        )
+
+    def takes_probe(self, machine: Machine) -> bool:
+        """Return whether the machine is unhealthy and takes a probe task."""
+        return (
+            machine.quarantine.probing
+            and self._is_available(machine)
+            and self.faults.is_unhealthy(machine)
+            and self.faults.takes_probe(machine)
+        )
+
+    @staticmethod
+    def _is_available(machine: Machine) -> bool:
+        """Return whether the machine takes new tasks if it is healthy."""
         return (
             machine.known
             and not machine.draining
             and machine.notice_at is None
             and not machine.fencing
             and not machine.lease_expired
-            and not (machine.errors and self.faults.is_unhealthy(machine))
         )
 
     def room(self, machine: Machine, owner: str = "", now: float | None = None) -> Room:
@@ -382,6 +396,7 @@
         room.owner = owner
         if room.idle:
             room.idle_since = machine.idle_since
+        room.on_probation = machine.type in self.types and self.takes_probe(machine)
         if now is not None:
             room.reserved_for = machine.held_for_job if now < machine.held_until else ""
         return room
--- a/clayport/scheduling/cached_state.py
+++ b/clayport/scheduling/cached_state.py
@@ -9,6 +9,7 @@
 import math
 import time
 from collections.abc import Iterable, Mapping
+from enum import IntEnum
 from typing import Any
 
 import curio
@@ -31,12 +32,24 @@
 # memory (GB).
 Usage = tuple[int, bool, float, float, float]
 # One machine in a table of free room, in the order of `frames.MACHINE`: name, address, machine
-# type, zone, whether it is a spot machine, whether it takes new tasks, free CPUs, GPUs and memory
-# (GB), number of tasks, cached images (separated by spaces), the time for which it has been idle
-# (s; negative while it is not idle), and the job for which the room is reserved ("": none). Rows
-# are plain tuples because tables have thousands of rows: named tuples took 1.5 times as long to
-# read.
-MachineRow = tuple[str, str, str, str, bool, bool, float, float, float, int, str, float, str]
+# type, zone, whether it is a spot machine, which new tasks it takes (`Admission`), free CPUs, GPUs
+# and memory (GB), number of tasks, cached images (separated by spaces), the time for which it has
+# been idle (s; negative while it is not idle), and the job for which the room is reserved ("":
+# none). Rows are plain tuples because tables have thousands of rows: named tuples took 1.5 times as
+# long to read.
+MachineRow = tuple[str, str, str, str, bool, int, float, float, float, int, str, float, str]
+
+
+class Admission(IntEnum):
+    """Which new tasks a machine takes, in a table of free room.
+
+    The previous version reads the field as a boolean, and so takes a machine on probation for an
+    open one. It then has the starts beyond the first declined.
+    """
+
+    CLOSED = 0
+    OPEN = 1
+    PROBATION = 2
 
 
 def room_from_row(row: MachineRow, owner: str, usage: Iterable[Usage], now: float) -> Room:
@@ -54,7 +67,7 @@
         type,
         zone,
         spot,
-        open,
+        admission,
         cpus,
         gpus,
         memory_gb,
@@ -69,7 +82,7 @@
         type,
         zone,
         spot,
-        open,
+        admission == Admission.OPEN,
         cpus,
         gpus,
         memory_gb,
@@ -80,6 +93,7 @@
         usage,
     )
     room.reserved_for = hold
+    room.on_probation = admission == Admission.PROBATION
     return room
 
 
@@ -91,7 +105,7 @@
         room.type,
         room.zone,
         room.spot,
-        room.open,
+        Admission.PROBATION if room.on_probation else int(room.open),
         room.cpus,
         room.gpus,
         room.memory_gb,
--- a/clayport/scheduling/index.py
+++ b/clayport/scheduling/index.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
-from collections.abc import Container, Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator, Sequence
 from contextlib import contextmanager
 from heapq import merge
 from zlib import crc32
@@ -205,6 +205,7 @@
             same machine.
         rooms: The rooms by machine.
         pools: The pools by type, zone and whether their machines are spot machines.
+        on_probation: The rooms whose machines are on probation, by machine.
         rev: The revision of the index: the number of changes of all rooms.
         reserved_jobs: The jobs for which preemption has reserved rooms, with the numbers of
             machines.
@@ -219,6 +220,7 @@
         self.salt = salt
         self.rooms: dict[str, Room] = {}
         self.pools: dict[tuple[str, str, bool], Pool] = {}
+        self.on_probation: dict[str, Room] = {}
         self._allowed: dict[tuple[object, ...], list[Pool]] = {}
         self.rev = 0
         self.reserved_jobs: Counter[str] = Counter()
@@ -244,6 +246,8 @@
         room.name_hash = crc32(room.machine.encode()) / 2**32
         room.index = self
         self.rooms[room.machine] = pool.rooms[room.machine] = room
+        if room.on_probation:
+            self.on_probation[room.machine] = room
         if room.reserved_for:
             self.reserved_jobs[room.reserved_for] += 1
         self.note_change(room)
@@ -255,6 +259,7 @@
             return
         self.note_change(room)
         del self.rooms[machine]
+        self.on_probation.pop(machine, None)
         del self.pools[room.type, room.zone, room.spot].rooms[machine]
         room.index = None
         if room.reserved_for:
@@ -324,6 +329,24 @@
                     room.restore(copy)
                     self.add(room)
 
+    @contextmanager
+    def admitting(self, rooms: Sequence[Room]) -> Iterator[None]:
+        """Open rooms on probation until the context ends.
+
+        A room in which a task has been allocated then is no longer on probation.
+        """
+        tasks_before = {room.machine: room.tasks for room in rooms}
+        for room in rooms:
+            self.note_change(room)
+            room.open = True
+        try:
+            yield
+        finally:
+            for room in rooms:
+                self.note_change(room)
+                room.open = False
+                room.on_probation = room.tasks == tasks_before[room.machine]
+
     # -- queries ---------------------------------------------------------
 
     def allowed(self, job: Job) -> list[Pool]:
--- a/clayport/scheduling/room.py
+++ b/clayport/scheduling/room.py
@@ -32,6 +32,8 @@
 
     Attributes:
         open: Whether the machine takes new tasks.
+        on_probation: Whether the machine is not open, but takes one task, which shows whether the
+            machine has recovered from a fault.
         cpus: Free CPUs.
         gpus: Free GPUs.
         memory_gb: Free memory in GB.
@@ -62,6 +64,7 @@
         "machine",
         "memory_gb",
         "name_hash",
+        "on_probation",
         "open",
         "owner",
         "reserved_for",
@@ -92,7 +95,7 @@
         used: Iterable[tuple[int, bool, float, float, float]] = (),
     ) -> None:
         self.machine, self.address, self.type, self.zone = machine, address, type, zone
-        self.spot, self.open = spot, open
+        self.spot, self.open, self.on_probation = spot, open, False
         self.cpus, self.gpus, self.memory_gb = cpus, gpus, memory_gb
         self.tasks, self.images = tasks, dict.fromkeys(images)
         self.idle_since, self.owner = idle_since, owner
@@ -121,7 +124,8 @@
 
     def restore(self, other: Room) -> None:
         """Restore all fields that placement and preemption change from a copy of the room."""
-        self.open, self.cpus, self.gpus = other.open, other.cpus, other.gpus
+        self.open, self.on_probation = other.open, other.on_probation
+        self.cpus, self.gpus = other.cpus, other.gpus
         self.memory_gb, self.tasks = other.memory_gb, other.tasks
         self.backfill_tasks = other.backfill_tasks
         self.used = {k: list(v) for k, v in other.used.items()}
@@ -130,7 +134,7 @@
         """Accept no further tasks until a report replaces the room."""
         if self.index is not None:
             self.index.note_change(self)
-        self.open = False
+        self.open = self.on_probation = False
 
     def allows(self, job: Job) -> bool:
         """Return whether the job's requirements for type, zone and spot allow the machine."""
@@ -138,9 +142,16 @@
 
     def fits(self, job: Job) -> bool:
         """Return whether the room is open to the job and a task of it fits the free resources."""
+        return self.open and self._has_resources(job)
+
+    def fits_probe(self, job: Job) -> bool:
+        """Return whether the machine is on probation and a task fits the free resources."""
+        return self.on_probation and self._has_resources(job)
+
+    def _has_resources(self, job: Job) -> bool:
+        """Return whether a task of the job fits the free resources, which may be reserved."""
         return (
-            self.open
-            and self.reserved_for in ("", job.id)
+            self.reserved_for in ("", job.id)
             and self.cpus + EPSILON >= job.cpus
             and self.gpus + EPSILON >= job.gpus
             and self.memory_gb + EPSILON >= job.memory_gb
--- a/clayport/scheduling/room_finder.py
+++ b/clayport/scheduling/room_finder.py
@@ -96,6 +96,7 @@
         if managed.at_fault:
             # The job is likely to fail again, so neither preempt tasks nor claim a guarantee.
             chosen = search.place(wanted, avoid_expensive=True)
+            chosen += search.place_on_probation(wanted - len(chosen))
             wanted = len(chosen)
         elif limit is not None and age_s < limit and job.kind != GANG:
             chosen, wanted = self._find_in_time(search, wanted, limit - age_s)
@@ -113,6 +114,8 @@
             and self.guarantees.has_guarantee(job)
         ):
             self._claim_guarantee(search)
+        if len(chosen) < wanted:
+            chosen += self._find_on_probation(search, wanted - len(chosen))
         return chosen, wanted
 
     def _search_conditions(
@@ -198,8 +201,23 @@
                 max_rank=search.max_rank,
                 avoid_expensive=True,
             )
-        expected = sum(count for count, until in managed.preempted_room.values() if now < until)
-        return search.place(max(0, wanted - expected))
+        return search.place(max(0, wanted - self._expected(managed, now)))
+
+    def _find_on_probation(self, search: RoomSearch, wanted: int) -> list[Room]:
+        """Find room on machines on probation for tasks for which there is no other room.
+
+        Tasks for which preemption is making room wait for that room.
+        """
+        managed = search.managed
+        expected = self._expected(managed, search.scheduling_pass.now)
+        if expected and managed.job.kind == GANG:
+            return []
+        return search.place_on_probation(wanted - expected)
+
+    @staticmethod
+    def _expected(managed: ManagedJob, now: float) -> int:
+        """Return for how many tasks of the job preemption is making room."""
+        return sum(count for count, until in managed.preempted_room.values() if now < until)
 
     def _preempt_anywhere(self, search: RoomSearch, wanted: int) -> None:
         """Request preemption of tasks of lower rank on any machine.
--- a/clayport/scheduling/room_search.py
+++ b/clayport/scheduling/room_search.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from clayport.jobs.managed_job import ManagedJob
+from clayport.model import GANG
 from clayport.scheduling.placement import place
 from clayport.scheduling.policy import LargeTaskReserve
 from clayport.scheduling.room import Room
@@ -47,6 +48,7 @@
         wanted: int,
         avoid_expensive: bool = False,
         image_fetch_types: frozenset[str] | None = None,
+        used: Collection[str] = (),
     ) -> list[Room]:
         """Choose free rooms for tasks of the job, and allocate the tasks in them.
 
@@ -55,6 +57,7 @@
             avoid_expensive: Whether to skip expensive machines.
             image_fetch_types: The machine types on which a task may start although the image has
                 to be fetched first; None: all types.
+            used: Machines that are not considered, besides the excluded ones.
         """
         return place(
             self.managed.job,
@@ -64,8 +67,36 @@
             self.scheduling_pass.policy,
             avoid_expensive,
             self.avoid_spot,
-            self.excluded,
+            {*self.excluded, *used} if used else self.excluded,
             self.avoid_idle_on_demand,
             image_fetch_types,
             self.reserve,
         )
+
+    def place_on_probation(self, wanted: int) -> list[Room]:
+        """Choose machines on probation, each for one task, and allocate the tasks there.
+
+        The tasks of a gang start together or not at all. So a gang may take several places on a
+        machine, also beside places on healthy machines.
+
+        Args:
+            wanted: The number of tasks to place.
+        """
+        job, index = self.managed.job, self.scheduling_pass.index
+        rooms = [
+            room
+            for machine, room in index.on_probation.items()
+            if machine not in self.excluded and room.allows(job) and room.fits_probe(job)
+        ]
+        if wanted <= 0 or not rooms:
+            return []
+        with index.admitting(rooms):
+            if job.kind == GANG:
+                return self.place(wanted)
+            chosen: list[Room] = []
+            while len(chosen) < wanted:
+                found = self.place(1, used=[room.machine for room in chosen])
+                if not found:
+                    break
+                chosen += found
+        return chosen
--- a/clayport/transport/frames.py
+++ b/clayport/transport/frames.py
@@ -103,9 +103,9 @@
 DEMAND: Schema = ("s", "I", "d", "s")
 # machine, task, attempt
 TASK: Schema = ("s", "s", "Q")
-# machine, address, type, zone, spot, open, free CPUs, free GPUs, free memory (GB), tasks, images,
-# idle time (s), job that the room is reserved for
-MACHINE: Schema = ("s", "s", "s", "s", "?", "?", "d", "d", "d", "I", "s", "d", "s")
+# machine, address, type, zone, spot, which new tasks it takes (`Admission`), free CPUs, free GPUs,
+# free memory (GB), tasks, images, idle time (s), job that the room is reserved for
+MACHINE: Schema = ("s", "s", "s", "s", "?", "B", "d", "d", "d", "I", "s", "d", "s")
 # machine, preemption rank of the jobs, whether they use no GPUs, CPUs, GPUs and memory (GB) in use
 USED_ROOM: Schema = ("s", "h", "?", "d", "d", "d")
 
--- a/tests/jobs/test_dispatch.py
+++ b/tests/jobs/test_dispatch.py
@@ -306,7 +306,7 @@
 
 
 def test_changes_older_than_the_change_log_require_the_whole_table() -> None:
-    owner = MachineTable(lambda _: None, lambda _: False, lambda *_: None, 5.0, 3.0)
+    owner = MachineTable(lambda _: None, lambda _: False, lambda *_: None, 5.0, 3.0, 10.0)
     for number in range(5000):
         owner.mark_room_changed(f"m{number}")
     assert len(owner.changes) <= 1000
--- a/tests/machines/test_workers.py
+++ b/tests/machines/test_workers.py
@@ -30,6 +30,7 @@
             lambda j, e: self.events.append(e),
             5.0,
             3.0,
+            10.0,
         )
         self.owner.types = {t.name: t for t in msgspec.convert(TYPES, list[MachineType])}
         self.owner.begin_epoch(Epoch(3, {"c0": "x"}, 7), "c0")
--- a/tests/troubles.py
+++ b/tests/troubles.py
@@ -255,6 +255,7 @@
     world.cancelled_at_end = world.failing_tasks = 0.0
     world.repeated_commands = world.repeated_requests = 0.0
     world.duplicated_frame_kinds.clear()
+    world.failing_machines.clear()
     world.isolated_zone = ""
     for holder in (
         world.partitioned,
--- a/tests/world/cloud.py
+++ b/tests/world/cloud.py
@@ -12,14 +12,14 @@
     """Mixin of `World` that rents out, lists and takes back machines."""
 
     def cloud(self, method: str, path: str, body: Any) -> tuple[int, Any]:
-        """Answer a request to the cloud, which never has more than 14 machines."""
+        """Answer a request to the cloud, which never has more than `World.capacity` machines."""
         now = self.clock()
         if path == "/catalog":
             return 200, {"flavors": TYPES}
         if path == "/hosts" and method == "POST":
             if body["rental"] not in self.rentals:
                 alive = sum(not w.gone for w in self.workers.values())
-                count = min(body["number"], max(0, 14 - alive))
+                count = min(body["number"], max(0, self.capacity - alive))
                 if count == 0:
                     return 503, {"error": "no capacity"}
                 self.rentals[body["rental"]] = [
--- a/tests/world/deployment.py
+++ b/tests/world/deployment.py
@@ -61,6 +61,10 @@
         # 9 s later, `repeated_requests` the same of all other requests that change something, and
         # `failing_tasks` the share of started tasks that soon exit with an error.
         self.repeated_commands = self.repeated_requests = self.failing_tasks = 0.0
+        self.failing_machines: set[str] = set()  # machines on which every started task soon fails
+        self.capacity = 14  # how many machines the cloud has
+        # The time, the machine and the task of each start.
+        self.starts: list[tuple[float, str, str]] = []
         self.answered_commands: list[Callable[[], Any]] = []
         self.report_copies: list[tuple[str, bytes]] = []  # machine and body of each kept report
         self.reports_blocked: set[str] = (
--- a/tests/world/rules.py
+++ b/tests/world/rules.py
@@ -21,6 +21,7 @@
         job_id = task.split("/")[0]
         job = self.jobs[job_id]
         self.launches += 1
+        self.starts.append((self.clock(), worker.name, task))
         since = self.cancelled.get(job_id)
         if since is not None and self.clock() - since > 35.0:
             self.violations.append(f"ran_cancelled {task} starts on {worker.name}")
