--- a/clayport/jobs/dispatcher.py
+++ b/clayport/jobs/dispatcher.py
@@ -270,7 +270,7 @@
         if self.membership.epoch is not epoch:
             raise EpochEndedError
         declined = [start for start in starts if start not in granted]
-        self._note_answers(granted, declined)
+        self._note_answers(managed, granted, declined)
         release = [
             (machine, f"{job.id}/{number}", attempt, 0.0, False) for number, machine in granted
         ]
@@ -297,14 +297,17 @@
             fence,
         )
 
-    def _note_answers(self, granted: list[Start], declined: list[Start]) -> None:
-        """Update the cached state by what the owners have granted and declined."""
+    def _note_answers(
+        self, managed: ManagedJob, granted: list[Start], declined: list[Start]
+    ) -> None:
+        """Update the cached state and the job by what the owners have granted and declined."""
         self.cached_state.adaptive_interval.count(len(granted), len(declined))
         for _, machine in declined:
             # The machine is not tried again until its cached state has been refreshed.
             room = self.view.rooms.get(machine)
             if room is not None and room.owner != self.membership.label:
                 room.close()
+            managed.avoided.note_declined(machine, time.monotonic())
         if declined:
             self.routines.signal("starved")
             self.cached_state.lacks_room = True
--- a/clayport/jobs/managed_job.py
+++ b/clayport/jobs/managed_job.py
@@ -10,8 +10,10 @@
 from collections.abc import Collection, Container, Iterable
 from typing import Any
 
+from clayport.jobs.avoidance import AvoidedMachines
 from clayport.jobs.committed_tasks import Assignment, CommittedTasks
 from clayport.jobs.verdicts import Verdict, for_uncommitted
+from clayport.limits.backoff import backoff_s
 from clayport.machines.events import GONE
 from clayport.model import GANG, Job
 from clayport.records.chunk import ASSIGNED_BYTES, TXN_BYTES, Chunk
@@ -19,8 +21,6 @@
 
 # The number of machines on which a job must have failed to be considered at fault itself.
 FAULT_MACHINES = 3
-# The largest exponent of the exponential backoff of a job at fault.
-MAX_BACKOFF_EXPONENT = 16
 # The most chunks that a transaction of starts may change if the caller sets no limit.
 UNLIMITED_CHUNKS = 1_000_000
 
@@ -39,6 +39,7 @@
         epoch: The number of the epoch under which the job was loaded.
         pause_s: The first pause of a job that is at fault itself.
         max_pause_s: The longest pause of such a job.
+        lease_s: The duration of a worker's lease.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         epoch: int = 0,
         pause_s: float = 1.0,
         max_pause_s: float = 60.0,
+        lease_s: float = 10.0,
     ) -> None:
         super().__init__(job, size)
         self.name = f"job {job.id} {epoch}"  # the signal that wakes its routine
@@ -92,7 +94,8 @@
         self.attempt_failed = False  # whether a gang's attempt has failed and is being stopped
         self.lost_machines: set[str] = set()  # machines lost in a gang's current attempt
 
-        self.errors: dict[str, int] = {}  # failures by machine, the latest last
+        self.errors: dict[str, int] = {}  # failures by machine
+        self.avoided = AvoidedMachines(job.id, lease_s)  # because of failures
         self.has_completed_task = False
         self.found_at_fault_before = False  # whether it was found at fault under an earlier epoch
         self.failed_retries = 0  # failed retries since it was found at fault
@@ -253,6 +256,7 @@
             if cause == "done":
                 self.has_completed_task = True
                 self.errors.pop(machine, None)
+                self.avoided.note_success(machine)
         else:
             self.states[number] = (state, cause)
             self.started = self.started or state == "running"
@@ -328,23 +332,28 @@
         healthy ones would be drained and replaced until the user cancelled the job. The job is
         retried with backoff, because the cause may have been temporary.
         """
-        self.errors[machine] = self.errors.pop(machine, 0) + 1
+        self.errors[machine] = self.errors.get(machine, 0) + 1
+        self.avoided.note_failure(machine, now)
         if self.at_fault:
             if now >= self.not_before:
-                pause_s = min(self.max_pause_s, self.pause_s * 2.0**self.failed_retries)
-                self.not_before = now + pause_s
-                self.failed_retries = min(self.failed_retries + 1, MAX_BACKOFF_EXPONENT)
+                self.not_before = now + backoff_s(
+                    self.pause_s, self.max_pause_s, self.failed_retries
+                )
+                self.failed_retries += 1
             return Verdict.JOB_AT_FAULT
         if self.has_completed_task or self.running > sum(self.errors.values()):
             return Verdict.MACHINE_AT_FAULT
         return Verdict.OK
 
-    def avoided_machines(self) -> Collection[str]:
-        """Return the machines that the job is not placed on, because it failed there.
+    def excluded_machines(self, now: float) -> Collection[str]:
+        """Return the machines that the job is not placed on now.
 
-        If the job is at fault itself, this is only the machine of its last failure.
+        These are the machines where it failed lately, and those that a gang has lost in its
+        current attempt. If the job is at fault itself, it avoids only the machine of its last
+        failure.
         """
-        return set(list(self.errors)[-1:]) if self.at_fault else self.errors
+        avoided = self.avoided.latest_at(now) if self.at_fault else self.avoided.at(now)
+        return avoided | self.lost_machines
 
     # -- commits ---------------------------------------------------------
 
--- a/clayport/machines/assignments.py
+++ b/clayport/machines/assignments.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from clayport.machines.command_log import log_gone
-from clayport.machines.machine import LIVE, QUEUED, RESERVED, DesiredTask
+from clayport.machines.machine import LIVE, QUEUED, RESERVED, DesiredTask, Machine
 from clayport.machines.reports import emit_not_listed, emit_status
 from clayport.machines.table_parts import AssignmentTable
 from clayport.model import GANG, Job
@@ -44,7 +44,7 @@
             and table.launched_attempts.may_reserve(job.id, number, attempt, name)
             and key not in machine.desired
             and key not in machine.reported_tasks
-            and (rooms[name].fits(job) or rooms[name].fits_probe(job))
+            and (rooms[name].fits(job) or _fits_probe(table, machine, rooms[name], job, now))
             and not machine.held_for_other(job.id, now)
         )
         if fits and machine is not None:
@@ -61,6 +61,11 @@
     return granted
 
 
+def _fits_probe(table: AssignmentTable, machine: Machine, room: Room, job: Job, now: float) -> bool:
+    """Return whether an unhealthy machine takes a task of the job as a probe task."""
+    return room.fits_probe(job) and not table.faults.prefers_other_jobs(machine, job.id, now)
+
+
 def expire(table: AssignmentTable, now: float) -> None:
     """Drop reservations that were not launched in time, and expired holds of preempted room."""
     for machine in table.machines.values():
--- a/clayport/machines/quarantine.py
+++ b/clayport/machines/quarantine.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from clayport.limits.backoff import backoff_s
+
 # The first and the longest duration of a quarantine, in leases of a worker.
 FIRST_QUARANTINE_LEASES = 1.0
 MAX_QUARANTINE_LEASES = 2.0
@@ -21,7 +23,9 @@
         failures: How often the machine has failed in a row, at least 1.
         lease_s: The duration of a worker's lease, in seconds.
     """
-    return min(MAX_QUARANTINE_LEASES, FIRST_QUARANTINE_LEASES * 2.0 ** (failures - 1)) * lease_s
+    return backoff_s(
+        FIRST_QUARANTINE_LEASES * lease_s, MAX_QUARANTINE_LEASES * lease_s, failures - 1
+    )
 
 
 class Quarantine:
--- a/clayport/membership/failover.py
+++ b/clayport/membership/failover.py
@@ -212,6 +212,7 @@
             self.membership.epoch.number,
             cluster.workers.report_s,
             6 * cluster.workers.lease_s,
+            cluster.workers.lease_s,
         )
         managed.found_at_fault_before = job.id in self.machines.jobs_at_fault
         managed.load_all(chunks)
--- a/clayport/membership/flap_damping.py
+++ b/clayport/membership/flap_damping.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Mapping
 
+from clayport.limits.backoff import backoff_s
+
 # The most restarts within the window after which a controller still rejoins at once, for
 # example in a rolling upgrade.
 RESTARTS_WITHOUT_PAUSE = 2
@@ -46,8 +48,8 @@
             self.restarts[label] = [*recent, now]
             doublings = len(recent) - RESTARTS_WITHOUT_PAUSE
             if doublings >= 0:
-                self.paused_until[label] = now + min(
-                    self.max_pause_s, self.pause_s * 2.0**doublings
+                self.paused_until[label] = now + backoff_s(
+                    self.pause_s, self.max_pause_s, doublings
                 )
                 excluded.append(label)
         return excluded
--- a/clayport/scaling/demand.py
+++ b/clayport/scaling/demand.py
@@ -35,12 +35,14 @@
         tasks: The number of waiting tasks.
         age_s: For how long they have waited.
         zones: The zones of the job's other tasks, if its placement depends on them.
+        excluded: The machines on which the job is not placed now.
     """
 
     job: Job
     tasks: int
     age_s: float = 0.0
     zones: tuple[str, ...] = ()
+    excluded: frozenset[str] = frozenset()
 
 
 def unmet_demand(
@@ -72,6 +74,7 @@
             Spread(need.job, need.zones),
             policy,
             avoid_expensive,
+            excluded=need.excluded,
             avoid_idle_on_demand=avoid_idle_on_demand,
             image_fetch_types=NO_MACHINE_TYPES,
         )
@@ -105,6 +108,7 @@
             policy,
             avoid_expensive,
             excluded,
+            need.excluded,
         )
         for need in demand
     )
--- a/clayport/scaling/provisioning.py
+++ b/clayport/scaling/provisioning.py
@@ -95,8 +95,9 @@
     expected_cpus = EXPECTED_GROWTH * busy_cpus + sum(
         need.job.cpus * need.tasks for need in missing
     )
-    for job, wanted, _, other_zones in missing:
-        spread = Spread(job, other_zones)
+    for need in missing:
+        job, wanted = need.job, need.tasks
+        spread = Spread(job, need.zones)
         likely = int(expected_cpus / job.cpus) if job.cpus else wanted
         offers = _offers(
             types, job, refused, policy, time_left_s.get(job.id, math.inf), nominal_boot_s
--- a/clayport/scheduling/placement.py
+++ b/clayport/scheduling/placement.py
@@ -134,10 +134,12 @@
     policy: Policy,
     avoid_expensive: bool,
     excluded: set[str],
+    avoided: Container[str] = (),
 ) -> bool:
     """Return whether the rooms certainly hold `wanted` tasks of the job.
 
-    Each machine is counted for one job only: the counted machines are added to `excluded`.
+    Each machine is counted for one job only: the counted machines are added to `excluded`. The
+    machines in `avoided` are not counted for this job.
     No resources are subtracted from the rooms, so the check is cheap if there is plenty of room.
     False does not mean that the tasks do not fit; only a trial placement can tell.
     """
@@ -145,7 +147,11 @@
         return False
     pools = _ranked_pools(job, index, spread, policy, avoid_expensive, False)
     for room in index.in_order(job, pools, None):
-        if room.machine in excluded or not may_take(job, room, policy, None):
+        if (
+            room.machine in excluded
+            or room.machine in avoided
+            or not may_take(job, room, policy, None)
+        ):
             continue
         gpu_job = policy.protected_job(job, room)
         excluded.add(room.machine)
--- a/clayport/scheduling/placer.py
+++ b/clayport/scheduling/placer.py
@@ -290,10 +290,8 @@
         if len(chosen) < wanted:
             scheduling_pass.lacks_room = scheduling_pass.lacks_room or not job.backfill
             self.reserves.note_unplaced(job)
-            if (
-                job.id not in scheduling_pass.index.reserved_jobs
-                and not managed.errors
-                and not managed.lost_machines
+            if job.id not in scheduling_pass.index.reserved_jobs and not managed.excluded_machines(
+                scheduling_pass.now
             ):
                 scheduling_pass.unsatisfied.setdefault(
                     managed.placement_key, scheduling_pass.index.rev
--- a/clayport/scheduling/replica_migration.py
+++ b/clayport/scheduling/replica_migration.py
@@ -97,7 +97,7 @@
         image_fetch_types = types_fetched_within(
             self.machines.types, job, self.settings.cluster.workers.report_s
         )
-        excluded = (room.machine,)
+        excluded = {room.machine, *managed.excluded_machines(time.monotonic())}
         with index.trial():
             found = place(
                 job,
--- a/clayport/scheduling/room_finder.py
+++ b/clayport/scheduling/room_finder.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
 
 from clayport.jobs.managed_job import ManagedJob
 from clayport.machines.table import MachineTable
@@ -123,18 +123,13 @@
     ) -> RoomSearch:
         """Return the conditions of the search for room for the job in this pass."""
         job = managed.job
-        excluded: Collection[str] = (
-            {*managed.avoided_machines(), *managed.lost_machines}
-            if managed.errors or managed.lost_machines
-            else ()
-        )
         age_s = scheduling_pass.now - managed.waiting_since
         can_wait = self.objectives.can_wait(job, age_s)
         return RoomSearch(
             managed=managed,
             scheduling_pass=scheduling_pass,
             age_s=age_s,
-            excluded=excluded,
+            excluded=managed.excluded_machines(scheduling_pass.now),
             # The job must not keep an on-demand machine rented for itself alone.
             avoid_idle_on_demand=job.backfill
             and age_s < self.backfill.long_wait_s
--- a/tests/system/test_avoided_machines.py
+++ b/tests/system/test_avoided_machines.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import curio
 import pytest
 
 from tests.system.test_model import start_world
-from tests.troubles import MAX_WAIT_S, running
+from tests.troubles import (
+    LEASE_S,
+    MAX_WAIT_S,
+    running,
+    submit_endless,
+    until,
+    waits_for_s,
+)
 from tests.world import Clock, World, job, simulate
 
 JOB = "j-000001"
@@ -38,3 +47,83 @@
     world = simulate(monkeypatch, lambda clock: replica_fails_where_the_only_room_is(clock, seed))
     assert world.violations == []
     assert running(world, JOB)
+
+
+SERVICE = {"shape": "daemon", "jobclass": "web", "rank": "production", "guess_s": 0.0}
+SHAPES: dict[str, dict[str, Any]] = {
+    "array": {"pieces": 3},
+    "gang": {"pieces": 3, "shape": "ensemble"},
+    "service": {"pieces": 2, **SERVICE},
+}
+
+
+async def machines_fail(clock: Clock, seed: int, count: int) -> World:
+    """Let the only machines up, each of which runs a replica, fail all tasks that they start."""
+    world = await start_world(clock, seed)
+    world.capacity = count
+    fields = {"pieces": count, "vcpus": 4.5, "flavors": ["plain"], "loaners": False, **SERVICE}
+    name = await submit_endless(world, job(8, **fields))
+    await until(lambda: len(running(world, name)) == count)
+    world.failing_machines.update(world.workers)
+    return world
+
+
+async def job_fails_on_all_machines(
+    clock: Clock, seed: int, count: int, fields: dict[str, Any]
+) -> tuple[World, float]:
+    """Let a job fail for a while on all machines that the cloud has."""
+    world = await machines_fail(clock, seed, count)
+    await submit_endless(world, job(1, vcpus=1.0, loaners=False, **fields))
+    await curio.sleep(3 * LEASE_S)
+    world.failing_machines.clear()
+    return world, await waits_for_s(world, JOB)
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+@pytest.mark.parametrize("count", [1, 2, 4])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_job_that_failed_on_all_machines_of_the_cloud_runs_again(
+    monkeypatch: pytest.MonkeyPatch, shape: str, count: int, seed: int
+) -> None:
+    # A job avoided a machine for as long as no task of it completed there.
+    world, waited_s = simulate(
+        monkeypatch, lambda clock: job_fails_on_all_machines(clock, seed, count, SHAPES[shape])
+    )
+    assert waited_s <= MAX_WAIT_S
+    assert world.violations == []
+
+
+async def machine_goes_on_failing(
+    clock: Clock, seed: int, fields: dict[str, Any]
+) -> tuple[World, float]:
+    """Let the only machine up fail tasks for long, while the cloud has others."""
+    world = await start_world(clock, seed)
+    world.capacity = 1
+    # A service would have a second machine rented as spare room for others like it.
+    name = await submit_endless(world, job(8, pieces=1, flavors=["plain"], loaners=False))
+    await until(lambda: bool(running(world, name)))
+    world.failing_machines.update(world.workers)
+    world.capacity = 14
+    await submit_endless(world, job(1, vcpus=1.0, loaners=False, **fields))
+    since = clock()
+    while runs_nowhere_else(world) and clock() - since <= MAX_WAIT_S:
+        await curio.sleep(0.5)
+    return world, clock() - since
+
+
+def runs_nowhere_else(world: World) -> bool:
+    """Return whether the job runs on no machine but the failing one."""
+    return all(worker.name in world.failing_machines for worker in running(world, JOB))
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_machine_is_rented_for_a_job_that_avoids_the_only_one(
+    monkeypatch: pytest.MonkeyPatch, shape: str, seed: int
+) -> None:
+    # The provisioner counted the room on the avoided machine, which the placer did not use.
+    world, waited_s = simulate(
+        monkeypatch, lambda clock: machine_goes_on_failing(clock, seed, SHAPES[shape])
+    )
+    assert waited_s <= MAX_WAIT_S
+    assert world.violations == []
--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -88,7 +88,7 @@
     """Failures that arrive together count as one retry, so that a fault of a few seconds delays
     the job only briefly."""
     managed, _, until = job_after_events("eeeeeeeeee")
-    assert until == 11.0 and managed.avoided_machines() == {"m9"}
+    assert until == 11.0 and managed.excluded_machines(until) == {"m9"}
     for number, pause in ((10, 2.0), (11, 4.0)):
         managed.handle_event(f"m{number}", number, 1, "exited", "error", until)
         assert managed.not_before == until + pause
@@ -103,6 +103,8 @@
         harness.report(name, "north", "plain")
     managed = harness.add_job(make_job(1, pieces=16))
     managed.errors = {"m1": 2, "m2": 1, "m3": 1}
+    for name in managed.errors:
+        managed.avoided.note_failure(name, harness.now)
     assert harness.c.placer.demand_report.own_rows() == []
     harness.run_pass()
     assert len(managed.placed_starts) == 1 and managed.placed_starts[0][1] != "m3"
--- a/tests/system/test_unhealthy_machines.py
+++ b/tests/system/test_unhealthy_machines.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 import curio
 import pytest
 
 from tests.system.test_model import start_world
-from tests.troubles import LEASE_S, MAX_WAIT_S, end_faults, nothing_runs, running
+from tests.troubles import (
+    LEASE_S,
+    MAX_WAIT_S,
+    end_faults,
+    nothing_runs,
+    running,
+    submit_endless,
+    until,
+    waits_for_s,
+)
 from tests.world import Clock, World, job, simulate
 
 LATER = "j-000009"
@@ -23,27 +31,12 @@
 }
 
 
-async def until(condition: Callable[[], bool]) -> None:
-    """Wait until a condition holds, which the test needs to begin with."""
-    for _ in range(600):
-        if condition():
-            return
-        await curio.sleep(0.1)
-    raise TimeoutError("the condition of the test does not come about")
-
-
-async def submit(world: World, fields: dict[str, Any]) -> str:
-    """Submit a job whose tasks do not end by themselves, and return its id."""
-    await world.submit(fields, 1e9)
-    return str(fields["id"])
-
-
 async def machines_fail(clock: Clock, seed: int, count: int) -> World:
     """Let all machines that the cloud has fail tasks of two jobs, while each runs a replica."""
     world = await start_world(clock, seed)
     world.capacity = count
     fields = {"pieces": count, "vcpus": 4.5, "loaners": False, **SERVICE}
-    replicas = await submit(world, job(1, **fields))
+    replicas = await submit_endless(world, job(1, **fields))
     await until(lambda: len(running(world, replicas)) == count)
     world.failing_machines.update(worker.name for worker in running(world, replicas))
     for number in (2, 3):
@@ -68,11 +61,10 @@
     world = await machines_fail(clock, seed, count)
     end_faults(world)
     pieces = count * fields["pieces"]
-    await submit(world, job(9, **{**fields, "pieces": pieces, "vcpus": 1.0, "loaners": False}))
-    since = clock()
-    while nothing_runs(world, LATER) and clock() - since <= MAX_WAIT_S:
-        await curio.sleep(0.5)
-    waited_s = clock() - since
+    await submit_endless(
+        world, job(9, **{**fields, "pieces": pieces, "vcpus": 1.0, "loaners": False})
+    )
+    waited_s = await waits_for_s(world, LATER)
     await curio.sleep(2 * LEASE_S)
     return world, waited_s
 
@@ -91,6 +83,31 @@
     assert world.violations == []
 
 
+async def faulty_jobs_wait_too(clock: Clock, seed: int, faulty: int) -> tuple[World, float]:
+    """Submit a job beside jobs that fail everywhere and go before it, on a cloud that is full."""
+    world = await machines_fail(clock, seed, 2)
+    world.failing_machines.clear()
+    for number in range(10, 10 + faulty):
+        name = await submit_endless(
+            world, job(number, pieces=1, vcpus=1.0, rank="high", loaners=False)
+        )
+        world.failing_jobs.add(name)
+    await curio.sleep(2 * LEASE_S)
+    await submit_endless(world, job(9, pieces=1, vcpus=1.0, loaners=False))
+    return world, await waits_for_s(world, LATER)
+
+
+@pytest.mark.parametrize("faulty", [1, 2])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_faulty_jobs_do_not_take_all_probe_tasks(
+    monkeypatch: pytest.MonkeyPatch, faulty: int, seed: int
+) -> None:
+    # Jobs that fail everywhere would be the only ones tried on a machine on probation.
+    world, waited_s = simulate(monkeypatch, lambda clock: faulty_jobs_wait_too(clock, seed, faulty))
+    assert waited_s <= MAX_WAIT_S
+    assert world.violations == []
+
+
 WATCHED_S = 150.0
 
 
@@ -100,7 +117,7 @@
     world.capacity = capacity
     unhealthy_at = clock()
     for number in range(10, 16):
-        await submit(world, job(number, pieces=2, vcpus=0.5, loaners=False))
+        await submit_endless(world, job(number, pieces=2, vcpus=0.5, loaners=False))
     await curio.sleep(WATCHED_S)
     return world, unhealthy_at
 
--- a/tests/troubles.py
+++ b/tests/troubles.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -94,6 +95,14 @@
     )
 
 
+async def waits_for_s(world: World, job_id: str) -> float:
+    """Return for how long a job waits from now on, at most a little longer than allowed."""
+    since = world.clock()
+    while nothing_runs(world, job_id) and world.clock() - since <= MAX_WAIT_S:
+        await curio.sleep(0.5)
+    return world.clock() - since
+
+
 async def watch_waiting(world: World) -> None:
     """Note a violation if, after all faults, a job waits for long although machines have room."""
     since: dict[str, float] = {}
@@ -171,6 +180,21 @@
     return names
 
 
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds, which the test needs to begin with."""
+    for _ in range(600):
+        if condition():
+            return
+        await curio.sleep(0.1)
+    raise TimeoutError("the condition of the test does not come about")
+
+
+async def submit_endless(world: World, fields: dict[str, Any]) -> str:
+    """Submit a job whose tasks do not end by themselves, and return its id."""
+    await world.submit(fields, LONG_S)
+    return str(fields["id"])
+
+
 async def until_launches_are_sent(world: World, label: str) -> set[str]:
     """Wait until a controller has sent launches of jobs that run until they are cancelled.
 
--- a/tests/world/deployment.py
+++ b/tests/world/deployment.py
@@ -62,6 +62,7 @@
         # `failing_tasks` the share of started tasks that soon exit with an error.
         self.repeated_commands = self.repeated_requests = self.failing_tasks = 0.0
         self.failing_machines: set[str] = set()  # machines on which every started task soon fails
+        self.failing_jobs: set[str] = set()  # jobs whose tasks soon fail on every machine
         self.capacity = 14  # how many machines the cloud has
         # The time, the machine and the task of each start.
         self.starts: list[tuple[float, str, str]] = []
--- a/tests/world/machine.py
+++ b/tests/world/machine.py
@@ -118,7 +118,11 @@
         task.state = "waiting" if job["shape"] == "ensemble" else "running"
         task.until = now + self.world.run_s[job_id] * (1 + self.world.run_time_spread * int(number))
         self.world.entered(self, key)
-        if self.name in self.world.failing_machines or self.world.draw_fault("failing_tasks"):
+        if (
+            self.name in self.world.failing_machines
+            or job_id in self.world.failing_jobs
+            or self.world.draw_fault("failing_tasks")
+        ):
             task.fails_at = now + self.world.rng.uniform(0.2, 3.0)
         if int(number) in self.world.results[job_id]:
             self.complete_task(key, task)
