Rent a machine for the retry of a job at fault that finds no room

If others took its room, it waited for as long as they ran, although the cloud had more machines. Nothing but a success ends that state, and without room there is none.

Change: the placer notes that a retry is due and found no room; then the job's demand is one task, or its gang. While a machine has room, and during the pause before a retry, a job at fault adds no demand, as before.

--- a/clayport/jobs/managed_job.py
+++ b/clayport/jobs/managed_job.py
@@ -99,6 +99,7 @@
         self.has_completed_task = False
         self.found_at_fault_before = False  # whether it was found at fault under an earlier epoch
         self.failed_retries = 0  # failed retries since it was found at fault
+        self.retry_lacks_room = False  # whether a retry is due that found no room anywhere
         self.pause_s, self.max_pause_s = pause_s, max_pause_s
 
     @property
--- a/clayport/scheduling/demand_report.py
+++ b/clayport/scheduling/demand_report.py
@@ -11,6 +11,7 @@
 from clayport.jobs.managed_job import ManagedJob
 from clayport.jobs.registry import JobRegistry
 from clayport.membership.state import MembershipState
+from clayport.model import GANG
 from clayport.scaling.demand import Demand
 from clayport.scheduling.queueing import JobQueue
 from clayport.scheduling.view import ClusterView
@@ -95,7 +96,10 @@
         return rows + self._excluded_rows(rows, now)
 
     def _jobs_with_demand(self, now: float) -> Iterator[ManagedJob]:
-        """Yield the jobs led here that need room, the most important first."""
+        """Yield the jobs led here that need room, the most important first.
+
+        A job at fault needs room only for a retry that is due, if no machine has room for it.
+        """
         queue = self.queue
         for managed, _ in queue.in_flight.values():
             if now >= managed.not_before and not managed.at_fault:
@@ -107,8 +111,9 @@
         for group in groups:
             for subqueue in group.subqueues.values():
                 for name in subqueue:
-                    if not queue.entries[name].managed.at_fault:
-                        yield queue.entries[name].managed
+                    managed = queue.entries[name].managed
+                    if not managed.at_fault or managed.retry_lacks_room:
+                        yield managed
 
     def _log_bound(self, now: float) -> None:
         """Log now and then that the report is truncated."""
@@ -137,9 +142,12 @@
             zones = " ".join(
                 self.view.zones.get(machine, "") for _, _, machine in managed.assignments()
             )
+        tasks = managed.pending + len(managed.being_placed)
+        if managed.at_fault and managed.job.kind != GANG:
+            tasks = min(tasks, 1)
         return DemandRow(
             managed.job.id,
-            managed.pending + len(managed.being_placed),
+            tasks,
             now - managed.waiting_since,
             zones,
         )
--- a/clayport/scheduling/placer.py
+++ b/clayport/scheduling/placer.py
@@ -285,6 +285,7 @@
         if wanted <= 0 or (job.kind == GANG and wanted < managed.pending):
             return
         chosen, wanted = self.room_finder.find(managed, wanted, scheduling_pass)
+        managed.retry_lacks_room = managed.at_fault and not chosen
         if job.backfill:
             scheduling_pass.backfill_cpus_left[job.rank] -= len(chosen) * job.cpus
         if len(chosen) < wanted:
--- a/tests/system/test_avoided_machines.py
+++ b/tests/system/test_avoided_machines.py
@@ -127,3 +127,44 @@
     )
     assert waited_s <= MAX_WAIT_S
     assert world.violations == []
+
+
+async def room_is_taken_after_failures(clock: Clock, seed: int, fields: dict[str, Any]) -> float:
+    """Let a job fail on three machines, and others take its room; return for how long it waits."""
+    world = await start_world(clock, seed)
+    # Services would have machines rented as spare room for others like them. These jobs are late at
+    # once, so that machines are rented for each of them.
+    large = {"pieces": 1, "vcpus": 4.5, "due_s": 1.0, "flavors": ["plain"], "loaners": False}
+    for number in (1, 2, 3):
+        world.capacity = number
+        name = await submit_endless(world, job(10 + number, **large))
+        await until(lambda name=name: bool(running(world, name)))
+    world.failing_machines.update(world.workers)
+    await submit_endless(world, job(1, **{**large, **fields, "pieces": 1, "vcpus": 3.5}))
+    await until(lambda: is_at_fault(world, JOB))
+    world.failing_machines.clear()
+    name = await submit_endless(world, job(9, **{**large, "pieces": 3, "vcpus": 3.0}))
+    await until(lambda: len(running(world, name)) == 3)
+    world.capacity = 14
+    return await waits_for_s(world, JOB)
+
+
+def is_at_fault(world: World, job_id: str) -> bool:
+    """Return whether the leader of a job considers the job at fault."""
+    return any(
+        controller.jobs.managed[job_id].at_fault
+        for controller in world.controllers.values()
+        if job_id in controller.jobs.managed
+    )
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_machine_is_rented_for_a_job_that_seems_at_fault(
+    monkeypatch: pytest.MonkeyPatch, shape: str, seed: int
+) -> None:
+    # Nothing was rented for a job that had failed on three faulty machines.
+    waited_s = simulate(
+        monkeypatch, lambda clock: room_is_taken_after_failures(clock, seed, SHAPES[shape])
+    )
+    assert waited_s <= MAX_WAIT_S
