Retry a job at fault before it has waited for the 90 s that jobs may wait

A job that has failed on three machines is retried after a pause that doubles up to six leases of a worker. With leases of 15.25 s that is 91.5 s. If the machines were at fault and are well again, the job waits beside free room for longer than the 90 s of the users' rule.

Change: four leases, which is 61 s there, and a name for the number.

Test: test_the_pauses_of_a_job_at_fault_are_shorter_than_jobs_may_wait, red with six leases (91.5 s between two retries).

--- a/clayport/membership/failover.py
+++ b/clayport/membership/failover.py
@@ -30,6 +30,9 @@
 
 log = logging.getLogger(__name__)
 
+# The longest pause between retries of a job at fault, in leases of a worker. Machines may be at
+# fault after all, and a job may wait beside free room for 90 s at most.
+MAX_FAULT_PAUSE_LEASES = 4
 # The chunks of a job, by chunk size and index.
 Chunks = dict[tuple[int, int], Chunk]
 
@@ -211,7 +214,7 @@
             ended,
             self.membership.epoch.number,
             cluster.workers.report_s,
-            6 * cluster.workers.lease_s,
+            MAX_FAULT_PAUSE_LEASES * cluster.workers.lease_s,
             cluster.workers.lease_s,
         )
         managed.found_at_fault_before = job.id in self.machines.jobs_at_fault
--- a/tests/system/test_faults.py
+++ b/tests/system/test_faults.py
@@ -32,6 +32,7 @@
 from clayport.scheduling.queueing.shares import FairShare
 from tests.jobs.test_dispatch import SingleController
 from tests.machines.test_workers import JOB, KEY, OwnerHarness
+from tests.troubles import MAX_WAIT_S
 from tests.world import TYPES, Clock, simulate
 from tests.world import job as wire_job
 
@@ -95,6 +96,25 @@
         until = managed.not_before
 
 
+def test_the_pauses_of_a_job_at_fault_are_shorter_than_jobs_may_wait(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # With long leases a job could wait beside free room for more than 90 s between two retries.
+    harness = SingleController(monkeypatch)
+    workers = harness.c.settings.cluster.workers
+    workers = msgspec.structs.replace(workers, lease_s=15.25, report_s=2.5)
+    cluster = msgspec.structs.replace(harness.c.settings.cluster, workers=workers)
+    harness.c.failover.settings = msgspec.structs.replace(harness.c.settings, cluster=cluster)
+    harness.c.failover.start_leading(make_job(1), 1, {}, "")
+    harness.discard_routines()
+    managed = harness.c.jobs.managed["j-000001"]
+    for retry in range(20):
+        now = managed.not_before
+        for machine in range(3):
+            managed._record_failure(f"m{machine}", now)
+        assert managed.at_fault and managed.not_before - now <= MAX_WAIT_S, retry
+
+
 def test_a_job_at_fault_is_retried_on_one_machine_and_adds_no_demand(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
