--- a/clayport/scheduling/candidates.py
+++ b/clayport/scheduling/candidates.py
@@ -5,8 +5,9 @@
 from collections.abc import Container
 
 from clayport.model import Job
-from clayport.scheduling.index import Index, Pool
+from clayport.scheduling.index import Index
 from clayport.scheduling.policy import Policy
+from clayport.scheduling.pools import Pool
 from clayport.scheduling.spread import Spread
 
 
