--- a/tests/system/test_avoided_machines.py
+++ b/tests/system/test_avoided_machines.py
@@ -11,6 +11,8 @@
 from tests.troubles import (
     LEASE_S,
     MAX_WAIT_S,
+    SERVICE,
+    fail_all_machines,
     running,
     submit_endless,
     until,
@@ -49,7 +51,6 @@
     assert running(world, JOB)
 
 
-SERVICE = {"shape": "daemon", "jobclass": "web", "rank": "production", "guess_s": 0.0}
 SHAPES: dict[str, dict[str, Any]] = {
     "array": {"pieces": 3},
     "gang": {"pieces": 3, "shape": "ensemble"},
@@ -57,22 +58,12 @@
 }
 
 
-async def machines_fail(clock: Clock, seed: int, count: int) -> World:
-    """Let the only machines up, each of which runs a replica, fail all tasks that they start."""
-    world = await start_world(clock, seed)
-    world.capacity = count
-    fields = {"pieces": count, "vcpus": 4.5, "flavors": ["plain"], "loaners": False, **SERVICE}
-    name = await submit_endless(world, job(8, **fields))
-    await until(lambda: len(running(world, name)) == count)
-    world.failing_machines.update(world.workers)
-    return world
-
-
 async def job_fails_on_all_machines(
     clock: Clock, seed: int, count: int, fields: dict[str, Any]
 ) -> tuple[World, float]:
     """Let a job fail for a while on all machines that the cloud has."""
-    world = await machines_fail(clock, seed, count)
+    world = await start_world(clock, seed)
+    await fail_all_machines(world, count)
     await submit_endless(world, job(1, vcpus=1.0, loaners=False, **fields))
     await curio.sleep(3 * LEASE_S)
     world.failing_machines.clear()
--- a/tests/system/test_unhealthy_machines.py
+++ b/tests/system/test_unhealthy_machines.py
@@ -11,9 +11,10 @@
 from tests.troubles import (
     LEASE_S,
     MAX_WAIT_S,
+    SERVICE,
     end_faults,
+    fail_all_machines,
     nothing_runs,
-    running,
     submit_endless,
     until,
     waits_for_s,
@@ -21,7 +22,6 @@
 from tests.world import Clock, World, job, simulate
 
 LATER = "j-000009"
-SERVICE = {"shape": "daemon", "jobclass": "web", "rank": "production", "guess_s": 0.0}
 # Jobs by name, with the number of their tasks for each machine.
 LATER_JOBS: dict[str, dict[str, Any]] = {
     "array": {"pieces": 3},
@@ -34,11 +34,7 @@
 async def machines_fail(clock: Clock, seed: int, count: int) -> World:
     """Let all machines that the cloud has fail tasks of two jobs, while each runs a replica."""
     world = await start_world(clock, seed)
-    world.capacity = count
-    fields = {"pieces": count, "vcpus": 4.5, "loaners": False, **SERVICE}
-    replicas = await submit_endless(world, job(1, **fields))
-    await until(lambda: len(running(world, replicas)) == count)
-    world.failing_machines.update(worker.name for worker in running(world, replicas))
+    await fail_all_machines(world, count)
     for number in (2, 3):
         await world.submit(job(number, pieces=count, vcpus=1.0, loaners=False), 5.0)
     await until(lambda: all(is_unhealthy(world, name) for name in world.failing_machines))
--- a/tests/troubles.py
+++ b/tests/troubles.py
@@ -21,6 +21,8 @@
 MAX_WAIT_S = 90.0
 MAX_HUNG_MACHINES = 8
 
+# Fields of a submission of a service.
+SERVICE = {"shape": "daemon", "jobclass": "web", "rank": "production", "guess_s": 0.0}
 SHAPES: list[dict[str, Any]] = [
     {"pieces": 3},
     {"pieces": 2, "shape": "ensemble", "loaners": False},
@@ -195,6 +197,15 @@
     return str(fields["id"])
 
 
+async def fail_all_machines(world: World, count: int) -> None:
+    """Let the only machines of the cloud fail all further tasks, while each runs a replica."""
+    world.capacity = count
+    fields = {"pieces": count, "vcpus": 4.5, "flavors": ["plain"], "loaners": False, **SERVICE}
+    name = await submit_endless(world, job(8, **fields))
+    await until(lambda: len(running(world, name)) == count)
+    world.failing_machines.update(world.workers)
+
+
 async def until_launches_are_sent(world: World, label: str) -> set[str]:
     """Wait until a controller has sent launches of jobs that run until they are cancelled.
 
