Open a machine again if an epoch begins while its replicas are moved

If an epoch began before the last one had moved, the moves ended and the machine stayed closed for as long as a replica was on it, which may be for ever. Unhealthy machines are tried every half lease, so they meet this most often.

Change: however the moves end, a machine that still has replicas takes work again. Two tests hold what must stay: a machine whose replicas can't move takes work again, an empty one stays closed.

--- a/clayport/machines/evacuation.py
+++ b/clayport/machines/evacuation.py
@@ -103,6 +103,7 @@
     async def _evacuate(self, machine: Machine, drain: bool) -> None:
         """Stop one replica at a time, each only if its leader can place it on another machine."""
         epoch = self.membership.epoch
+        emptied = False
         try:
             while (
                 self.membership.epoch is epoch
@@ -116,6 +117,7 @@
                 ]
                 machine_type = self.machines.types.get(machine.type)
                 if machine_type is None or not replicas:
+                    emptied = True
                     return
                 room = self.machines.room(machine)
                 if not drain and self.placer.policy().excess_cpus(room, machine_type) <= 0:
@@ -127,12 +129,13 @@
                         await self.routines.flush()
                         break
                 else:
-                    machine.draining = False
-                    self.machines.mark_room_changed(machine.name)
                     return
                 await curio.sleep(self.settings.cluster.workers.report_s / 2)
         finally:
             machine.evacuating = False
+            if machine.draining and not emptied:
+                machine.draining = False
+                self.machines.mark_room_changed(machine.name)
 
     async def _movable(self, machine: Machine, key: TaskKey, job: Job, drain: bool) -> bool:
         """Return whether the leader of the replica's job can place it on another machine."""
