Ask a machine on probation again only after a pause, and no expensive one for work that can wait

A machine on probation may decline a job that failed there before. A leader that doesn't know of the failure, because it has just taken over the job, chose the machine again in the next pass, some twenty times a second for up to two leases. And work that can wait for a machine that isn't expensive took an expensive one on probation.

Change: after a decline by a machine that isn't open, the job avoids it for a quarter of a lease; declines of open machines are handled as before. The search on probation has the condition of the search on healthy machines.

Tests: test_only_a_start_that_a_machine_on_probation_declined_keeps_the_job_off and test_a_machine_that_declined_a_probe_task_is_avoided_briefly, of new behaviour.

--- a/clayport/jobs/avoidance.py
+++ b/clayport/jobs/avoidance.py
@@ -12,7 +12,7 @@
 # quarantined for a shorter time, so that other jobs get its first probe task.
 FIRST_AVOIDANCE_LEASES = 1.5
 MAX_AVOIDANCE_LEASES = 3.0
-# For how long a job avoids a machine that has declined it, in leases of a worker.
+# For how long a job avoids an unhealthy machine that has declined it, in leases of a worker.
 DECLINED_LEASES = 0.25
 
 
@@ -31,6 +31,7 @@
         self.job, self.lease_s = job, lease_s
         self._until: dict[str, float] = {}  # the latest failure last
         self._failures: dict[str, int] = {}  # failures that come together count once
+        self._declined_until: dict[str, float] = {}
 
     def note_failure(self, machine: str, now: float) -> None:
         """Avoid a machine on which a task has failed."""
@@ -52,10 +53,11 @@
             )
 
     def note_declined(self, machine: str, now: float) -> None:
-        """Avoid a machine for a while that has failed tasks, and whose owner declined a start."""
-        if machine in self._until:
-            until = now + DECLINED_LEASES * self.lease_s
-            self._until[machine] = max(self._until[machine], until)
+        """Avoid an unhealthy machine for a while whose owner has declined a probe task of the job.
+
+        The owner may prefer other jobs for some time. It would be asked in every pass.
+        """
+        self._declined_until[machine] = now + DECLINED_LEASES * self.lease_s
 
     def note_success(self, machine: str) -> None:
         """Avoid a machine no longer on which a task has succeeded."""
@@ -64,8 +66,14 @@
 
     def at(self, now: float) -> set[str]:
         """Return the machines that are avoided at this time."""
-        return {machine for machine, until in self._until.items() if now < until}
+        return _still(self._until, now) | _still(self._declined_until, now)
 
     def latest_at(self, now: float) -> set[str]:
-        """Return the machine of the latest failure, if it is avoided at this time."""
-        return self.at(now) & set(list(self._until)[-1:])
+        """Return the machine of the latest failure and those that declined, if still avoided."""
+        latest = set(list(self._until)[-1:])
+        return (_still(self._until, now) & latest) | _still(self._declined_until, now)
+
+
+def _still(until: dict[str, float], now: float) -> set[str]:
+    """Return the machines whose time is not over."""
+    return {machine for machine, at in until.items() if now < at}
--- a/clayport/jobs/dispatcher.py
+++ b/clayport/jobs/dispatcher.py
@@ -302,12 +302,13 @@
     ) -> None:
         """Update the cached state and the job by what the owners have granted and declined."""
         self.cached_state.adaptive_interval.count(len(granted), len(declined))
-        for _, machine in declined:
-            # The machine is not tried again until its cached state has been refreshed.
+        for machine in dict.fromkeys(machine for _, machine in declined):
             room = self.view.rooms.get(machine)
-            if room is not None and room.owner != self.membership.label:
+            if room is not None and not room.open:
+                managed.avoided.note_declined(machine, time.monotonic())  # it is on probation
+            elif room is not None and room.owner != self.membership.label:
+                # The machine is not tried again until its cached state has been refreshed.
                 room.close()
-            managed.avoided.note_declined(machine, time.monotonic())
         if declined:
             self.routines.signal("starved")
             self.cached_state.lacks_room = True
--- a/clayport/scheduling/room_search.py
+++ b/clayport/scheduling/room_search.py
@@ -92,10 +92,11 @@
             return []
         with index.admitting(rooms):
             if job.kind == GANG:
-                return self.place(wanted)
+                return self.place(wanted, self.can_wait)
             chosen: list[Room] = []
             while len(chosen) < wanted:
-                found = self.place(1, used=[room.machine for room in chosen])
+                used = [room.machine for room in chosen]
+                found = self.place(1, self.can_wait, used=used)
                 if not found:
                     break
                 chosen += found
--- a/tests/jobs/test_avoidance.py
+++ b/tests/jobs/test_avoidance.py
@@ -44,12 +44,26 @@
     assert avoided.at(16.9) == {"m1"}  # as after a first failure
 
 
-def test_a_declined_start_keeps_a_job_off_a_machine_only_where_it_failed() -> None:
+def test_a_machine_that_declined_a_probe_task_is_avoided_briefly() -> None:
+    """Its owner may prefer other jobs for a while, and would be asked in every pass."""
     avoided = AvoidedMachines("j-000001", LEASE_S)
     avoided.note_failure("m1", 0.0)
-    for machine in ("m1", "m2"):
-        avoided.note_declined(machine, 20.0)
-    assert avoided.at(22.4) == {"m1"} and avoided.at(22.5) == set()
+    avoided.note_failure("m2", 0.0)
+    avoided.note_declined("m3", 1.0)
+    assert avoided.at(1.0) == {"m1", "m2", "m3"} and avoided.latest_at(1.0) == {"m2", "m3"}
+    assert avoided.at(3.5) == {"m1", "m2"}
+
+
+@pytest.mark.parametrize("is_open", [True, False])
+def test_only_a_start_that_a_machine_on_probation_declined_keeps_the_job_off(
+    monkeypatch: pytest.MonkeyPatch, is_open: bool
+) -> None:
+    harness = SingleController(monkeypatch)
+    harness.report("m1", "north", "plain")
+    managed = harness.add_job(msgspec.convert(wire_job(1), Job))
+    harness.c.cached_state.rooms()["m1"].open = is_open
+    harness.c.dispatcher._note_answers(managed, [], [(0, "m1"), (1, "m1")])
+    assert managed.excluded_machines(harness.now) == (set() if is_open else {"m1"})
 
 
 def job_that_failed(harness: SingleController, *machines: str) -> Job:
