Let jobs that failed on a machine give way for half a quarantine, so that none waits for 90 s

If all waiting jobs have failed on a quarantined machine, the next probe task came two quarantines after the last failure, and the machine took other jobs one more after that: six leases, which is 91.5 s with leases of 15.25 s. Jobs may wait beside free room for 90 s.

Change: such jobs give way for half a quarantine, which is as long as they avoid the machine anyway. That makes five leases, 76 s.

Test: test_a_job_that_failed_on_a_machine_gives_way_to_others_for_a_while (red with the window of before: the job is declined for longer).

--- a/clayport/jobs/avoidance.py
+++ b/clayport/jobs/avoidance.py
@@ -8,8 +8,8 @@
 
 log = logging.getLogger(__name__)
 
-# For how long a job avoids a machine, first and at most, in leases of a worker. A machine is
-# quarantined for a shorter time, so that other jobs get its first probe task.
+# For how long a job avoids a machine, first and at most, in leases of a worker: for as long as the
+# machine may be quarantined and then prefers other jobs.
 FIRST_AVOIDANCE_LEASES = 1.5
 MAX_AVOIDANCE_LEASES = 3.0
 # For how long a job avoids an unhealthy machine that has declined it, in leases of a worker.
--- a/clayport/machines/health.py
+++ b/clayport/machines/health.py
@@ -130,15 +130,10 @@
     def prefers_other_jobs(self, machine: Machine, job: str, now: float) -> bool:
         """Return whether an unhealthy machine leaves its next probe task to other jobs.
 
-        A job that has failed there, and may be at fault itself, gives way for as long as the
-        quarantine lasted. Otherwise such jobs could be the only ones that are ever tried.
+        A job that has failed there, and may be at fault itself, gives way for a while. Otherwise
+        such jobs could be the only ones that are ever tried.
         """
-        quarantine = machine.quarantine
-        return (
-            job in machine.errors
-            and quarantine.until is not None
-            and now < quarantine.until + quarantine_s(quarantine.failures, self.lease_s)
-        )
+        return job in machine.errors and machine.quarantine.prefers_other_jobs(now, self.lease_s)
 
     def check_quarantine(self, machine: Machine, now: float) -> bool:
         """End the quarantine of an unhealthy machine, or find that the machine has recovered.
--- a/clayport/machines/quarantine.py
+++ b/clayport/machines/quarantine.py
@@ -14,6 +14,9 @@
 # The first and the longest duration of a quarantine, in leases of a worker.
 FIRST_QUARANTINE_LEASES = 1.0
 MAX_QUARANTINE_LEASES = 2.0
+# For how long after the quarantine the machine prefers jobs that have not failed there, as a share
+# of the duration of the quarantine.
+PREFERENCE_SHARE = 0.5
 
 
 def quarantine_s(failures: int, lease_s: float) -> float:
@@ -60,6 +63,11 @@
         self.probing = False
         self.probes.clear()
 
+    def prefers_other_jobs(self, now: float, lease_s: float) -> bool:
+        """Return whether jobs that have failed on the machine give way to others."""
+        preference_s = PREFERENCE_SHARE * quarantine_s(self.failures, lease_s)
+        return self.until is not None and now < self.until + preference_s
+
     def is_over(self, now: float, lease_s: float) -> bool:
         """Return whether the quarantine is over; set its end if that is not set yet."""
         if self.until is None:
--- a/tests/machines/test_quarantine.py
+++ b/tests/machines/test_quarantine.py
@@ -40,6 +40,11 @@
         job = msgspec.structs.replace(job, kind=kind)
         return self.owner.reserve(job, [("m1", n) for n in range(tasks)], 1, float(self.seq))
 
+    def reserve_next(self, number: int) -> list[bool]:
+        """Ask for room for the second attempt of a job."""
+        job = msgspec.convert(wire_job(number, pieces=9), Job)
+        return self.owner.reserve(job, [("m1", 0)], 2, float(self.seq))
+
     def fail(self, number: int) -> None:
         """Let a new task fail that the machine was given."""
         self.report(*FAILED, ((f"j-000004/{number}", 1), "exited", "error"))
@@ -83,6 +88,22 @@
         assert bench.takes == "none"
 
 
+def test_a_job_that_failed_on_a_machine_gives_way_to_others_for_a_while() -> None:
+    # Jobs that fail everywhere would be the only ones tried on a full cloud.
+    bench = UnhealthyMachine()
+    bench.wait(LEASE_S)
+    bench.reserve()
+    bench.fail(0)
+    bench.wait(0)
+    bench.wait(2 * LEASE_S)
+    other = msgspec.convert(wire_job(5, pieces=9), Job)
+    assert bench.takes == "one" and bench.reserve_next(4) == [False]
+    assert bench.owner.reserve(other, [("m1", 0)], 1, float(bench.seq)) == [True]
+    bench.owner.stop([("m1", f"{other.id}/0", 1, 0.0, False)])
+    bench.wait(LEASE_S)
+    assert bench.reserve_next(4) == [True]
+
+
 def test_errors_of_earlier_tasks_during_the_quarantine_count_once() -> None:
     bench = UnhealthyMachine()
     for number in range(3):
