--- a/tests/system/test_unhealthy_machines.py
+++ b/tests/system/test_unhealthy_machines.py
@@ -93,8 +93,9 @@
     return world, await waits_for_s(world, LATER)
 
 
-@pytest.mark.parametrize("faulty", [1, 2])
-@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize(
+    "seed, faulty", [(1, 1), (2, 1), (1, 2), (2, 2), (3, 3), (1, 6), (2, 6), (7, 6)]
+)
 def test_faulty_jobs_do_not_take_all_probe_tasks(
     monkeypatch: pytest.MonkeyPatch, faulty: int, seed: int
 ) -> None:
