Offer a place on probation again that a transaction had no room to use

If the tasks of an array are spread over more chunks than a transaction may change, the placer finds places for more tasks than it hands over, and releases the others. A machine on probation among them was shown as closed from then on, until its owner reported a change, so this controller did not use it any more.

Change: the cached state marks such a machine as stale, so that its owner is asked again, as it is after each start.

Test: test_a_place_on_probation_that_is_not_used_is_offered_again, red before.

--- a/clayport/scheduling/placer.py
+++ b/clayport/scheduling/placer.py
@@ -339,6 +339,9 @@
             )
         for room in chosen[len(numbers) :]:
             room.allocate(managed.job, -1)  # the task is left for the next transaction
+            if not room.open:
+                # Whether the machine still takes a probe task is read from its owner again.
+                self.cached_state.stale[room.machine] = None
         managed.placed_starts = [(number, room.machine) for number, room in zip(numbers, chosen)]
         self.queue.mark_changed(managed.job.id)
         for number, machine in managed.placed_starts:
--- a/tests/machines/test_quarantine.py
+++ b/tests/machines/test_quarantine.py
@@ -208,6 +208,22 @@
     assert (machines.count("m2"), machines.count("m1")) == (healthy, on_probation)
 
 
+def test_a_place_on_probation_that_is_not_used_is_offered_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The cached state showed the machine as closed until its owner reported a change.
+    harness = controller_with_machines(monkeypatch, m1="probation", m2="probation")
+    managed = harness.add_job(msgspec.convert(wire_job(1, pieces=100), Job))
+    monkeypatch.setattr(type(harness.c.dispatcher), "max_start_chunks", 1)
+    managed.cursor = 100
+    managed.requeued.extend((0, 60))  # tasks of two chunks, which need two transactions
+    harness.run_pass()
+    ((_, used),) = managed.placed_starts
+    rooms = harness.c.cached_state.rooms()
+    unused = "m1" if used == "m2" else "m2"
+    assert rooms[unused].on_probation
+
+
 def test_a_machine_on_probation_counts_as_no_room_for_others(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
