--- a/tests/system/test_repeated_commands.py
+++ b/tests/system/test_repeated_commands.py
@@ -21,12 +21,14 @@
     wait_until_jobs_end,
 )
 from tests.system.test_restarts import restart_controller
-from tests.troubles import CANCEL_S, end_faults, running
+from tests.troubles import CANCEL_S, end_faults, running, until
 from tests.world import Clock, Worker, World, job, simulate
 
 JOB = "j-000001"
 TASK = f"{JOB}/0"
 FAULTS_S = 60.0
+# How often, and for how long, a test waits for a condition.
+POLL_S, WAIT_S = 0.05, 180.0
 
 
 def listing_machines(world: World) -> set[str]:
@@ -41,20 +43,12 @@
     )
 
 
-async def until(condition: Callable[[], bool], clock: Clock) -> None:
-    """Wait until a condition holds, for three minutes at most."""
-    end = clock() + 180.0
-    while not condition():
-        await curio.sleep(0.05)
-        assert clock() < end, "the condition never held"
-
-
 async def task_fails(world: World, worker: Worker) -> None:
     """Let the task exit with an error, and wait until it runs on another machine."""
     for key in worker.occupying_tasks():
         if key[0] == TASK:
             worker.tasks[key].fails_at = world.clock()
-    await until(lambda: running(world, JOB) not in ([], [worker]), world.clock)
+    await until(lambda: running(world, JOB) not in ([], [worker]), POLL_S, WAIT_S)
 
 
 async def task_is_stopped(world: World, worker: Worker) -> None:
@@ -69,7 +63,7 @@
     owner.mark_room_changed(worker.name)
     key = next(k for k in worker.occupying_tasks() if k[0] == TASK)
     owner.stop([(worker.name, *key, 0.0, False)])
-    await until(lambda: running(world, JOB) not in ([], [worker]), world.clock)
+    await until(lambda: running(world, JOB) not in ([], [worker]), POLL_S, WAIT_S)
 
 
 async def job_is_cancelled(world: World, worker: Worker) -> None:
@@ -84,13 +78,13 @@
 async def simulate_copies(clock: Clock, scene: Scene, restarts: bool, seed: int) -> World:
     """Let all answered commands arrive once more after a task has left its machine."""
     world = await start_world(clock, seed, job(1, pieces=1, shape="daemon", loaners=False))
-    await until(lambda: len(running(world, JOB)) == 1, clock)
+    await until(lambda: len(running(world, JOB)) == 1, POLL_S, WAIT_S)
     # The tasks of the second job fit no machine with another task, so each machine has room left.
     await world.submit(job(2, pieces=3, vcpus=5.0, loaners=False), 1e9)
-    await until(lambda: tasks_of(world, "j-000002") == 3, clock)
+    await until(lambda: tasks_of(world, "j-000002") == 3, POLL_S, WAIT_S)
     worker = running(world, JOB)[0]
     await scene(world, worker)
-    await until(lambda: worker.name not in listing_machines(world), clock)
+    await until(lambda: worker.name not in listing_machines(world), POLL_S, WAIT_S)
     if restarts:
         await restart_controller(world, world.rng.choice(world.labels))
     await world.repeat_answered_commands()
--- a/tests/troubles.py
+++ b/tests/troubles.py
@@ -182,12 +182,14 @@
     return names
 
 
-async def until(condition: Callable[[], bool]) -> None:
+async def until(
+    condition: Callable[[], bool], interval_s: float = 0.1, within_s: float = 60.0
+) -> None:
     """Wait until a condition holds, which the test needs to begin with."""
-    for _ in range(600):
+    for _ in range(round(within_s / interval_s)):
         if condition():
             return
-        await curio.sleep(0.1)
+        await curio.sleep(interval_s)
     raise TimeoutError("the condition of the test does not come about")
 
 
