One check of probe tasks, and a name that says that the end of a quarantine is set

MachineTable.takes_probe asked FaultRecord for two parts of one answer, and for one of them twice. Quarantine.is_over also set the end, which its name did not say: it is check_end now.

--- a/clayport/jobs/dispatcher.py
+++ b/clayport/jobs/dispatcher.py
@@ -305,7 +305,8 @@
         for machine in dict.fromkeys(machine for _, machine in declined):
             room = self.view.rooms.get(machine)
             if room is not None and not room.open:
-                managed.avoided.note_declined(machine, time.monotonic())  # it is on probation
+                # A machine that isn't open was asked for a probe task.
+                managed.avoided.note_declined(machine, time.monotonic())
             elif room is not None and room.owner != self.membership.label:
                 # The machine is not tried again until its cached state has been refreshed.
                 room.close()
--- a/clayport/machines/health.py
+++ b/clayport/machines/health.py
@@ -122,9 +122,11 @@
     # -- probe tasks -----------------------------------------------------
 
     def takes_probe(self, machine: Machine) -> bool:
-        """Return whether an unhealthy machine may take a probe task now."""
-        return machine.quarantine.probing and not any(
-            self._is_present(machine, key) for key in machine.quarantine.probes
+        """Return whether a machine is unhealthy and may take a probe task now."""
+        return (
+            machine.quarantine.probing
+            and self.is_unhealthy(machine)
+            and not any(self._is_present(machine, key) for key in machine.quarantine.probes)
         )
 
     def prefers_other_jobs(self, machine: Machine, job: str, now: float) -> bool:
@@ -146,7 +148,7 @@
             Whether the machine takes other tasks than before.
         """
         quarantine = machine.quarantine
-        if not self.is_unhealthy(machine) or not quarantine.is_over(now, self.lease_s):
+        if not self.is_unhealthy(machine) or not quarantine.check_end(now, self.lease_s):
             return False
         if not quarantine.probing:
             quarantine.probing = True
--- a/clayport/machines/quarantine.py
+++ b/clayport/machines/quarantine.py
@@ -68,8 +68,8 @@
         preference_s = PREFERENCE_SHARE * quarantine_s(self.failures, lease_s)
         return self.until is not None and now < self.until + preference_s
 
-    def is_over(self, now: float, lease_s: float) -> bool:
-        """Return whether the quarantine is over; set its end if that is not set yet."""
+    def check_end(self, now: float, lease_s: float) -> bool:
+        """Set the end of the quarantine if it is not set yet, and return whether it is over."""
         if self.until is None:
             self.until = now + quarantine_s(self.failures, lease_s)
         return now >= self.until
--- a/clayport/machines/table.py
+++ b/clayport/machines/table.py
@@ -353,12 +353,7 @@
 
     def takes_probe(self, machine: Machine) -> bool:
         """Return whether the machine is unhealthy and takes a probe task."""
-        return (
-            machine.quarantine.probing
-            and self._is_available(machine)
-            and self.faults.is_unhealthy(machine)
-            and self.faults.takes_probe(machine)
-        )
+        return self.faults.takes_probe(machine) and self._is_available(machine)
 
     @staticmethod
     def _is_available(machine: Machine) -> bool:
